--- /dev/null
+++ b/apps/eelgrassdoord.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// The daemon of an entry host.
+#include "daemon/host_daemon.hpp"
+#include "observe/log.hpp"
+#include "settings/daemon_settings.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <vector>
+
+extern char** environ;
+
+namespace {
+
+using namespace eelgrassdoor;
+
+std::vector<std::string> environment() {
+    std::vector<std::string> out;
+    for (char** entry = environ; *entry != nullptr; ++entry) {
+        out.emplace_back(*entry);
+    }
+    return out;
+}
+
+observe::severity severity_of(const std::string& name) {
+    if (name == "info") {
+        return observe::severity::info;
+    }
+    return name == "warning" ? observe::severity::warning : observe::severity::error;
+}
+
+/// Blocks the signals that end the daemon, so that every thread leaves them to wait_for_end().
+sigset_t block_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int run(const settings::daemon_settings& settings) {
+    const sigset_t signals = block_signals();
+    observe::init_log(severity_of(settings.log_severity));
+    host_daemon d(settings);
+    if (!d.start()) {
+        std::cerr << "cannot listen on " << settings.address << ", HTTP port " << settings.http_port
+                  << " or peer port " << settings.peer_port << "\n";
+        return EXIT_FAILURE;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    d.drain();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const auto parsed = settings::parse_daemon_settings(arguments, environment());
+    if (const auto* information = std::get_if<settings::information_request>(&parsed)) {
+        std::cout << information->text;
+        return EXIT_SUCCESS;
+    }
+    if (const auto* findings = std::get_if<std::vector<finding>>(&parsed)) {
+        std::cerr << to_text(*findings);
+        return EXIT_FAILURE;
+    }
+    return run(std::get<settings::daemon_settings>(parsed));
+}
--- /dev/null
+++ b/src/front/access.cpp
@@ -0,0 +1,41 @@
+#include "front/access.hpp"
+
+#include "base/text.hpp"
+
+namespace eelgrassdoor::front {
+
+result<caller> identify(const config::document& doc, std::string_view raw_key) {
+    if (raw_key.empty()) {
+        return error{error_code::unauthorized, "a key is required: Authorization: Bearer KEY",
+                     run_state::not_run};
+    }
+    const config::key_record* key = doc.keys.find(raw_key);
+    if (key == nullptr) {
+        return error{error_code::unauthorized, "the key does not work", run_state::not_run};
+    }
+    const auto customer = doc.parsed.customers.find(key->customer);
+    if (customer == doc.parsed.customers.end()) {
+        return error{error_code::forbidden,
+                     "the key's customer does not exist in the sheet in force", run_state::not_run};
+    }
+    return caller{key->customer, customer->second.weight, key->id};
+}
+
+result<caller> identify(const config::document& doc, const config::route& route,
+                        std::string_view raw_key) {
+    if (route.access == config::route_access::open) {
+        return caller{};
+    }
+    return identify(doc, raw_key);
+}
+
+bool still_allowed(const config::document& doc, const caller& who) {
+    if (who.key_id.empty()) {
+        return true;
+    }
+    const config::key_record* key = doc.keys.find_id(who.key_id);
+    return key != nullptr && key->customer == who.customer &&
+           doc.parsed.customers.contains(who.customer);
+}
+
+} // namespace eelgrassdoor::front
--- /dev/null
+++ b/src/observe/event.hpp
@@ -0,0 +1,72 @@
+/// \file
+/// Defines the numbered events of logs and time lines; docs/EVENTS.md is their catalogue.
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace eelgrassdoor::observe {
+
+enum class severity { info, warning, error };
+
+/// The numbers are stable: a retired number is never given to another event.
+enum class event {
+    daemon_started = 100,
+    daemon_ready = 101,
+    drain_started = 102,
+    daemon_stopped = 103,
+    settings_rejected = 104,
+    configuration_in_force = 200,
+    configuration_rejected = 201,
+    configuration_applied = 202,
+    key_changed = 203,
+    member_joined = 300,
+    member_suspected = 301,
+    member_gone = 302,
+    member_leaving = 303,
+    message_dropped = 304,
+    platform_lost = 310,
+    platform_back = 311,
+    limit_part_claimed = 400,
+    limit_part_lost = 401,
+    limit_authority_lapsed = 402,
+    limit_granted = 403,
+    limit_refused = 404,
+    request_received = 500,
+    request_refused = 501,
+    target_chosen = 502,
+    target_answered = 503,
+    target_failed = 504,
+    request_retried = 505,
+    request_finished = 506,
+    stream_ended_by_key = 507,
+    claim_created = 510,
+    claim_replayed = 511,
+    job_accepted = 600,
+    job_claimed = 601,
+    job_progress = 602,
+    job_finished = 603,
+    job_cancelled = 604,
+    job_lost = 605,
+    copy_written = 606,
+    copy_repaired = 607,
+    item_dispatched = 610,
+    item_finished = 611,
+    item_yielded = 612,
+    segment_truncated = 620,
+    engine_ran = 900,
+};
+
+/// The entry of the catalogue for one event.
+struct event_info {
+    event id;
+    std::string_view name;
+    severity level;
+    std::string_view meaning;
+};
+
+std::span<const event_info> event_catalogue();
+
+const event_info& info_of(event id);
+
+} // namespace eelgrassdoor::observe
--- /dev/null
+++ b/src/peer/envelope.cpp
@@ -0,0 +1,133 @@
+#include "peer/envelope.hpp"
+
+#include "base/digest.hpp"
+#include "peer/codec.hpp"
+
+#include <optional>
+#include <utility>
+
+namespace eelgrassdoor::peer {
+
+namespace {
+
+constexpr std::size_t mac_bytes = 32;
+constexpr std::uint8_t frame_magic = 0xe6;
+/// The bodies of bulk calls are the longest.
+constexpr std::uint32_t max_body_bytes = 64U << 20U;
+
+/// The part of a frame in front of the body.
+struct frame_head {
+    std::uint8_t magic = frame_magic;
+    std::uint8_t version = protocol_version;
+    std::uint8_t type = 0;
+    bool is_reply = false;
+    std::uint64_t call_id = 0;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t stamp = 0;
+    std::string sender;
+    std::uint32_t body_bytes = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(magic, version, type, is_reply, call_id, incarnation, sequence, stamp);
+        text(ar, sender);
+        ar(body_bytes);
+    }
+};
+
+} // namespace
+
+std::string_view to_string(drop_reason reason) {
+    switch (reason) {
+    case drop_reason::malformed:
+        return "malformed";
+    case drop_reason::wrong_version:
+        return "wrong_version";
+    case drop_reason::forged:
+        return "forged";
+    case drop_reason::replayed:
+        return "replayed";
+    case drop_reason::old_incarnation:
+        return "old_incarnation";
+    }
+    return "malformed";
+}
+
+sealer::sealer(std::string secret, std::string sender, std::uint64_t incarnation)
+    : m_secret(std::move(secret)), m_sender(std::move(sender)), m_incarnation(incarnation) {}
+
+std::string sealer::seal(envelope e) {
+    frame_head head;
+    head.type = static_cast<std::uint8_t>(e.type);
+    head.is_reply = e.is_reply;
+    head.call_id = e.call_id;
+    head.incarnation = m_incarnation;
+    head.sequence = ++m_sequence;
+    head.stamp = e.stamp;
+    head.sender = m_sender;
+    head.body_bytes = static_cast<std::uint32_t>(e.body.size());
+    std::string frame = encode(head);
+    frame += e.body;
+    frame += hmac_sha256(m_secret, frame);
+    return frame;
+}
+
+std::variant<envelope, drop_reason> sealer::open(std::string_view frame) {
+    if (frame.size() <= mac_bytes) {
+        return drop_reason::malformed;
+    }
+    const std::string_view signed_part = frame.substr(0, frame.size() - mac_bytes);
+    const std::string_view mac = frame.substr(signed_part.size());
+    if (!equal_constant_time(mac, hmac_sha256(m_secret, signed_part))) {
+        return drop_reason::forged;
+    }
+    const std::optional<frame_head> head = decode<frame_head>(signed_part);
+    if (!head || head->magic != frame_magic || head->body_bytes > max_body_bytes ||
+        head->body_bytes > signed_part.size()) {
+        return drop_reason::malformed;
+    }
+    if (head->version != protocol_version) {
+        return drop_reason::wrong_version;
+    }
+    envelope e{static_cast<message_type>(head->type),
+               head->is_reply,
+               head->call_id,
+               head->sender,
+               head->incarnation,
+               head->sequence,
+               head->stamp,
+               std::string(signed_part.substr(signed_part.size() - head->body_bytes))};
+    const auto fresh = check_fresh(e);
+    if (const drop_reason* reason = std::get_if<drop_reason>(&fresh)) {
+        return *reason;
+    }
+    return e;
+}
+
+std::variant<std::monostate, drop_reason> sealer::check_fresh(const envelope& e) {
+    const absl::MutexLock lock(&m_mutex);
+    replay_window& window = m_windows[e.sender];
+    if (e.incarnation < window.incarnation) {
+        return drop_reason::old_incarnation;
+    }
+    if (e.incarnation > window.incarnation) {
+        window = replay_window{e.incarnation, 0, {}};
+    }
+    if (e.sequence + window_size <= window.highest) {
+        return drop_reason::replayed;
+    }
+    for (; window.highest < e.sequence; ++window.highest) {
+        if (e.sequence - window.highest > window_size) {
+            window.seen.reset();
+            window.highest = e.sequence - 1;
+        }
+        window.seen.reset((window.highest + 1) % window_size);
+    }
+    if (window.seen.test(e.sequence % window_size)) {
+        return drop_reason::replayed;
+    }
+    window.seen.set(e.sequence % window_size);
+    return std::monostate{};
+}
+
+} // namespace eelgrassdoor::peer
--- /dev/null
+++ b/src/peer/message.hpp
@@ -0,0 +1,215 @@
+/// \file
+/// Defines the messages between daemons.
+#pragma once
+
+#include "membership/member_record.hpp"
+#include "peer/bounded.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassdoor::peer {
+
+/// The kinds of message. The numbers are part of the protocol.
+enum class message_type : std::uint8_t {
+    gossip = 1,
+    limit_ask = 2,
+    limit_return = 3,
+    confirm = 4,
+    online_started = 5,
+    lane_ask = 6,
+    lane_revoke = 7,
+    job_notice = 8,
+    pull_document = 20,
+    store_copy = 21,
+    append_results = 22,
+    read_copy = 23,
+};
+
+/// A load report of a target. Age is counted by each forwarder, so that no clocks are compared.
+struct target_report {
+    std::string target;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t age_ms = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, target);
+        ar(running, waiting, slots, age_ms);
+    }
+};
+
+/// What daemons tell each other in every gossip round.
+struct gossip {
+    std::vector<membership::member_record> members;
+    std::vector<target_report> reports;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        list(ar, members, [](Archive& a, membership::member_record& m) {
+            text(a, m.host);
+            text(a, m.availability_zone);
+            text(a, m.address);
+            a(m.http_port, m.peer_port, m.incarnation, m.heartbeat, m.leaving, m.platform_reachable,
+              m.has_spool, m.config_version, m.host_list_version);
+            list(a, m.slots, [](Archive& b, membership::held_slot& s) { b(s.slot, s.epoch); });
+        });
+        list(ar, reports, [](Archive& a, target_report& r) { a(r); });
+    }
+};
+
+/// Asks a holder for tokens of a customer's rate.
+struct limit_ask {
+    std::string customer;
+    std::uint16_t slot = 0;
+    double want = 0;
+    /// Whether less than \p want is of use.
+    bool fraction_helps = false;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, customer);
+        ar(slot, want, fraction_helps);
+    }
+};
+
+/// A holder's answer. The holder deducted \p granted before it answered.
+struct limit_answer {
+    /// False when the holder may not use its part now.
+    bool in_authority = false;
+    std::uint64_t grant_id = 0;
+    double granted = 0;
+    double balance = 0;
+    /// Seconds until one more token has come in, as far as this part knows.
+    double next_token_s = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(in_authority, grant_id, granted, balance, next_token_s);
+    }
+};
+
+/// Gives unused tokens back. The holder takes them only once for each grant and only for a time.
+struct limit_return {
+    std::uint16_t slot = 0;
+    std::uint64_t grant_id = 0;
+    double amount = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(slot, grant_id, amount); }
+};
+
+/// Asks another daemon of the zone which epoch of the zone's limit record it knows.
+struct confirm_ask {
+    template <typename Archive> void serialize(Archive& ar) {
+        std::uint8_t unused = 0;
+        ar(unused);
+    }
+};
+
+struct confirm_answer {
+    std::uint64_t record_epoch = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(record_epoch); }
+};
+
+/// Tells the lane of a target that an online request was sent to it, or has ended.
+struct online_started {
+    std::string target;
+    bool ended = false;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, target);
+        ar(ended);
+    }
+};
+
+/// Asks the lane of a target for batch slots. What was granted before is given back or kept.
+struct lane_ask {
+    std::string target;
+    /// The job owner's slots in use, which it wants to keep.
+    std::uint32_t in_use = 0;
+    /// How many slots the job owner could use in all.
+    std::uint32_t want = 0;
+    /// The customers' weights behind the wish, added up.
+    double weight = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, target);
+        ar(in_use, want, weight);
+    }
+};
+
+struct lane_answer {
+    /// False when the asked daemon does not run this lane.
+    bool runs_lane = false;
+    /// The slots that the job owner may use until it asks again.
+    std::uint32_t granted = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(runs_lane, granted); }
+};
+
+/// Tells a job owner to stop batch streams on a target at once.
+struct lane_revoke {
+    std::string target;
+    /// The slots that remain granted.
+    std::uint32_t keep = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, target);
+        ar(keep);
+    }
+};
+
+/// Tells the holders of a job's copies that its record has changed.
+struct job_notice {
+    std::string job;
+
+    template <typename Archive> void serialize(Archive& ar) { text(ar, job); }
+};
+
+/// The kinds of document that daemons pull from each other.
+enum class document_kind : std::uint8_t { configuration = 1, host_list = 2 };
+
+struct pull_document {
+    document_kind kind = document_kind::configuration;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(kind); }
+};
+
+/// Writes bytes into a job's file on another spool, at an offset that must be its size.
+struct store_copy {
+    std::string job;
+    std::string file;
+    std::uint64_t offset = 0;
+    /// Whether the file is new, so that an older one of this name is replaced.
+    bool truncate = false;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, job);
+        text(ar, file);
+        ar(offset, truncate);
+    }
+};
+
+struct store_answer {
+    bool stored = false;
+    /// The size of the file after the call.
+    std::uint64_t size = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(stored, size); }
+};
+
+/// Reads bytes of a job's file on another spool.
+struct read_copy {
+    std::string job;
+    std::string file;
+    std::uint64_t offset = 0;
+    std::uint64_t length = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        text(ar, job);
+        text(ar, file);
+        ar(offset, length);
+    }
+};
+
+} // namespace eelgrassdoor::peer
--- /dev/null
+++ b/src/routing/retry_budget.hpp
@@ -0,0 +1,29 @@
+/// \file
+/// Defines the bound on retries. Pure: no I/O.
+#pragma once
+
+namespace eelgrassdoor::routing {
+
+/// Allows retries in proportion to requests. Every daemon keeps the same proportion, so the fleet
+/// as a whole does too, without messages.
+class retry_budget {
+public:
+    /// Retries for each request, and how many may come at once.
+    static constexpr double ratio = 0.1;
+    static constexpr double max_saved = 10;
+
+    void note_request() { m_saved = m_saved + ratio < max_saved ? m_saved + ratio : max_saved; }
+    /// Takes one retry when the budget has one.
+    bool try_take() {
+        if (m_saved < 1) {
+            return false;
+        }
+        m_saved -= 1;
+        return true;
+    }
+
+private:
+    double m_saved = max_saved;
+};
+
+} // namespace eelgrassdoor::routing
--- /dev/null
+++ b/src/service/document_service.cpp
@@ -0,0 +1,154 @@
+#include "service/document_service.hpp"
+
+#include "peer/codec.hpp"
+
+#include <utility>
+
+namespace eelgrassdoor::service {
+
+namespace {
+
+constexpr int delegates_per_zone = 2;
+constexpr duration poll_interval = seconds(1);
+constexpr duration pull_interval = milliseconds(200);
+constexpr duration pull_timeout = seconds(2);
+
+} // namespace
+
+document_service::document_service(runtime& shared, platform::config_repository& repository,
+                                   member_service& members)
+    : m_shared(shared), m_repository(repository), m_members(members),
+      m_host_list_client(shared.settings.platform_url, shared.clock, shared.drops),
+      m_hosts(std::make_shared<const platform::host_list>()) {
+    m_shared.node.handle_bulk(peer::message_type::pull_document,
+                              [this](const peer::bulk_message& m) { return serve(m); });
+}
+
+void document_service::start() {
+    m_poller.start(poll_interval, [this] { poll(); });
+    m_puller.start(pull_interval, [this] { pull(); });
+}
+
+void document_service::stop() {
+    m_poller.stop();
+    m_puller.stop();
+}
+
+platform::host_list_ptr document_service::hosts() const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_hosts;
+}
+
+bool document_service::host_list_fresh(duration age) const {
+    const absl::MutexLock lock(&m_mutex);
+    return m_hosts->version != 0 && m_shared.clock() - m_hosts_read_at <= age;
+}
+
+void document_service::offer(const config::document_ptr& doc) {
+    if (m_shared.configuration.offer(doc)) {
+        m_shared.events.emit(
+            observe::event::configuration_in_force, {},
+            {{"version", std::to_string(doc->head.version)}, {"author", doc->head.author}});
+        m_shared.numbers.gauge("configuration_version", static_cast<double>(doc->head.version));
+    }
+}
+
+void document_service::poll() {
+    const bool delegate = m_members.with_table([](const membership::member_table& table) {
+        return table.is_delegate(delegates_per_zone);
+    });
+    if (!delegate && m_shared.configuration.version() != 0) {
+        return;
+    }
+    const result<config::head_record> head = m_repository.read_head();
+    if (head && head.value().version > m_shared.configuration.version()) {
+        const result<config::document_ptr> doc = m_repository.read(m_shared.configuration.get());
+        if (doc) {
+            offer(doc.value());
+        }
+    }
+    result<platform::host_list> hosts = m_host_list_client.fetch();
+    if (hosts) {
+        const absl::MutexLock lock(&m_mutex);
+        m_hosts_read_at = m_shared.clock();
+    }
+    if (hosts) {
+        take_host_list(std::move(hosts.value()));
+    }
+}
+
+void document_service::take_host_list(platform::host_list list) {
+    auto taken = std::make_shared<const platform::host_list>(std::move(list));
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (taken->version <= m_hosts->version) {
+            return;
+        }
+        m_hosts = taken;
+    }
+    m_members.set_host_list(*taken);
+    m_host_list_hook(*taken);
+}
+
+std::uint64_t document_service::own_version(peer::document_kind kind) const {
+    return kind == peer::document_kind::configuration ? m_shared.configuration.version()
+                                                      : hosts()->version;
+}
+
+void document_service::note_member(const membership::member_record& heard) {
+    const auto note = [&](peer::document_kind kind, std::uint64_t version) {
+        if (version <= own_version(kind)) {
+            return false;
+        }
+        const absl::MutexLock lock(&m_mutex);
+        m_newer[kind] = {version, heard.peer_endpoint()};
+        return true;
+    };
+    const bool newer_config = note(peer::document_kind::configuration, heard.config_version);
+    const bool newer_hosts = note(peer::document_kind::host_list, heard.host_list_version);
+    if (newer_config || newer_hosts) {
+        m_puller.wake();
+    }
+}
+
+void document_service::pull() {
+    std::map<peer::document_kind, sighting> newer;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        newer.swap(m_newer);
+    }
+    for (const auto& [kind, from] : newer) {
+        if (from.version > own_version(kind)) {
+            pull_one(kind, from);
+        }
+    }
+}
+
+void document_service::pull_one(peer::document_kind kind, const sighting& from) {
+    const result<peer::bulk_message> answer =
+        m_shared.node.bulk_call(from.endpoint, peer::message_type::pull_document,
+                                {peer::encode(peer::pull_document{kind}), {}}, pull_timeout);
+    if (!answer) {
+        return;
+    }
+    const std::string& text = answer.value().payload;
+    if (kind == peer::document_kind::configuration) {
+        offer(config::decode_document(text));
+    } else if (std::optional<platform::host_list> list = platform::host_list_from_json(text)) {
+        take_host_list(*std::move(list));
+    }
+}
+
+peer::bulk_message document_service::serve(const peer::bulk_message& request) const {
+    const auto wanted = peer::decode<peer::pull_document>(request.head);
+    if (!wanted) {
+        return {};
+    }
+    if (wanted->kind == peer::document_kind::host_list) {
+        return {{}, platform::to_json(*hosts())};
+    }
+    const config::document_ptr doc = m_shared.configuration.get();
+    return {{}, doc == nullptr ? std::string() : config::encode_document(*doc)};
+}
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/limit_service.cpp
@@ -0,0 +1,183 @@
+#include "service/limit_service.hpp"
+
+#include "limits/part_table.hpp"
+#include "limits/slot_record.hpp"
+#include "peer/codec.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace eelgrassdoor::service {
+
+namespace {
+
+constexpr duration refresh_interval = milliseconds(200);
+/// Below part_table::loan_time, so that what is lent is used or given back while its room is kept.
+constexpr duration ask_timeout = milliseconds(60);
+constexpr double rounding = 1e-9;
+
+/// The holder of each slot of each zone; of two that claim one, the higher epoch is believed.
+std::vector<limits::holder> find_holders(const membership::member_table& table) {
+    std::map<std::pair<std::string, std::uint16_t>, std::pair<std::uint64_t, limits::holder>> best;
+    for (const membership::member_record* r : table.live()) {
+        const bool same_zone = r->availability_zone == table.self().availability_zone;
+        for (const membership::held_slot& s : r->slots) {
+            auto& [epoch, who] = best[{r->availability_zone, s.slot}];
+            if (who.host.empty() || epoch < s.epoch) {
+                epoch = s.epoch;
+                who = {r->host, s.slot, r->peer_endpoint(), same_zone};
+            }
+        }
+    }
+    std::vector<limits::holder> out;
+    for (auto& [place, claimant] : best) {
+        out.push_back(std::move(claimant.second));
+    }
+    return out;
+}
+
+error refusal(duration retry_after) {
+    return {error_code::rate_limited, "the customer's rate is used up", run_state::not_run,
+            retry_after};
+}
+
+} // namespace
+
+void limit_service::start() {
+    m_ticker.start(refresh_interval, [this] { refresh_holders(); });
+}
+
+void limit_service::refresh_holders() {
+    std::vector<limits::holder> holders = m_members.with_table(find_holders);
+    m_shared.numbers.gauge("limit_holders", static_cast<double>(holders.size()));
+    const absl::MutexLock lock(&m_mutex);
+    if (holders != m_view.holders()) {
+        m_view.set_holders(std::move(holders));
+    }
+}
+
+std::optional<limits::ask_plan> limit_service::make_plan(std::string_view customer) {
+    const config::document_ptr doc = m_shared.configuration.get();
+    const auto found = doc->parsed.customers.find(customer);
+    if (found == doc->parsed.customers.end()) {
+        return std::nullopt;
+    }
+    const auto parts =
+        static_cast<double>(limits::part_count(doc->parsed.availability_zones.size()));
+    const limits::part_share share{found->second.rate_per_second / parts,
+                                   found->second.burst / parts};
+    const absl::MutexLock lock(&m_mutex);
+    return m_view.plan(customer, share, m_shared.clock());
+}
+
+result<void> limit_service::admit(std::string_view customer, std::string_view request_id) {
+    const std::optional<limits::ask_plan> plan = make_plan(customer);
+    if (!plan) {
+        return error{error_code::forbidden, "the customer does not exist any more",
+                     run_state::not_run};
+    }
+    if (!plan->first) {
+        return error{error_code::unavailable, "no holder of the customer's rate is reachable",
+                     run_state::not_run, seconds(1)};
+    }
+    bool granted = false;
+    if (plan->may_have_token) {
+        granted = ask_one(*plan->first, customer);
+        if (!granted) {
+            std::vector<limits::holder> all = plan->others;
+            all.insert(all.begin(), *plan->first);
+            granted = ask_together(all, customer);
+        }
+    }
+    if (granted) {
+        m_shared.numbers.count("limit_granted_total");
+        m_shared.events.emit(observe::event::limit_granted, request_id);
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    m_shared.numbers.count("limit_refused_total");
+    m_shared.events.emit(observe::event::limit_refused, request_id);
+    const std::optional<limits::ask_plan> after = make_plan(customer);
+    return refusal(after ? after->next_token : seconds(1));
+}
+
+bool limit_service::note_answer(const limits::holder& who, std::string_view customer,
+                                const std::optional<peer::limit_answer>& answer) {
+    const time_point now = m_shared.clock();
+    const absl::MutexLock lock(&m_mutex);
+    if (!answer || !answer->in_authority) {
+        m_view.note_silent(who, now);
+        return false;
+    }
+    m_view.note_balance(who, customer, answer->balance, now);
+    return true;
+}
+
+bool limit_service::ask_one(const limits::holder& who, std::string_view customer) {
+    const peer::limit_ask ask{std::string(customer), who.slot, 1, false};
+    m_shared.numbers.count("limit_asks_total");
+    std::optional<peer::limit_answer> answer;
+    if (who.host == m_shared.settings.host) {
+        answer = m_own_slots.answer(ask);
+    } else if (const auto body = m_shared.node.call(who.endpoint, peer::message_type::limit_ask,
+                                                    peer::encode(ask), ask_timeout)) {
+        answer = peer::decode<peer::limit_answer>(*body);
+    }
+    return note_answer(who, customer, answer) && answer->granted + rounding >= 1;
+}
+
+std::vector<limit_service::loan> limit_service::collect_loans(std::span<const limits::holder> whom,
+                                                              std::string_view customer) {
+    std::vector<std::optional<peer::limit_answer>> answers(whom.size());
+    std::vector<peer::outgoing_call> calls;
+    std::vector<std::size_t> index_of_call;
+    for (std::size_t i = 0; i < whom.size(); ++i) {
+        const peer::limit_ask ask{std::string(customer), whom[i].slot, 1, true};
+        m_shared.numbers.count("limit_asks_total");
+        if (whom[i].host == m_shared.settings.host) {
+            answers[i] = m_own_slots.answer(ask);
+            continue;
+        }
+        calls.push_back({whom[i].endpoint, peer::message_type::limit_ask, peer::encode(ask)});
+        index_of_call.push_back(i);
+    }
+    m_shared.node.call_many(calls, ask_timeout, [&](std::size_t call, const std::string& body) {
+        answers[index_of_call[call]] = peer::decode<peer::limit_answer>(body);
+        return false;
+    });
+    std::vector<loan> loans;
+    for (std::size_t i = 0; i < whom.size(); ++i) {
+        if (note_answer(whom[i], customer, answers[i]) && answers[i]->granted > 0) {
+            loans.push_back({i, *answers[i]});
+        }
+    }
+    return loans;
+}
+
+bool limit_service::ask_together(std::span<const limits::holder> whom, std::string_view customer) {
+    const std::vector<loan> loans = collect_loans(whom, customer);
+    double sum = 0;
+    for (const loan& l : loans) {
+        sum += l.answer.granted;
+    }
+    const bool enough = sum + rounding >= 1;
+    double needed = enough ? 1 : 0;
+    for (const loan& l : loans) {
+        const double used = std::min(needed, l.answer.granted);
+        needed -= used;
+        give_back(whom[l.holder_index], l.answer.grant_id, l.answer.granted - used);
+    }
+    return enough;
+}
+
+void limit_service::give_back(const limits::holder& whom, std::uint64_t grant_id, double amount) {
+    // A loan that was used whole is settled too, so that its room is free at once.
+    const peer::limit_return back{whom.slot, grant_id, amount};
+    if (whom.host == m_shared.settings.host) {
+        m_own_slots.take_back(back);
+    } else {
+        m_shared.node.send(whom.endpoint, peer::message_type::limit_return, peer::encode(back));
+    }
+}
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/limit_service.hpp
@@ -0,0 +1,63 @@
+/// \file
+/// Defines the service that takes a token of a customer's rate for each request.
+#pragma once
+
+#include "base/error.hpp"
+#include "limits/holder_view.hpp"
+#include "service/member_service.hpp"
+#include "service/runtime.hpp"
+#include "service/slot_service.hpp"
+#include "service/ticker.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace eelgrassdoor::service {
+
+/// Asks the holders of parts, the nearest or fullest first. Thread-safe.
+class limit_service {
+public:
+    limit_service(runtime& shared, member_service& members, slot_service& own_slots)
+        : m_shared(shared), m_members(members), m_own_slots(own_slots) {}
+
+    void start();
+    void stop() { m_ticker.stop(); }
+
+    /// Takes one token of \p customer's rate. The error has error_code::rate_limited and says
+    /// when to come back.
+    result<void> admit(std::string_view customer, std::string_view request_id);
+
+private:
+    /// A loan that is used or given back.
+    struct loan {
+        std::size_t holder_index;
+        peer::limit_answer answer;
+    };
+
+    void refresh_holders();
+    std::optional<limits::ask_plan> make_plan(std::string_view customer);
+    /// Asks one holder for a whole token.
+    bool ask_one(const limits::holder& who, std::string_view customer);
+    /// Collects one token in fractions from several holders.
+    bool ask_together(std::span<const limits::holder> whom, std::string_view customer);
+    std::vector<loan> collect_loans(std::span<const limits::holder> whom,
+                                    std::string_view customer);
+    void give_back(const limits::holder& whom, std::uint64_t grant_id, double amount);
+    /// Takes in an answer; returns whether it may be used.
+    bool note_answer(const limits::holder& who, std::string_view customer,
+                     const std::optional<peer::limit_answer>& answer);
+
+    runtime& m_shared;
+    member_service& m_members;
+    slot_service& m_own_slots;
+    absl::Mutex m_mutex;
+    limits::holder_view m_view ABSL_GUARDED_BY(m_mutex);
+    ticker m_ticker;
+};
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/once_service.hpp
@@ -0,0 +1,51 @@
+/// \file
+/// Defines the service that makes a resent non-idempotent call run at most once.
+#pragma once
+
+#include "base/error.hpp"
+#include "service/runtime.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace eelgrassdoor::service {
+
+/// The answer of a call that ran, as it is stored and replayed.
+struct stored_answer {
+    int status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/// The right to send a call once.
+struct call_claim {
+    std::string key;
+    std::string token;
+    std::string request_digest;
+};
+
+/// Keeps one record for each call in the key-value service, created before the call is sent.
+/// Thread-safe.
+class once_service {
+public:
+    explicit once_service(runtime& shared) : m_shared(shared) {}
+
+    /// Claims the call, or returns the answer of an earlier one. Fails with error_code::conflict
+    /// when the key was used for another request, with run_state::unknown when an earlier send
+    /// has no known outcome, and with run_state::not_run when the claim cannot be made.
+    result<std::variant<call_claim, stored_answer>> begin(std::string_view customer,
+                                                          std::string_view route,
+                                                          std::string_view idempotency_key,
+                                                          std::string_view request);
+    /// Stores the answer for later resends.
+    void finish(const call_claim& claim, const stored_answer& answer);
+    /// Gives the claim up: nothing was sent.
+    void abandon(const call_claim& claim);
+
+private:
+    runtime& m_shared;
+};
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/target_service.cpp
@@ -0,0 +1,247 @@
+#include "service/target_service.hpp"
+
+#include "base/text.hpp"
+
+#include <absl/time/time.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassdoor::service {
+
+namespace {
+
+constexpr duration poll_interval = milliseconds(250);
+constexpr duration poll_timeout = milliseconds(1000);
+constexpr double hold_smoothing = 0.1;
+constexpr std::size_t max_queued_polls = 1000;
+
+} // namespace
+
+target_service::target_service(runtime& shared, member_service& members)
+    : m_shared(shared), m_members(members), m_online_hook([](const std::string&, bool) {}),
+      m_view(shared.settings.availability_zone), m_random(shared.incarnation) {}
+
+void target_service::start() {
+    m_poller.start(poll_interval, [this] { poll_targets(); });
+}
+
+void target_service::stop() {
+    m_poller.stop();
+}
+
+http::client_pool& target_service::connections(std::string_view endpoint) {
+    const absl::MutexLock lock(&m_pools_mutex);
+    auto found = m_pools.find(endpoint);
+    if (found == m_pools.end()) {
+        found = m_pools
+                    .emplace(std::string(endpoint),
+                             std::make_unique<http::client_pool>(endpoint, http::client_options{},
+                                                                 m_shared.clock))
+                    .first;
+    }
+    return *found->second;
+}
+
+void target_service::set_host_list(const platform::host_list& list) {
+    std::vector<routing::target_info> targets;
+    for (const platform::listed_host& h : list.hosts) {
+        if (h.kind != platform::host_kind::entry) {
+            targets.push_back({h.host,
+                               h.http_endpoint(),
+                               h.availability_zone,
+                               h.leaving,
+                               {h.serves.begin(), h.serves.end()}});
+        }
+    }
+    const absl::MutexLock lock(&m_mutex);
+    m_view.set_targets(targets);
+    pump();
+}
+
+void target_service::note_report(const peer::target_report& report) {
+    const time_point observed = m_shared.clock() - milliseconds(report.age_ms);
+    const absl::MutexLock lock(&m_mutex);
+    if (m_view.note_report(report.target,
+                           {report.running, report.waiting, report.slots, observed})) {
+        pump();
+    }
+}
+
+std::vector<peer::target_report> target_service::reports_to_send(std::size_t most) {
+    std::vector<peer::target_report> out;
+    const time_point now = m_shared.clock();
+    const absl::MutexLock lock(&m_mutex);
+    const auto& targets = m_view.targets();
+    const std::size_t count = std::min(most, targets.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        m_next_report = (m_next_report + 1) % targets.size();
+        const auto& [name, t] = *std::next(targets.begin(), static_cast<long>(m_next_report));
+        if (t.report.slots == 0) {
+            continue;
+        }
+        const auto age = std::chrono::duration_cast<milliseconds>(now - t.report.observed_at);
+        out.push_back({name, t.report.running, t.report.waiting, t.report.slots,
+                       static_cast<std::uint32_t>(age.count())});
+    }
+    return out;
+}
+
+void target_service::poll_targets() {
+    // Each target of the zone is asked by one daemon; the others hear of it by gossip.
+    std::vector<std::pair<std::string, std::string>> engines;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (const auto& [name, t] : m_view.targets()) {
+            if (t.info.availability_zone == m_shared.settings.availability_zone) {
+                engines.emplace_back(name, t.info.endpoint);
+            }
+        }
+    }
+    for (const auto& [name, endpoint] : engines) {
+        const bool mine = m_members.with_table([&](const membership::member_table& table) {
+            const membership::member_record* owner =
+                table.owner_in_zone(table.self().availability_zone, name);
+            return owner == nullptr || owner->host == table.self().host;
+        });
+        if (mine) {
+            m_shared.workers.submit(
+                [this, name = name, endpoint = endpoint] { poll_one(name, endpoint); },
+                max_queued_polls);
+        }
+    }
+    const absl::MutexLock lock(&m_mutex);
+    pump();
+}
+
+void target_service::poll_one(const std::string& name, const std::string& endpoint) {
+    if (m_shared.drops.cuts(endpoint)) {
+        return;
+    }
+    http::client_pool::lease client = connections(endpoint).take();
+    client->set_read_timeout(poll_timeout);
+    const time_point asked_at = m_shared.clock();
+    const httplib::Result answer = client->Get("/load");
+    if (!answer || answer->status != 200) {
+        return;
+    }
+    const nlohmann::json load = nlohmann::json::parse(answer->body, nullptr, false);
+    if (!load.is_object()) {
+        return;
+    }
+    client.keep();
+    const auto number = [&load](const char* field) -> std::uint32_t {
+        return load.contains(field) && load[field].is_number_unsigned()
+                   ? load[field].get<std::uint32_t>()
+                   : 0;
+    };
+    // Engines report with a lag that they state; without it the time of asking counts.
+    const time_point observed = asked_at - milliseconds(number("lag_ms"));
+    const absl::MutexLock lock(&m_mutex);
+    if (m_view.note_report(name,
+                           {number("running"), number("waiting"), number("slots"), observed})) {
+        pump();
+    }
+}
+
+std::optional<routing::picked_target> target_service::try_place(const place_request& wanted) {
+    const routing::pick_request request{wanted.serves, wanted.prefix_hash, wanted.excluded,
+                                        wanted.may_exceed_slots};
+    std::optional<routing::picked_target> picked = m_view.pick(request, m_shared.clock(), m_random);
+    if (picked) {
+        m_view.note_sent(picked->name);
+    }
+    return picked;
+}
+
+duration target_service::expected_wait(const place_request& wanted) {
+    const double slots = std::max<std::uint32_t>(1, m_view.slots_of(wanted.serves));
+    const auto ahead =
+        static_cast<double>(m_queues[wanted.serves].ahead_of(wanted.customer, wanted.weight));
+    return from_seconds((ahead + 1) * m_hold_s / slots);
+}
+
+void target_service::pump() {
+    const time_point now = m_shared.clock();
+    for (auto& [serves, queue] : m_queues) {
+        for (const std::uint64_t id : queue.expire(now)) {
+            m_waiters.at(id)->expired = true;
+        }
+        while (const std::optional<std::uint64_t> id = queue.front()) {
+            waiter& next = *m_waiters.at(*id);
+            const auto picked = try_place(*next.wanted);
+            if (!picked) {
+                break;
+            }
+            queue.pop();
+            next.target = *picked;
+            next.placed = true;
+        }
+    }
+}
+
+result<routing::picked_target> target_service::wait_for_place(const place_request& wanted) {
+    const absl::MutexLock lock(&m_mutex);
+    m_retries.note_request();
+    if (!m_view.serves(wanted.serves)) {
+        return error{error_code::unavailable, "no live target serves \"" + wanted.serves + "\"",
+                     run_state::not_run, seconds(2)};
+    }
+    routing::fair_queue& queue = m_queues[wanted.serves];
+    if (queue.size() == 0) {
+        if (const auto picked = try_place(wanted)) {
+            return *picked;
+        }
+    }
+    const time_point now = m_shared.clock();
+    const duration wait = expected_wait(wanted);
+    const std::uint64_t id = m_next_waiter++;
+    if (now + wait > wanted.deadline ||
+        !queue.push(id, wanted.customer, wanted.weight, wanted.deadline)) {
+        return error{error_code::overloaded, "all targets are busy", run_state::not_run, wait};
+    }
+    waiter self{&wanted};
+    m_waiters[id] = &self;
+    const auto done = [&self] { return self.placed || self.expired; };
+    m_mutex.AwaitWithTimeout(absl::Condition(&done), absl::FromChrono(wanted.deadline - now));
+    m_waiters.erase(id);
+    if (self.placed) {
+        return self.target;
+    }
+    queue.remove(id);
+    return error{error_code::overloaded, "all targets are busy", run_state::not_run,
+                 expected_wait(wanted)};
+}
+
+result<place> target_service::acquire(const place_request& wanted) {
+    BOOST_OUTCOME_TRY(target, wait_for_place(wanted));
+    const time_point sent_at = m_shared.clock();
+    const std::string name = target.name;
+    m_online_hook(name, false);
+    return place([this, name, sent_at](bool failed) { release(name, sent_at, failed); },
+                 std::move(target));
+}
+
+void target_service::release(const std::string& target, time_point sent_at, bool failed) {
+    const time_point now = m_shared.clock();
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_view.note_ended(target, sent_at);
+        if (failed) {
+            m_view.note_failed(target, now);
+        } else {
+            m_hold_s += hold_smoothing * (to_seconds(now - sent_at) - m_hold_s);
+        }
+        pump();
+    }
+    m_online_hook(target, true);
+}
+
+bool target_service::try_retry() {
+    const absl::MutexLock lock(&m_mutex);
+    return m_retries.try_take();
+}
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/settings/daemon_settings.cpp
@@ -0,0 +1,240 @@
+#include "settings/daemon_settings.hpp"
+
+#include "base/digest.hpp"
+#include "base/text.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string_view>
+
+namespace eelgrassdoor::settings {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::string_view environment_prefix = "EELGRASSDOOR_";
+constexpr std::size_t min_secret_length = 16;
+
+/// One setting: how it is named, described, checked and stored.
+struct setting {
+    std::string_view name;
+    std::string_view help;
+    bool required;
+    /// Stores the value; returns the accepted range when the value is outside it.
+    std::function<std::optional<std::string>(daemon_settings&, const std::string&)> store;
+};
+
+auto text_into(std::string daemon_settings::*member, std::size_t least_length = 0) {
+    return [member, least_length](daemon_settings& s,
+                                  const std::string& v) -> std::optional<std::string> {
+        if (v.size() < least_length) {
+            return str_cat("at least ", least_length, " characters");
+        }
+        s.*member = v;
+        return std::nullopt;
+    };
+}
+
+template <typename T> auto number_into(T daemon_settings::*member, int least, int most) {
+    return [member, least, most](daemon_settings& s,
+                                 const std::string& v) -> std::optional<std::string> {
+        int value = 0;
+        if (!parse_int(v, value) || value < least || value > most) {
+            return str_cat("a whole number from ", least, " to ", most);
+        }
+        s.*member = T(value);
+        return std::nullopt;
+    };
+}
+
+std::optional<std::string> store_url(daemon_settings& s, const std::string& v) {
+    if (!v.starts_with("http://")) {
+        return "a URL of the form http://ADDRESS:PORT";
+    }
+    s.platform_url = v;
+    return std::nullopt;
+}
+
+std::optional<std::string> store_seed_peers(daemon_settings& s, const std::string& v) {
+    for (const std::string_view peer : split(v, ',')) {
+        if (!contains(peer, ":")) {
+            return "a list of the form ADDRESS:PORT,ADDRESS:PORT";
+        }
+        s.seed_peers.emplace_back(peer);
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> store_severity(daemon_settings& s, const std::string& v) {
+    if (v != "info" && v != "warning" && v != "error") {
+        return "info, warning or error";
+    }
+    s.log_severity = v;
+    return std::nullopt;
+}
+
+std::optional<std::string> store_operator_key(daemon_settings& s, const std::string& v) {
+    if (v.size() < min_secret_length) {
+        return str_cat("at least ", min_secret_length, " characters");
+    }
+    s.operator_key_digest = sha256_hex(v);
+    return std::nullopt;
+}
+
+const std::vector<setting>& all_settings() {
+    using d = daemon_settings;
+    static const std::vector<setting> list{
+        {"host", "name of this host, as on the host list", true, text_into(&d::host, 1)},
+        {"availability-zone", "availability zone of this host", true,
+         text_into(&d::availability_zone, 1)},
+        {"address", "IP number to listen on (default 127.0.0.1)", false, text_into(&d::address, 1)},
+        {"http-port", "TCP port for callers, operators and probes", true,
+         number_into(&d::http_port, 1, 65535)},
+        {"peer-port", "UDP and TCP port for other daemons", true,
+         number_into(&d::peer_port, 1, 65535)},
+        {"platform-url", "base URL of the key-value service", true, store_url},
+        {"seed-peers", "peers ADDRESS:PORT,… to ask when the platform is out at the start", false,
+         store_seed_peers},
+        {"peer-secret", "secret shared by all daemons", true,
+         text_into(&d::peer_secret, min_secret_length)},
+        {"operator-key", "key of the administration API; prefer the environment", true,
+         store_operator_key},
+        {"data-dir", "folder for bulk data; without it the host keeps none", false,
+         text_into(&d::data_dir)},
+        {"timeline", "file for the time line, JSON Lines", false, text_into(&d::timeline_path)},
+        {"drop-list", "file with peers whose messages are dropped (tests only)", false,
+         text_into(&d::drop_list_path)},
+        {"log-severity", "info, warning or error (default warning)", false, store_severity},
+        {"gossip-interval-ms", "time between gossip rounds (default 500)", false,
+         number_into(&d::gossip_interval, 20, 10'000)},
+        {"drain-ms", "time for which a leaving daemon still listens (default 10000)", false,
+         number_into(&d::drain, 0, 600'000)},
+        {"max-callers", "callers connected at a time (default 512)", false,
+         number_into(&d::max_callers, 8, 20'000)},
+        {"kv-calls-per-second", "call budget towards the key-value service (default 20)", false,
+         number_into(&d::kv_calls_per_second, 1, 1'000)},
+    };
+    return list;
+}
+
+po::options_description describe() {
+    po::options_description description("eelgrassdoord settings (flag --NAME or environment "
+                                        "EELGRASSDOOR_NAME)");
+    description.add_options()("help", "print this help")("version", "print the version");
+    for (const setting& s : all_settings()) {
+        description.add_options()(std::string(s.name).c_str(), po::value<std::string>(),
+                                  std::string(s.help).c_str());
+    }
+    return description;
+}
+
+std::string variable_name(std::string_view setting_name) {
+    std::string name(environment_prefix);
+    for (const char c : setting_name) {
+        name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+    }
+    return name;
+}
+
+struct sourced_value {
+    std::string source;
+    std::string value;
+};
+
+std::optional<sourced_value> lookup(const po::variables_map& flags,
+                                    const std::map<std::string, std::string>& environment,
+                                    std::string_view name) {
+    const std::string flag(name);
+    if (flags.count(flag) != 0) {
+        return sourced_value{str_cat("flag --", name), flags[flag].as<std::string>()};
+    }
+    const auto found = environment.find(variable_name(name));
+    if (found != environment.end()) {
+        return sourced_value{str_cat("environment ", found->first), found->second};
+    }
+    return std::nullopt;
+}
+
+std::map<std::string, std::string> environment_map(std::span<const std::string> entries) {
+    std::map<std::string, std::string> out;
+    for (const std::string& entry : entries) {
+        const std::size_t equals = entry.find('=');
+        if (entry.starts_with(environment_prefix) && equals != std::string::npos) {
+            out[entry.substr(0, equals)] = entry.substr(equals + 1);
+        }
+    }
+    return out;
+}
+
+/// Reports flags and variables that no setting has.
+void find_unknown(const std::vector<std::string>& flags,
+                  const std::map<std::string, std::string>& environment,
+                  std::vector<finding>& findings) {
+    for (const std::string& flag : flags) {
+        findings.push_back({"flag " + flag, "is not a setting; see --help"});
+    }
+    for (const auto& [name, value] : environment) {
+        bool known = false;
+        for (const setting& s : all_settings()) {
+            known = known || variable_name(s.name) == name;
+        }
+        if (!known) {
+            findings.push_back({"environment " + name, "is not a setting; see --help"});
+        }
+    }
+}
+
+} // namespace
+
+parse_outcome parse_daemon_settings(std::span<const std::string> arguments,
+                                    std::span<const std::string> environment) {
+    const po::options_description description = describe();
+    po::variables_map flags;
+    std::vector<finding> findings;
+    const std::map<std::string, std::string> variables = environment_map(environment);
+    try {
+        const po::parsed_options parsed =
+            po::command_line_parser(std::vector<std::string>(arguments.begin(), arguments.end()))
+                .options(description)
+                .allow_unregistered()
+                .run();
+        po::store(parsed, flags);
+        find_unknown(po::collect_unrecognized(parsed.options, po::include_positional), variables,
+                     findings);
+    } catch (const po::error& e) {
+        findings.push_back({"command line", e.what()});
+    }
+    if (flags.count("help") != 0) {
+        std::ostringstream text;
+        text << description;
+        return information_request{text.str()};
+    }
+    if (flags.count("version") != 0) {
+        return information_request{"eelgrassdoord " EELGRASSDOOR_VERSION "\n"};
+    }
+    daemon_settings out;
+    for (const setting& s : all_settings()) {
+        const std::optional<sourced_value> given = lookup(flags, variables, s.name);
+        if (!given) {
+            if (s.required) {
+                findings.push_back({str_cat("flag --", s.name), str_cat("is required: ", s.help)});
+            }
+            continue;
+        }
+        if (const auto range = s.store(out, given->value)) {
+            findings.push_back(
+                {given->source, str_cat("the value does not fit: expected ", *range)});
+        }
+    }
+    if (!findings.empty()) {
+        return findings;
+    }
+    return out;
+}
+
+} // namespace eelgrassdoor::settings
--- /dev/null
+++ b/src/target/exchange.cpp
@@ -0,0 +1,209 @@
+#include "target/exchange.hpp"
+
+#include "base/text.hpp"
+#include "http/client_pool.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+#include <httplib.h>
+
+#include <optional>
+
+namespace eelgrassdoor::target {
+
+namespace {
+
+/// The worker's own bound on a silent connection, behind the deadlines of the reader.
+constexpr duration max_silence = seconds(120);
+constexpr std::size_t max_unread_bytes = 1U << 20U;
+
+error failure_of(httplib::Error cause, bool cancelled) {
+    const bool sent =
+        cause != httplib::Error::Connection && cause != httplib::Error::ConnectionTimeout;
+    if (cancelled) {
+        return {error_code::deadline_exceeded, "the target did not answer in time",
+                sent ? run_state::unknown : run_state::not_run};
+    }
+    return {error_code::target_failed,
+            sent ? "the connection to the target broke" : "the target cannot be reached",
+            sent ? run_state::unknown : run_state::not_run};
+}
+
+answer_head head_of(const httplib::Response& response) {
+    answer_head head;
+    head.status = response.status;
+    for (const auto& [name, value] : response.headers) {
+        head.headers.emplace_back(name, value);
+    }
+    return head;
+}
+
+} // namespace
+
+std::string_view answer_head::header(std::string_view name) const {
+    for (const auto& [key, value] : headers) {
+        if (equals_ignore_case(key, name)) {
+            return value;
+        }
+    }
+    return {};
+}
+
+/// What the worker and the reader share. The worker writes, the reader takes.
+struct exchange::shared_state {
+    absl::Mutex mutex;
+    std::optional<answer_head> head ABSL_GUARDED_BY(mutex);
+    std::string unread ABSL_GUARDED_BY(mutex);
+    std::optional<error> failure ABSL_GUARDED_BY(mutex);
+    bool ended ABSL_GUARDED_BY(mutex) = false;
+    bool cancelled ABSL_GUARDED_BY(mutex) = false;
+    /// The connection while the worker uses it.
+    httplib::Client* client ABSL_GUARDED_BY(mutex) = nullptr;
+
+    void run(http::client_pool::lease lease, const target_request& request);
+    bool take_head(const httplib::Response& response);
+    bool take_data(std::string_view data);
+};
+
+bool exchange::shared_state::take_head(const httplib::Response& response) {
+    const absl::MutexLock lock(&mutex);
+    head = head_of(response);
+    return !cancelled;
+}
+
+bool exchange::shared_state::take_data(std::string_view data) {
+    const absl::MutexLock lock(&mutex);
+    const auto room = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+        return cancelled || unread.size() < max_unread_bytes;
+    };
+    mutex.Await(absl::Condition(&room));
+    unread.append(data);
+    return !cancelled;
+}
+
+void exchange::shared_state::run(http::client_pool::lease lease, const target_request& request) {
+    {
+        const absl::MutexLock lock(&mutex);
+        if (cancelled) {
+            ended = true;
+            failure = failure_of(httplib::Error::Connection, true);
+            return;
+        }
+        client = &*lease;
+    }
+    lease->set_read_timeout(max_silence);
+    httplib::Request out;
+    out.method = request.method;
+    out.path = request.path;
+    out.body = request.body;
+    for (const auto& [name, value] : request.headers) {
+        out.headers.emplace(name, value);
+    }
+    out.response_handler = [this](const httplib::Response& response) {
+        return take_head(response);
+    };
+    out.content_receiver = [this](const char* data, std::size_t size, std::uint64_t,
+                                  std::uint64_t) {
+        return take_data({data, size});
+    };
+    const httplib::Result answer = lease->send(out);
+    const absl::MutexLock lock(&mutex);
+    client = nullptr;
+    if (answer && !cancelled) {
+        lease.keep();
+    } else {
+        failure = failure_of(answer ? httplib::Error::Canceled : answer.error(), cancelled);
+    }
+    ended = true;
+}
+
+exchange::exchange(worker_pool& workers, http::client_pool& connections, target_request request)
+    : m_state(std::make_shared<shared_state>()) {
+    const bool started =
+        workers.submit([state = m_state, &connections, request = std::move(request)] {
+            state->run(request.fresh_connection ? connections.take_fresh() : connections.take(),
+                       request);
+        });
+    if (!started) {
+        const absl::MutexLock lock(&m_state->mutex);
+        m_state->failure = error{error_code::overloaded, "this host has no free worker",
+                                 run_state::not_run, seconds(1)};
+        m_state->ended = true;
+    }
+}
+
+exchange::~exchange() {
+    cancel();
+}
+
+void exchange::cancel() {
+    const absl::MutexLock lock(&m_state->mutex);
+    m_state->cancelled = true;
+    if (m_state->client != nullptr) {
+        m_state->client->stop();
+    }
+}
+
+result<answer_head> exchange::wait_head(duration timeout) {
+    shared_state& s = *m_state;
+    {
+        const absl::MutexLock lock(&s.mutex);
+        const auto ready = [&s]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(s.mutex) {
+            return s.ended || s.head.has_value();
+        };
+        s.mutex.AwaitWithTimeout(absl::Condition(&ready), absl::FromChrono(timeout));
+        if (s.head) {
+            return *s.head;
+        }
+        if (s.failure) {
+            return *s.failure;
+        }
+    }
+    cancel();
+    return error{error_code::deadline_exceeded, "the target did not answer in time",
+                 run_state::unknown};
+}
+
+read_step exchange::read(duration timeout) {
+    shared_state& s = *m_state;
+    const absl::MutexLock lock(&s.mutex);
+    const auto ready = [&s]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(s.mutex) {
+        return s.ended || !s.unread.empty();
+    };
+    if (!s.mutex.AwaitWithTimeout(absl::Condition(&ready), absl::FromChrono(timeout))) {
+        return {read_state::timeout, {}};
+    }
+    if (!s.unread.empty()) {
+        return {read_state::data, std::exchange(s.unread, {})};
+    }
+    return {s.failure ? read_state::failed : read_state::end, {}};
+}
+
+result<std::string> exchange::read_all(duration timeout_between_bytes, std::size_t max_bytes) {
+    std::string body;
+    while (true) {
+        read_step step = read(timeout_between_bytes);
+        switch (step.state) {
+        case read_state::data:
+            body += step.data;
+            break;
+        case read_state::end:
+            return body;
+        case read_state::timeout:
+            cancel();
+            return error{error_code::deadline_exceeded, "the target's answer stopped",
+                         run_state::unknown};
+        case read_state::failed:
+            return error{error_code::target_failed, "the target's answer broke off",
+                         run_state::unknown};
+        }
+        if (body.size() > max_bytes) {
+            cancel();
+            return error{error_code::target_failed, "the target's answer is too long",
+                         run_state::unknown};
+        }
+    }
+}
+
+} // namespace eelgrassdoor::target
--- /dev/null
+++ b/test/stand_in/engine_model.cpp
@@ -0,0 +1,62 @@
+#include "stand_in/engine_model.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::stand_in {
+
+namespace {
+
+constexpr std::size_t prefix_bytes = 256;
+
+} // namespace
+
+void engine_model::note_load() {
+    const auto now = std::chrono::steady_clock::now();
+    m_history.push_back({now, {m_running, static_cast<int>(m_queue.size())}});
+    const auto old = now - std::chrono::milliseconds(m_options.lag_ms);
+    while (m_history.size() > 1 && m_history[1].at <= old) {
+        m_history.pop_front();
+    }
+}
+
+void engine_model::leave() {
+    const std::lock_guard lock(m_mutex);
+    --m_running;
+    note_load();
+    m_changed.notify_all();
+}
+
+std::chrono::milliseconds engine_model::prefill_time(const std::string& prompt) {
+    const std::string prefix = prompt.substr(0, prefix_bytes);
+    const std::lock_guard lock(m_mutex);
+    const auto found = std::find(m_cache.begin(), m_cache.end(), prefix);
+    const bool hit = found != m_cache.end();
+    if (hit) {
+        m_cache.erase(found);
+        ++m_cache_hits;
+    }
+    m_cache.push_front(prefix);
+    if (m_cache.size() > m_options.cache_entries) {
+        m_cache.pop_back();
+    }
+    return std::chrono::milliseconds(hit ? m_options.cached_prefill_ms : m_options.prefill_ms);
+}
+
+engine_load engine_model::reported_load() {
+    const std::lock_guard lock(m_mutex);
+    const auto old = std::chrono::steady_clock::now() - std::chrono::milliseconds(m_options.lag_ms);
+    engine_load out;
+    for (const sample& s : m_history) {
+        if (s.at <= old) {
+            out = s.load;
+        }
+    }
+    return out;
+}
+
+std::uint64_t engine_model::cache_hits() {
+    const std::lock_guard lock(m_mutex);
+    return m_cache_hits;
+}
+
+} // namespace eelgrassdoor::stand_in
