Run a batch job from end to end with two durable copies

Change: items and results stand in two spools of two zones (fsync before the acknowledgement); one record a job in the key-value service carries epoch and committed bytes; results count only once the record names them. Lanes give batch slots and revoke them when online requests arrive. Intents are committed before an item on a non-idempotent route is sent. Ruled out: appending results by item in the key-value service (writes grow with items); one file for all owners (an old owner could damage it). Left: failure scenarios, property tests, benchmarks, docs.

--- /dev/null
+++ b/src/batch/item_line.cpp
@@ -0,0 +1,39 @@
+#include "batch/item_line.hpp"
+
+#include "base/text.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrassdoor::batch {
+
+namespace {
+
+error bad(std::string message) {
+    return {error_code::invalid_request, std::move(message), run_state::not_run};
+}
+
+bool is_text(const nlohmann::json& object, const char* name) {
+    return object.contains(name) && object[name].is_string();
+}
+
+} // namespace
+
+result<item_line> parse_item(std::string_view line) {
+    if (line.size() > max_item_bytes) {
+        return bad(str_cat("is longer than ", max_item_bytes, " bytes"));
+    }
+    const nlohmann::json item = nlohmann::json::parse(line, nullptr, false);
+    if (!item.is_object()) {
+        return bad("is not a JSON object");
+    }
+    if (!is_text(item, "custom_id") || item["custom_id"].get_ref<const std::string&>().empty()) {
+        return bad("has no text \"custom_id\"");
+    }
+    if (!item.contains("body") || !item["body"].is_object() || !is_text(item["body"], "model")) {
+        return bad("has no object \"body\" with a text \"model\"");
+    }
+    return item_line{item["custom_id"], item.value("url", "/v1/completions"), item["body"]["model"],
+                     item["body"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
+}
+
+} // namespace eelgrassdoor::batch
--- /dev/null
+++ b/src/batch/scheduler.cpp
@@ -0,0 +1,44 @@
+#include "batch/scheduler.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace eelgrassdoor::batch {
+
+std::optional<std::size_t> scheduler::pick(const std::vector<ready_job>& ready) {
+    if (ready.empty()) {
+        return std::nullopt;
+    }
+    std::map<std::string_view, double> weights;
+    for (const ready_job& r : ready) {
+        weights[r.customer] = r.weight;
+    }
+    // A customer without work saves nothing up.
+    std::erase_if(m_deficits, [&](const auto& e) { return !weights.contains(e.first); });
+    // The fewest whole rounds after which someone can pay for an item.
+    double rounds = std::numeric_limits<double>::max();
+    for (const auto& [customer, weight] : weights) {
+        const double deficit = m_deficits.try_emplace(std::string(customer)).first->second;
+        rounds = std::min(rounds, std::max(0.0, (1 - deficit) / weight));
+    }
+    std::string_view chosen;
+    double most = -1;
+    for (const auto& [customer, weight] : weights) {
+        double& deficit = m_deficits.find(customer)->second;
+        deficit += rounds * weight;
+        if (deficit > most) {
+            most = deficit;
+            chosen = customer;
+        }
+    }
+    m_deficits.find(chosen)->second -= 1;
+    std::optional<std::size_t> best;
+    for (std::size_t i = 0; i < ready.size(); ++i) {
+        if (ready[i].customer == chosen && (!best || ready[i].due < ready[*best].due)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace eelgrassdoor::batch
--- a/src/daemon/host_daemon.cpp
+++ b/src/daemon/host_daemon.cpp
@@ -1,11 +1,16 @@
 #include "daemon/host_daemon.hpp"
 
 #include "front/admin_api.hpp"
+#include "front/batch_api.hpp"
 #include "front/caller_api.hpp"
 #include "front/responses.hpp"
 #include "http/server.hpp"
 #include "observe/log.hpp"
 #include "service/document_service.hpp"
+#include "service/item_dispatcher.hpp"
+#include "service/job_committer.hpp"
+#include "service/job_keeper.hpp"
+#include "service/lane_service.hpp"
 #include "service/limit_service.hpp"
 #include "service/member_service.hpp"
 #include "service/once_service.hpp"
@@ -48,7 +53,13 @@
                                        drops,    node,        kv,    configuration, workers},
           repository(kv), members(shared, member_hooks()), documents(shared, repository, members),
           slots(shared, repository, members, documents), limits(shared, members, slots),
-          targets(shared, members), once(shared), callers({shared, limits, targets, once}),
+          targets(shared, members), once(shared), lanes(shared, members, targets),
+          local_spool(settings.data_dir), copies(shared, members, local_spool),
+          jobs(shared, copies), committer(shared, copies, jobs, owned),
+          dispatcher(shared, members, targets, lanes, owned),
+          keeper(shared, members, documents, copies, jobs, committer, owned),
+          callers({shared, limits, targets, once}),
+          batches({shared, limits, members, copies, jobs, keeper}),
           admin({shared, repository, documents, members, targets}),
           listener({.address = settings.address,
                     .port = settings.http_port,
@@ -56,6 +67,9 @@
                     .max_body_bytes = max_caller_body_bytes}) {
         documents.on_host_list(
             [this](const platform::host_list& list) { targets.set_host_list(list); });
+        targets.on_online([this](const std::string& target) { lanes.note_online(target); });
+        targets.on_batch_streams(
+            [this](const std::string& target) { return lanes.batch_streams(target); });
     }
 
     service::member_service::hooks member_hooks();
@@ -80,7 +94,16 @@
     service::limit_service limits;
     service::target_service targets;
     service::once_service once;
+    service::lane_service lanes;
+    spool::spool local_spool;
+    service::copy_store copies;
+    service::job_store jobs;
+    service::job_table owned;
+    service::job_committer committer;
+    service::item_dispatcher dispatcher;
+    service::job_keeper keeper;
     front::caller_api callers;
+    front::batch_api batches;
     front::admin_api admin;
     http::server listener;
     std::atomic<bool> draining{false};
@@ -165,6 +188,7 @@
     p.add_limits();
     p.add_probe_routes();
     p.callers.add_routes(p.listener.raw());
+    p.batches.add_routes(p.listener.raw());
     p.admin.add_routes(p.listener.raw());
     if (!p.node.start() || !p.listener.start()) {
         return false;
@@ -174,6 +198,10 @@
     p.slots.start();
     p.limits.start();
     p.targets.start();
+    p.lanes.start();
+    p.committer.start();
+    p.dispatcher.start();
+    p.keeper.start();
     p.events.emit(observe::event::daemon_started, {});
     return true;
 }
@@ -187,7 +215,12 @@
     while (p.clock() < listen_until || p.callers.in_flight() > 0) {
         std::this_thread::sleep_for(drain_poll_interval);
     }
+    p.keeper.stop();
+    p.keeper.give_up();
     p.listener.stop();
+    p.dispatcher.stop();
+    p.committer.stop();
+    p.lanes.stop();
     p.targets.stop();
     p.limits.stop();
     p.slots.stop();
--- a/src/peer/message.hpp
+++ b/src/peer/message.hpp
@@ -17,14 +17,13 @@
     limit_ask = 2,
     limit_return = 3,
     confirm = 4,
-    online_started = 5,
+    online_load = 5,
     lane_ask = 6,
     lane_revoke = 7,
     job_notice = 8,
     pull_document = 20,
     store_copy = 21,
-    append_results = 22,
-    read_copy = 23,
+    read_copy = 22,
 };
 
 /// A load report of a target. Age is counted by each forwarder, so that no clocks are compared.
@@ -33,11 +32,13 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// The batch streams among the running ones, as far as the target's lane knows.
+    std::uint32_t running_batch = 0;
     std::uint32_t age_ms = 0;
 
     template <typename Archive> void serialize(Archive& ar) {
         text(ar, target);
-        ar(running, waiting, slots, age_ms);
+        ar(running, waiting, slots, running_batch, age_ms);
     }
 };
 
@@ -111,14 +112,15 @@
     template <typename Archive> void serialize(Archive& ar) { ar(record_epoch); }
 };
 
-/// Tells the lane of a target that an online request was sent to it, or has ended.
-struct online_started {
+/// Tells the lane of a target how many online requests the sender has on it. Sent on every change
+/// and again while there are any, so that a lost message is made good.
+struct online_load {
     std::string target;
-    bool ended = false;
+    std::uint32_t in_flight = 0;
 
     template <typename Archive> void serialize(Archive& ar) {
         text(ar, target);
-        ar(ended);
+        ar(in_flight);
     }
 };
 
@@ -175,18 +177,18 @@
     template <typename Archive> void serialize(Archive& ar) { ar(kind); }
 };
 
-/// Writes bytes into a job's file on another spool, at an offset that must be its size.
+/// Writes bytes into a file of another spool, behind the bytes that are there already.
 struct store_copy {
-    std::string job;
+    std::string storage;
     std::string file;
     std::uint64_t offset = 0;
-    /// Whether the file is new, so that an older one of this name is replaced.
-    bool truncate = false;
+    /// Whether the bytes must be on the disk before the answer.
+    bool sync = false;
 
     template <typename Archive> void serialize(Archive& ar) {
-        text(ar, job);
+        text(ar, storage);
         text(ar, file);
-        ar(offset, truncate);
+        ar(offset, sync);
     }
 };
 
@@ -198,18 +200,25 @@
     template <typename Archive> void serialize(Archive& ar) { ar(stored, size); }
 };
 
-/// Reads bytes of a job's file on another spool.
+/// Reads bytes of a file of another spool.
 struct read_copy {
-    std::string job;
+    std::string storage;
     std::string file;
     std::uint64_t offset = 0;
     std::uint64_t length = 0;
 
     template <typename Archive> void serialize(Archive& ar) {
-        text(ar, job);
+        text(ar, storage);
         text(ar, file);
         ar(offset, length);
     }
 };
 
+/// Whether the file was there; the bytes are the payload.
+struct read_answer {
+    bool found = false;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(found); }
+};
+
 } // namespace eelgrassdoor::peer
--- a/src/routing/target_view.cpp
+++ b/src/routing/target_view.cpp
@@ -20,7 +20,8 @@
 }
 
 double load_of(const target_view::target_state& t) {
-    const double reported = t.report.running + t.report.waiting;
+    const std::uint32_t batch = std::min(t.report.running_batch, t.report.running);
+    const double reported = t.report.running - batch + t.report.waiting;
     const double corrected = reported + t.own.sent_since_report - t.own.ended_since_report;
     return std::max<double>(corrected, t.own.in_flight);
 }
--- a/src/routing/target_view.hpp
+++ b/src/routing/target_view.hpp
@@ -31,6 +31,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    /// Batch streams among the running ones; they yield to online requests.
+    std::uint32_t running_batch = 0;
     time_point observed_at{};
 };
 
--- /dev/null
+++ b/src/service/job_keeper.cpp
@@ -0,0 +1,355 @@
+#include "service/job_keeper.hpp"
+
+#include "base/digest.hpp"
+#include "base/text.hpp"
+#include "peer/codec.hpp"
+#include "service/job_intake.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace eelgrassdoor::service {
+
+namespace {
+
+constexpr duration step_interval = milliseconds(200);
+constexpr duration look_interval_running = seconds(2);
+constexpr duration look_interval_ended = seconds(10);
+constexpr duration look_interval_lost = seconds(1);
+/// A storage without a record was never acknowledged; it is removed after this time.
+constexpr duration orphan_age = seconds(600);
+constexpr std::uint64_t max_job_id_bytes = 128;
+
+bool contains(const std::vector<std::string>& hosts, std::string_view host) {
+    return std::ranges::find(hosts, host) != hosts.end();
+}
+
+} // namespace
+
+job_keeper::job_keeper(runtime& shared, member_service& members, document_service& documents,
+                       copy_store& copies, job_store& jobs, job_committer& committer,
+                       job_table& table)
+    : m_shared(shared), m_members(members), m_documents(documents), m_copies(copies), m_jobs(jobs),
+      m_committer(committer), m_table(table) {
+    m_copies.on_stored([this](std::string_view storage, std::string_view file) {
+        if (file == job_file) {
+            add_storage(storage);
+        }
+    });
+    m_shared.node.handle(peer::message_type::job_notice,
+                         [this](const peer::envelope& e, std::string_view) {
+                             if (const auto notice = peer::decode<peer::job_notice>(e.body)) {
+                                 note_changed(notice->job);
+                             }
+                             return std::optional<std::string>();
+                         });
+}
+
+void job_keeper::start() {
+    scan_spool();
+    m_ticker.start(step_interval, [this] { step(); });
+}
+
+void job_keeper::scan_spool() {
+    for (const std::string& storage : m_copies.local().list()) {
+        add_storage(storage);
+    }
+}
+
+void job_keeper::add_storage(std::string_view storage) {
+    const result<std::string> job = m_copies.local().read(storage, job_file, 0, max_job_id_bytes);
+    if (!job || job.value().empty()) {
+        return;
+    }
+    const absl::MutexLock lock(&m_mutex);
+    kept_job& kept = m_kept[job.value()];
+    kept.storage = storage;
+    kept.first_seen = m_shared.clock();
+    kept.next_look = {};
+}
+
+void job_keeper::note_changed(std::string_view job) {
+    m_committer.note_changed(job);
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto found = m_kept.find(job);
+        if (found != m_kept.end()) {
+            found->second.next_look = {};
+        }
+    }
+    m_ticker.wake();
+}
+
+void job_keeper::notify(const batch::job_record& record) {
+    std::vector<std::string> hosts = record.copies;
+    hosts.push_back(record.owner);
+    for (const std::string& host : hosts) {
+        if (host == m_shared.settings.host) {
+            add_storage(record.storage);
+            note_changed(record.job);
+            continue;
+        }
+        const std::string endpoint =
+            m_members.with_table([&host](const membership::member_table& table) {
+                const membership::member* m = table.find(host);
+                return m == nullptr ? std::string() : m->record.peer_endpoint();
+            });
+        if (!endpoint.empty()) {
+            m_shared.node.send(endpoint, peer::message_type::job_notice,
+                               peer::encode(peer::job_notice{record.job}));
+        }
+    }
+}
+
+void job_keeper::step() {
+    const time_point now = m_shared.clock();
+    std::vector<std::pair<std::string, kept_job>> due;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        for (auto& [job, kept] : m_kept) {
+            if (now >= kept.next_look) {
+                due.emplace_back(job, kept);
+                kept.next_look = now + look_interval_running;
+            }
+        }
+    }
+    for (auto& [job, kept] : due) {
+        look(job, std::move(kept));
+    }
+    m_shared.numbers.gauge("jobs_owned", static_cast<double>(m_table.size()));
+}
+
+bool job_keeper::may_claim(const batch::job_record& record) const {
+    const std::string& self = m_shared.settings.host;
+    return m_members.with_table([&](const membership::member_table& table) {
+        const auto is_live = [&table, &self](const std::string& host) {
+            const membership::member* m = table.find(host);
+            return host == self || (m != nullptr && m->status == membership::member_status::live);
+        };
+        if (table.self().leaving) {
+            return false;
+        }
+        if (record.owner == self) {
+            return record.owner_incarnation < m_shared.incarnation;
+        }
+        if (!record.owner.empty() && is_live(record.owner)) {
+            return false;
+        }
+        // The first live copy claims, so that two do not race as a rule.
+        const auto first = std::ranges::find_if(record.copies, is_live);
+        return first != record.copies.end() && *first == self;
+    });
+}
+
+void job_keeper::look(const std::string& job, kept_job kept) {
+    const time_point now = m_shared.clock();
+    if (m_table.owns(job)) {
+        bool failing = false;
+        {
+            const absl::MutexLock lock(&m_table.mutex);
+            const auto found = m_table.jobs.find(job);
+            failing = found != m_table.jobs.end() && found->second->copy_failing_since;
+            if (found != m_table.jobs.end()) {
+                kept.record = found->second->stored.record;
+            }
+        }
+        if (!failing) {
+            update(job, kept);
+            return;
+        }
+    }
+    const bool known = !kept.record.job.empty();
+    const bool idle = known && kept.record.ended();
+    const bool owner_live = known && !may_claim(kept.record);
+    const bool copy_lost =
+        known && std::ranges::any_of(kept.record.copies, [&](const std::string& host) {
+            return host != m_shared.settings.host && copy_is_lost(host, kept);
+        });
+    if (known && !copy_lost && (idle || owner_live)) {
+        kept.next_look = now + (idle ? look_interval_ended : look_interval_running);
+        update(job, kept);
+        return;
+    }
+    result<stored_job> found = m_jobs.load(job);
+    if (!found) {
+        const bool orphan =
+            found.error().code == error_code::not_found && now - kept.first_seen > orphan_age;
+        if (orphan) {
+            m_copies.local().remove(kept.storage);
+            const absl::MutexLock lock(&m_mutex);
+            m_kept.erase(job);
+        }
+        return;
+    }
+    kept.record = found.value().record;
+    if (!contains(kept.record.copies, m_shared.settings.host) ||
+        kept.record.storage != kept.storage) {
+        // Another submission of the same job was kept, or another host took this copy's place.
+        m_copies.local().remove(kept.storage);
+        const absl::MutexLock lock(&m_mutex);
+        m_kept.erase(job);
+        return;
+    }
+    const bool whole = repair(found.value(), kept);
+    kept.next_look = now + (whole ? look_interval_running : look_interval_lost);
+    update(job, kept);
+    if (!kept.record.ended() && !m_table.owns(job) && may_claim(kept.record)) {
+        claim(std::move(found.value()));
+    }
+}
+
+void job_keeper::update(const std::string& job, const kept_job& kept) {
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_kept.find(job);
+    if (found != m_kept.end()) {
+        found->second.record = kept.record;
+        found->second.checked = kept.checked;
+        found->second.next_look = std::max(found->second.next_look, kept.next_look);
+    }
+}
+
+void job_keeper::claim(stored_job found) {
+    batch::job_record next = found.record;
+    ++next.epoch;
+    next.owner = m_shared.settings.host;
+    next.owner_incarnation = m_shared.incarnation;
+    const result<platform::swap_outcome> outcome = m_jobs.save(found, next);
+    if (!outcome || outcome.value() != platform::swap_outcome::written) {
+        return;
+    }
+    std::vector<batch::item_entry> entries;
+    const result<void> restored = m_jobs.read_entries(
+        found.record, [&entries](const batch::item_entry& entry) { entries.push_back(entry); });
+    if (!restored) {
+        give_up_one(std::move(found));
+        return;
+    }
+    m_committer.take(found, entries);
+}
+
+void job_keeper::give_up_one(stored_job job) {
+    batch::job_record next = job.record;
+    next.owner.clear();
+    next.owner_incarnation = 0;
+    if (m_jobs.save(job, next)) {
+        notify(next);
+    }
+}
+
+void job_keeper::give_up() {
+    {
+        const absl::MutexLock lock(&m_table.mutex);
+        m_table.giving_up = true;
+        for (auto& [id, job] : m_table.jobs) {
+            cancel_running(*job);
+        }
+    }
+    // What has ended is committed by the committer, which still runs.
+    const time_point give_up_at = m_shared.clock() + seconds(3);
+    const auto settled = [this] {
+        return std::ranges::all_of(m_table.jobs, [](const auto& e) {
+            return e.second->running.empty() && e.second->progress.uncommitted().empty() &&
+                   !e.second->busy;
+        });
+    };
+    std::vector<stored_job> jobs;
+    {
+        const absl::MutexLock lock(&m_table.mutex);
+        m_table.mutex.AwaitWithTimeout(absl::Condition(&settled),
+                                       absl::FromChrono(give_up_at - m_shared.clock()));
+        for (auto& [id, job] : m_table.jobs) {
+            job->busy = true;
+            jobs.push_back(job->stored);
+        }
+        m_table.jobs.clear();
+    }
+    for (stored_job& job : jobs) {
+        give_up_one(std::move(job));
+    }
+}
+
+bool job_keeper::copy_is_lost(const std::string& host, const kept_job& kept) const {
+    return m_members.with_table([&](const membership::member_table& table) {
+        const membership::member* m = table.find(host);
+        if (m == nullptr || m->status == membership::member_status::gone) {
+            return m_documents.host_list_fresh(seconds(5)) && !table.listed(host);
+        }
+        // A new incarnation may have come up without its disk.
+        const auto checked = kept.checked.find(host);
+        return m->status == membership::member_status::live &&
+               (checked == kept.checked.end() || checked->second != m->record.incarnation);
+    });
+}
+
+bool job_keeper::repair(stored_job& found, kept_job& kept) {
+    const batch::job_record record = found.record;
+    for (const std::string& host : record.copies) {
+        if (host == m_shared.settings.host || !copy_is_lost(host, kept)) {
+            continue;
+        }
+        const std::uint64_t incarnation =
+            m_members.with_table([&host](const membership::member_table& table) {
+                const membership::member* m = table.find(host);
+                return m != nullptr && m->status == membership::member_status::live
+                           ? m->record.incarnation
+                           : std::uint64_t{0};
+            });
+        if (incarnation != 0) {
+            const bool there =
+                m_copies.read(host, record.storage, job_file, 0, max_job_id_bytes).has_value();
+            if (there || copy_files(record, host)) {
+                kept.checked[host] = incarnation;
+                continue;
+            }
+            return false;
+        }
+        const std::string other = choose_other_host(record);
+        if (other.empty() || !copy_files(record, other)) {
+            return false;
+        }
+        batch::job_record next = record;
+        std::ranges::replace(next.copies, host, other);
+        const auto outcome = m_jobs.save(found, next);
+        if (!outcome || outcome.value() != platform::swap_outcome::written) {
+            return false;
+        }
+        kept.record = next;
+        m_committer.set_record(found);
+        m_shared.events.emit(observe::event::copy_repaired, record.job,
+                             {{"from", host}, {"to", other}});
+        notify(next);
+    }
+    return true;
+}
+
+bool job_keeper::copy_files(const batch::job_record& record, const std::string& to) {
+    const std::string& self = m_shared.settings.host;
+    if (!m_copies.copy(self, to, record.storage, items_file, record.item_bytes)) {
+        return false;
+    }
+    for (const batch::committed_segment& segment : record.segments) {
+        if (!m_copies.copy(self, to, record.storage, batch::segment_file(segment.epoch),
+                           segment.bytes)) {
+            return false;
+        }
+    }
+    return m_copies.write(to, record.storage, job_file, 0, record.job, true).has_value();
+}
+
+std::string job_keeper::choose_other_host(const batch::job_record& record) const {
+    const std::uint64_t key = stable_hash(record.storage);
+    return m_members.with_table([&](const membership::member_table& table) {
+        const membership::member_record* best = nullptr;
+        for (const membership::member_record* r : table.live()) {
+            const bool fits = r->has_spool && !contains(record.copies, r->host) &&
+                              r->availability_zone != table.self().availability_zone;
+            if (fits && (best == nullptr ||
+                         rendezvous_weight(key, r->host) > rendezvous_weight(key, best->host))) {
+                best = r;
+            }
+        }
+        return best == nullptr ? std::string() : best->host;
+    });
+}
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/job_keeper.hpp
@@ -0,0 +1,78 @@
+/// \file
+/// Defines the service that knows the jobs whose copies this host keeps: it claims those that no
+/// live daemon owns, and makes lost copies again.
+#pragma once
+
+#include "service/copy_store.hpp"
+#include "service/document_service.hpp"
+#include "service/job_committer.hpp"
+#include "service/job_store.hpp"
+#include "service/job_table.hpp"
+#include "service/member_service.hpp"
+#include "service/runtime.hpp"
+#include "service/ticker.hpp"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace eelgrassdoor::service {
+
+/// Thread-safe.
+class job_keeper {
+public:
+    job_keeper(runtime& shared, member_service& members, document_service& documents,
+               copy_store& copies, job_store& jobs, job_committer& committer, job_table& table);
+
+    void start();
+    void stop() { m_ticker.stop(); }
+
+    /// The record of \p job may have changed.
+    void note_changed(std::string_view job);
+    /// Tells the hosts that keep the job's copies, and its owner, to look at its record.
+    void notify(const batch::job_record& record);
+    /// Gives up every owned job, so that another host claims it at once.
+    void give_up();
+
+private:
+    /// A job whose files are on the local spool.
+    struct kept_job {
+        std::string storage;
+        batch::job_record record;
+        time_point next_look{};
+        time_point first_seen{};
+        /// The incarnations of the other copies' hosts when their files were last seen.
+        std::map<std::string, std::uint64_t> checked;
+    };
+
+    void step();
+    void scan_spool();
+    void add_storage(std::string_view storage);
+    void look(const std::string& job, kept_job kept);
+    void update(const std::string& job, const kept_job& kept);
+    bool may_claim(const batch::job_record& record) const;
+    void claim(stored_job found);
+    void give_up_one(stored_job job);
+    /// Makes the files of \p record whole on both copies; returns whether they are.
+    bool repair(stored_job& found, kept_job& kept);
+    bool copy_is_lost(const std::string& host, const kept_job& kept) const;
+    bool copy_files(const batch::job_record& record, const std::string& to);
+    std::string choose_other_host(const batch::job_record& record) const;
+
+    runtime& m_shared;
+    member_service& m_members;
+    document_service& m_documents;
+    copy_store& m_copies;
+    job_store& m_jobs;
+    job_committer& m_committer;
+    job_table& m_table;
+    absl::Mutex m_mutex;
+    std::map<std::string, kept_job, std::less<>> m_kept ABSL_GUARDED_BY(m_mutex);
+    ticker m_ticker;
+};
+
+} // namespace eelgrassdoor::service
--- /dev/null
+++ b/src/service/job_store.cpp
@@ -0,0 +1,114 @@
+#include "service/job_store.hpp"
+
+#include "base/text.hpp"
+#include "spool/segment.hpp"
+
+namespace eelgrassdoor::service {
+
+namespace {
+
+constexpr std::uint64_t read_chunk_bytes = 1U << 20U;
+constexpr int max_cancel_attempts = 20;
+
+error not_found(std::string_view job) {
+    return {error_code::not_found, str_cat("job \"", job, "\" does not exist"), run_state::not_run};
+}
+
+} // namespace
+
+result<stored_job> job_store::load(std::string_view job) {
+    BOOST_OUTCOME_TRY(value, m_shared.kv.get(batch::job_key(job)));
+    if (value.revision == 0) {
+        return not_found(job);
+    }
+    std::optional<batch::job_record> record = batch::job_record_from_json(value.value);
+    if (!record) {
+        return error{error_code::internal,
+                     str_cat("the record of job \"", job, "\" cannot be read")};
+    }
+    return stored_job{*std::move(record), value.revision};
+}
+
+result<stored_job> job_store::create(const batch::job_record& record) {
+    const auto ours = [&record](std::string_view found) {
+        const auto read = batch::job_record_from_json(found);
+        return read && read->storage == record.storage;
+    };
+    BOOST_OUTCOME_TRY(
+        m_shared.kv.swap(batch::job_key(record.job), 0, batch::to_json(record), ours));
+    return load(record.job);
+}
+
+result<platform::swap_outcome> job_store::save(stored_job& job, const batch::job_record& next) {
+    const std::string text = batch::to_json(next);
+    const auto ours = [&text](std::string_view found) { return found == text; };
+    const std::string key = batch::job_key(next.job);
+    BOOST_OUTCOME_TRY(outcome, m_shared.kv.swap(key, job.revision, text, ours));
+    if (outcome == platform::swap_outcome::lost_race) {
+        return outcome;
+    }
+    BOOST_OUTCOME_TRY(now, m_shared.kv.get(key));
+    if (now.value != text) {
+        return platform::swap_outcome::lost_race;
+    }
+    job.record = next;
+    job.revision = now.revision;
+    return outcome;
+}
+
+result<batch::job_record> job_store::cancel(std::string_view job) {
+    for (int i = 0; i < max_cancel_attempts; ++i) {
+        BOOST_OUTCOME_TRY(current, load(job));
+        if (current.record.state != batch::job_state::running) {
+            return current.record;
+        }
+        batch::job_record next = current.record;
+        next.state = batch::job_state::cancelling;
+        BOOST_OUTCOME_TRY(outcome, save(current, next));
+        if (outcome == platform::swap_outcome::written) {
+            return next;
+        }
+    }
+    return error{error_code::overloaded, "the job's record changes too often", run_state::not_run,
+                 seconds(1)};
+}
+
+result<std::string> job_store::read_segment(const batch::job_record& record,
+                                            const batch::committed_segment& segment) {
+    const std::string file = batch::segment_file(segment.epoch);
+    for (const std::string& host : record.copies) {
+        std::string bytes;
+        while (bytes.size() < segment.bytes) {
+            const std::uint64_t want = std::min(read_chunk_bytes, segment.bytes - bytes.size());
+            const result<std::string> chunk =
+                m_copies.read(host, record.storage, file, bytes.size(), want);
+            if (!chunk || chunk.value().empty()) {
+                break;
+            }
+            bytes += chunk.value();
+        }
+        const bool whole = bytes.size() == segment.bytes &&
+                           spool::read_records(bytes, [](std::string_view) {}) == bytes.size();
+        if (whole) {
+            return bytes;
+        }
+    }
+    return error{error_code::unavailable,
+                 str_cat("no copy of the results of job \"", record.job, "\" can be read now"),
+                 run_state::not_run, seconds(5)};
+}
+
+result<void> job_store::read_entries(const batch::job_record& record,
+                                     const std::function<void(const batch::item_entry&)>& each) {
+    for (const batch::committed_segment& segment : record.segments) {
+        BOOST_OUTCOME_TRY(bytes, read_segment(record, segment));
+        spool::read_records(bytes, [&each](std::string_view payload) {
+            if (const auto entry = batch::decode_entry(payload)) {
+                each(*entry);
+            }
+        });
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+} // namespace eelgrassdoor::service
--- a/src/service/target_service.cpp
+++ b/src/service/target_service.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 target_service::target_service(runtime& shared, member_service& members)
-    : m_shared(shared), m_members(members), m_online_hook([](const std::string&, bool) {}),
+    : m_shared(shared), m_members(members), m_online_hook([](const std::string&) {}),
+      m_batch_streams_hook([](const std::string&) { return 0U; }),
       m_view(shared.settings.availability_zone), m_random(shared.incarnation) {}
 
 void target_service::start() {
@@ -64,8 +65,8 @@
 void target_service::note_report(const peer::target_report& report) {
     const time_point observed = m_shared.clock() - milliseconds(report.age_ms);
     const absl::MutexLock lock(&m_mutex);
-    if (m_view.note_report(report.target,
-                           {report.running, report.waiting, report.slots, observed})) {
+    if (m_view.note_report(report.target, {report.running, report.waiting, report.slots,
+                                           report.running_batch, observed})) {
         pump();
     }
 }
@@ -84,7 +85,7 @@
         }
         const auto age = std::chrono::duration_cast<milliseconds>(now - t.report.observed_at);
         out.push_back({name, t.report.running, t.report.waiting, t.report.slots,
-                       static_cast<std::uint32_t>(age.count())});
+                       t.report.running_batch, static_cast<std::uint32_t>(age.count())});
     }
     return out;
 }
@@ -138,10 +139,11 @@
                    : 0;
     };
     // Engines report with a lag that they state; without it the time of asking counts.
+    const std::uint32_t batch = m_batch_streams_hook(name);
     const time_point observed = asked_at - milliseconds(number("lag_ms"));
     const absl::MutexLock lock(&m_mutex);
-    if (m_view.note_report(name,
-                           {number("running"), number("waiting"), number("slots"), observed})) {
+    if (m_view.note_report(
+            name, {number("running"), number("waiting"), number("slots"), batch, observed})) {
         pump();
     }
 }
@@ -219,7 +221,7 @@
     BOOST_OUTCOME_TRY(target, wait_for_place(wanted));
     const time_point sent_at = m_shared.clock();
     const std::string name = target.name;
-    m_online_hook(name, false);
+    m_online_hook(name);
     return place([this, name, sent_at](bool failed) { release(name, sent_at, failed); },
                  std::move(target));
 }
@@ -236,7 +238,7 @@
         }
         pump();
     }
-    m_online_hook(target, true);
+    m_online_hook(target);
 }
 
 bool target_service::try_retry() {
--- a/src/service/target_service.hpp
+++ b/src/service/target_service.hpp
@@ -82,9 +82,13 @@
     /// The newest reports, for gossip.
     std::vector<peer::target_report> reports_to_send(std::size_t most);
     /// Called with the name of a target when an online request goes there or has ended.
-    void on_online(std::function<void(const std::string& target, bool ended)> hook) {
+    void on_online(std::function<void(const std::string& target)> hook) {
         m_online_hook = std::move(hook);
     }
+    /// Gives the batch streams among a target's running ones.
+    void on_batch_streams(std::function<std::uint32_t(const std::string& target)> hook) {
+        m_batch_streams_hook = std::move(hook);
+    }
     template <typename Read> auto with_view(Read read) const {
         const absl::MutexLock lock(&m_mutex);
         return read(static_cast<const routing::target_view&>(m_view));
@@ -111,7 +115,8 @@
 
     runtime& m_shared;
     member_service& m_members;
-    std::function<void(const std::string&, bool)> m_online_hook;
+    std::function<void(const std::string&)> m_online_hook;
+    std::function<std::uint32_t(const std::string&)> m_batch_streams_hook;
     mutable absl::Mutex m_mutex;
     routing::target_view m_view ABSL_GUARDED_BY(m_mutex);
     random_source m_random ABSL_GUARDED_BY(m_mutex);
