Drain all parts of a customer near its limit evenly

A part that is drained alone refills at an eighth of the rate while the seven full ones waste theirs. Change: a customer whose parts hold less than 75% of its burst gets its tokens in fractions from all parts for the next 30 s, in proportion to what they hold.

--- /dev/null
+++ b/apps/eelgrass_load/load_options.cpp
@@ -0,0 +1,115 @@
+#include "load_options.hpp"
+
+#include "base/text.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <sstream>
+
+namespace eelgrassdoor::load {
+
+namespace {
+
+namespace po = boost::program_options;
+
+bool parse_customer(const std::string& text, load_customer& out) {
+    const std::vector<std::string_view> parts = split(text, ':');
+    if (parts.size() != 3 && parts.size() != 5) {
+        return false;
+    }
+    out.name = parts[0];
+    out.key = parts[1];
+    bool fits = parse_double(parts[2], out.offered_per_second) && out.offered_per_second > 0;
+    if (parts.size() == 5) {
+        fits = fits && parse_double(parts[3], out.rate_per_second) &&
+               parse_double(parts[4], out.burst);
+    }
+    return fits;
+}
+
+bool parse_batch(const std::string& text, load_batch& out) {
+    const std::vector<std::string_view> parts = split(text, ':');
+    if (parts.size() != 3) {
+        return false;
+    }
+    out.key = parts[0];
+    return parse_int(parts[1], out.items) && parse_int(parts[2], out.max_tokens);
+}
+
+} // namespace
+
+load_outcome parse_load_options(std::span<const std::string> arguments) {
+    load_options out;
+    std::string hosts;
+    std::vector<std::string> customers;
+    std::vector<std::string> batches;
+    po::options_description options("eelgrass_load: open-loop load on entry hosts");
+    options.add_options()("help", "print this help")("version", "print the version")(
+        "hosts", po::value(&hosts), "URLs of entry hosts, with commas")(
+        "customer", po::value(&customers),
+        "NAME:KEY:OFFERED_PER_S or NAME:KEY:OFFERED_PER_S:RATE:BURST, again for each")(
+        "batch", po::value(&batches), "KEY:ITEMS:MAX_TOKENS, a job submitted at the start")(
+        "model", po::value(&out.model), "model route")("service", po::value(&out.service),
+                                                       "service route in place of a model")(
+        "duration-s", po::value(&out.duration_s),
+        "seconds of arrivals, at most 600")("seed", po::value(&out.seed), "seed of the arrivals")(
+        "max-tokens", po::value(&out.max_tokens), "tokens of an answer")(
+        "prompt-groups", po::value(&out.prompt_groups), "number of prompt starts")(
+        "one-sided", po::bool_switch(&out.one_sided), "send everything to the first host")(
+        "burst-size", po::value(&out.burst_size), "arrivals that come together on average")(
+        "csv", po::value(&out.csv_path), "file for one line a request")(
+        "svg", po::value(&out.svg_path), "file for a picture of latency over time")(
+        "mark", po::value(&out.marks), "SECONDS:LABEL, a mark in the picture");
+    std::vector<finding> findings;
+    po::variables_map given;
+    try {
+        po::store(
+            po::command_line_parser(std::vector<std::string>(arguments.begin(), arguments.end()))
+                .options(options)
+                .run(),
+            given);
+        po::notify(given);
+    } catch (const po::error& e) {
+        findings.push_back({"command line", e.what()});
+    }
+    if (given.count("help") != 0) {
+        std::ostringstream text;
+        text << options;
+        return load_information{text.str()};
+    }
+    if (given.count("version") != 0) {
+        return load_information{"eelgrass_load " EELGRASSDOOR_VERSION "\n"};
+    }
+    for (const std::string_view host : split(hosts, ',')) {
+        out.hosts.emplace_back(host);
+    }
+    for (const std::string& text : customers) {
+        load_customer c;
+        if (!parse_customer(text, c)) {
+            findings.push_back({"flag --customer", "\"" + text + "\" does not fit; see --help"});
+        }
+        out.customers.push_back(c);
+    }
+    for (const std::string& text : batches) {
+        load_batch b;
+        if (!parse_batch(text, b)) {
+            findings.push_back({"flag --batch", "\"" + text + "\" does not fit; see --help"});
+        }
+        out.batches.push_back(b);
+    }
+    if (out.hosts.empty()) {
+        findings.push_back({"flag --hosts", "is required"});
+    }
+    if (out.duration_s <= 0 || out.duration_s > 600) {
+        findings.push_back({"flag --duration-s", "expected more than 0 and at most 600"});
+    }
+    if (out.burst_size < 1 || out.prompt_groups < 1) {
+        findings.push_back({"flag --burst-size or --prompt-groups", "expected at least 1"});
+    }
+    if (!findings.empty()) {
+        return findings;
+    }
+    return out;
+}
+
+} // namespace eelgrassdoor::load
--- /dev/null
+++ b/apps/eelgrass_load/load_report.cpp
@@ -0,0 +1,174 @@
+#include "load_report.hpp"
+
+#include "base/text.hpp"
+#include "observe/metrics.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <ostream>
+
+namespace eelgrassdoor::load {
+
+namespace {
+
+constexpr double picture_width = 960;
+constexpr double picture_height = 360;
+constexpr double margin = 40;
+
+bool admitted(const load_record& r) {
+    return r.status == 200;
+}
+
+std::string milliseconds_text(double s) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.1f ms", s * 1e3);
+    return text;
+}
+
+void print_quantiles(std::string_view name, const observe::quantiles& q, std::ostream& out) {
+    if (q.count() == 0) {
+        return;
+    }
+    out << name << ": n " << q.count() << ", p50 " << milliseconds_text(q.at(0.5)) << ", p95 "
+        << milliseconds_text(q.at(0.95)) << ", p99 " << milliseconds_text(q.at(0.99)) << "\n";
+}
+
+void print_customer(const load_customer& c, std::size_t index,
+                    const std::vector<load_record>& records, std::ostream& out) {
+    if (c.rate_per_second <= 0) {
+        return;
+    }
+    const limit_report r = check_limits(c, index, records);
+    const int sent = r.admitted + r.refused;
+    out << "customer " << c.name << ": sent " << sent << ", admitted " << r.admitted << ", refused "
+        << r.refused << ", wrongful " << r.wrongful << " ("
+        << (sent > 0 ? 100.0 * r.wrongful / sent : 0) << "%), excess over rate*t+burst " << r.excess
+        << "\n";
+}
+
+} // namespace
+
+limit_report check_limits(const load_customer& customer, std::size_t index,
+                          const std::vector<load_record>& records) {
+    limit_report out;
+    // The ideal bucket decides by itself; the strict one counts what was really admitted.
+    double ideal = customer.burst;
+    double strict = customer.burst;
+    double last = 0;
+    for (const load_record& r : records) {
+        if (r.customer != index || (r.status != 200 && r.status != 429)) {
+            continue;
+        }
+        const double filled = customer.rate_per_second * std::max(0.0, r.sent_s - last);
+        ideal = std::min(customer.burst, ideal + filled);
+        strict = std::min(customer.burst, strict + filled);
+        last = std::max(last, r.sent_s);
+        const bool should = ideal >= 1;
+        ideal -= should ? 1 : 0;
+        if (admitted(r)) {
+            ++out.admitted;
+            strict -= 1;
+            out.excess = std::max(out.excess, -strict);
+        } else {
+            ++out.refused;
+            out.wrongful += should ? 1 : 0;
+        }
+    }
+    return out;
+}
+
+void print_report(const load_options& options, const std::vector<load_record>& records,
+                  std::ostream& out) {
+    observe::quantiles first;
+    observe::quantiles between;
+    std::vector<observe::quantiles> by_customer(options.customers.size());
+    int ok = 0;
+    int refused = 0;
+    int failed = 0;
+    for (const load_record& r : records) {
+        if (admitted(r) && r.whole) {
+            ++ok;
+            first.add(r.first_s - r.due_s);
+            by_customer[r.customer].add(r.first_s - r.due_s);
+            if (r.between_s > 0) {
+                between.add(r.between_s);
+            }
+        } else if (r.status == 429) {
+            ++refused;
+        } else {
+            ++failed;
+        }
+    }
+    out << "requests: " << records.size() << " sent, " << ok << " whole answers, " << refused
+        << " refused by rate, " << failed << " failed\n";
+    print_quantiles("first token", first, out);
+    print_quantiles("between tokens", between, out);
+    double worst = 0;
+    std::string worst_name;
+    for (std::size_t i = 0; i < by_customer.size(); ++i) {
+        const double p95 = by_customer[i].count() > 0 ? by_customer[i].at(0.95) : 0;
+        if (p95 > worst) {
+            worst = p95;
+            worst_name = options.customers[i].name;
+        }
+    }
+    if (!worst_name.empty()) {
+        out << "worst-served customer: " << worst_name << ", p95 " << milliseconds_text(worst)
+            << "\n";
+    }
+    for (std::size_t i = 0; i < options.customers.size(); ++i) {
+        print_customer(options.customers[i], i, records, out);
+    }
+}
+
+void write_csv(const load_options& options, const std::vector<load_record>& records) {
+    std::ofstream file(options.csv_path);
+    file << "customer,due_s,sent_s,first_s,end_s,between_s,status,whole,run\n";
+    for (const load_record& r : records) {
+        file << options.customers[r.customer].name << "," << r.due_s << "," << r.sent_s << ","
+             << r.first_s << "," << r.end_s << "," << r.between_s << "," << r.status << ","
+             << (r.whole ? 1 : 0) << "," << r.run << "\n";
+    }
+}
+
+void write_svg(const load_options& options, const std::vector<load_record>& records) {
+    double top = 0.001;
+    for (const load_record& r : records) {
+        top = std::max(top, r.first_s - r.due_s);
+    }
+    const auto x = [&](double s) {
+        return margin + s / options.duration_s * (picture_width - 2 * margin);
+    };
+    const auto y = [&](double s) {
+        return picture_height - margin - s / top * (picture_height - 2 * margin);
+    };
+    std::ofstream file(options.svg_path);
+    file << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << picture_width << "\" height=\""
+         << picture_height << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+         << "<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n"
+         << "<text x=\"" << margin << "\" y=\"16\">first token after the due time, up to "
+         << milliseconds_text(top) << "; " << options.duration_s << " s of load</text>\n";
+    for (const load_record& r : records) {
+        const bool good = admitted(r) && r.whole;
+        file << "<circle r=\"2\" cx=\"" << x(r.due_s) << "\" cy=\""
+             << y(good ? r.first_s - r.due_s : 0) << "\" fill=\""
+             << (good              ? "steelblue"
+                 : r.status == 429 ? "orange"
+                                   : "crimson")
+             << "\"/>\n";
+    }
+    for (const std::string& mark : options.marks) {
+        double at = 0;
+        const std::size_t colon = mark.find(':');
+        if (colon != std::string::npos && parse_double(mark.substr(0, colon), at)) {
+            file << "<line x1=\"" << x(at) << "\" x2=\"" << x(at) << "\" y1=\"" << margin
+                 << "\" y2=\"" << picture_height - margin << "\" stroke=\"black\"/><text x=\""
+                 << x(at) + 3 << "\" y=\"" << margin << "\">" << mark.substr(colon + 1)
+                 << "</text>\n";
+        }
+    }
+    file << "</svg>\n";
+}
+
+} // namespace eelgrassdoor::load
--- a/src/limits/holder_view.cpp
+++ b/src/limits/holder_view.cpp
@@ -11,6 +11,10 @@
 /// of all is asked, so that no part overflows while another is empty.
 constexpr double local_preference = 0.5;
 constexpr double smallest_useful = 1e-6;
+/// A customer is near its limit while its parts together have less than this part of its burst,
+/// and for a time after.
+constexpr double near_limit_share = 0.75;
+constexpr duration near_limit_time = seconds(30);
 
 } // namespace
 
@@ -43,37 +47,55 @@
     return std::min(share.capacity, found->second.balance + filled);
 }
 
-ask_plan holder_view::plan(std::string_view customer, part_share share, time_point now) const {
-    struct candidate {
-        const holder* who;
-        double tokens;
-        double score;
-    };
-    std::vector<candidate> candidates;
+ask_plan holder_view::plan(std::string_view customer, part_share share, time_point now) {
+    const holder* best = nullptr;
+    double best_score = -1;
     double sum = 0;
+    double fill = 0;
     for (const holder& h : m_holders) {
         if (silent(h, now)) {
             continue;
         }
         const double tokens = estimate(h, customer, share, now);
         const bool preferred = h.same_zone && tokens >= local_preference * share.capacity;
-        candidates.push_back({&h, tokens, tokens + (preferred ? share.capacity : 0)});
+        const double score = tokens + (preferred ? share.capacity : 0);
+        if (score > best_score) {
+            best = &h;
+            best_score = score;
+        }
         sum += tokens;
+        fill += share.rate_per_second;
+    }
+    const double capacity = share.capacity * static_cast<double>(m_holders.size());
+    if (sum < near_limit_share * capacity) {
+        m_near_limit_until.insert_or_assign(std::string(customer), now + near_limit_time);
     }
-    std::ranges::sort(candidates, [](const candidate& a, const candidate& b) {
-        return std::pair(a.score, a.who->same_zone) > std::pair(b.score, b.who->same_zone);
-    });
+    const auto near = m_near_limit_until.find(customer);
     ask_plan out;
-    const double fill = share.rate_per_second * static_cast<double>(candidates.size());
+    out.first = best == nullptr ? std::nullopt : std::optional(*best);
+    out.spread = near != m_near_limit_until.end() && now < near->second;
     out.may_have_token = sum + smallest_useful >= 1;
     out.next_token = fill > 0 ? from_seconds(std::max(0.0, 1 - sum) / fill) : seconds(60);
-    for (const candidate& c : candidates) {
-        if (!out.first) {
-            out.first = *c.who;
-        } else if (c.tokens > smallest_useful) {
-            out.others.push_back(*c.who);
+    return out;
+}
+
+std::vector<ask_wish> holder_view::wishes(std::string_view customer, part_share share, double need,
+                                          time_point now) const {
+    std::vector<ask_wish> out;
+    double sum = 0;
+    for (const holder& h : m_holders) {
+        const double tokens = silent(h, now) ? 0 : estimate(h, customer, share, now);
+        if (tokens > smallest_useful) {
+            out.push_back({h, tokens});
+            sum += tokens;
         }
     }
+    if (sum + smallest_useful < need) {
+        return {};
+    }
+    for (ask_wish& w : out) {
+        w.want = std::min(need, need * w.want / sum);
+    }
     return out;
 }
 
--- a/src/limits/holder_view.hpp
+++ b/src/limits/holder_view.hpp
@@ -26,14 +26,23 @@
     [[nodiscard]] std::string key() const { return host + "#" + std::to_string(slot); }
 };
 
-/// Whom to ask first, and whom to ask together when the first has less than a token.
+/// A part to ask, and for how much.
+struct ask_wish {
+    holder who;
+    double want = 0;
+};
+
+/// How to get a token.
 struct ask_plan {
+    /// The part to ask for a whole token; none when no holder is known or all are silent.
     std::optional<holder> first;
-    std::vector<holder> others;
-    /// When all known parts together have a token, at the soonest.
-    duration next_token{};
+    /// Whether fractions from all parts are asked for in place of a whole token from one. Parts
+    /// that are drained evenly all fill again; a part that stays full wastes its fill.
+    bool spread = false;
     /// Whether all known parts together may have a token now.
     bool may_have_token = true;
+    /// When they have one, at the soonest.
+    duration next_token{};
 };
 
 /// Estimates the balance of every part from the last answers. An estimate is an upper bound
@@ -48,7 +57,13 @@
     void set_holders(std::vector<holder> holders);
     [[nodiscard]] const std::vector<holder>& holders() const { return m_holders; }
 
-    [[nodiscard]] ask_plan plan(std::string_view customer, part_share share, time_point now) const;
+    /// Decides how to ask for one token. Notes that the customer is near its limit when its parts
+    /// together have little left.
+    ask_plan plan(std::string_view customer, part_share share, time_point now);
+    /// The fractions to ask for so that they sum to \p need, in proportion to what the parts are
+    /// believed to have; empty when they cannot have it.
+    [[nodiscard]] std::vector<ask_wish> wishes(std::string_view customer, part_share share,
+                                               double need, time_point now) const;
     /// Takes in an answer.
     void note_balance(const holder& who, std::string_view customer, double balance, time_point now);
     void note_silent(const holder& who, time_point now);
@@ -66,6 +81,8 @@
     std::vector<holder> m_holders;
     std::map<std::string, std::map<std::string, sighting, std::less<>>, std::less<>> m_seen;
     std::map<std::string, time_point, std::less<>> m_silent_until;
+    /// Customers that came near their limit lately.
+    std::map<std::string, time_point, std::less<>> m_near_limit_until;
 };
 
 } // namespace eelgrassdoor::limits
--- a/src/service/limit_service.cpp
+++ b/src/service/limit_service.cpp
@@ -16,6 +16,9 @@
 /// Below part_table::loan_time, so that what is lent is used or given back while its room is kept.
 constexpr duration ask_timeout = milliseconds(60);
 constexpr double rounding = 1e-9;
+/// The second round asks again where the estimates of the first were too high. Both end within
+/// part_table::loan_time.
+constexpr int max_rounds = 2;
 /// For how long a started daemon looks for the holders of all parts before it serves with fewer.
 constexpr duration holder_search_time = seconds(5);
 
@@ -73,7 +76,7 @@
     m_ready = all || now - m_first_found >= holder_search_time;
 }
 
-std::optional<limits::ask_plan> limit_service::make_plan(std::string_view customer) {
+std::optional<limits::part_share> limit_service::share_of(std::string_view customer) const {
     const config::document_ptr doc = m_shared.configuration.get();
     const auto found = doc->parsed.customers.find(customer);
     if (found == doc->parsed.customers.end()) {
@@ -81,40 +84,37 @@
     }
     const auto parts =
         static_cast<double>(limits::part_count(doc->parsed.availability_zones.size()));
-    const limits::part_share share{found->second.rate_per_second / parts,
-                                   found->second.burst / parts};
+    return limits::part_share{found->second.rate_per_second / parts, found->second.burst / parts};
+}
+
+limits::ask_plan limit_service::make_plan(std::string_view customer, limits::part_share share) {
     const absl::MutexLock lock(&m_mutex);
     return m_view.plan(customer, share, m_shared.clock());
 }
 
 result<void> limit_service::admit(std::string_view customer, std::string_view request_id) {
-    const std::optional<limits::ask_plan> plan = make_plan(customer);
-    if (!plan) {
+    const std::optional<limits::part_share> share = share_of(customer);
+    if (!share) {
         return error{error_code::forbidden, "the customer does not exist any more",
                      run_state::not_run};
     }
-    if (!plan->first) {
+    const limits::ask_plan plan = make_plan(customer, *share);
+    if (!plan.first) {
         return error{error_code::unavailable, "no holder of the customer's rate is reachable",
                      run_state::not_run, seconds(1)};
     }
-    bool granted = false;
-    if (plan->may_have_token) {
-        granted = ask_one(*plan->first, customer);
-        if (!granted) {
-            std::vector<limits::holder> all = plan->others;
-            all.insert(all.begin(), *plan->first);
-            granted = ask_together(all, customer);
-        }
-    }
+    const bool granted = plan.may_have_token && ((!plan.spread && ask_one(*plan.first, customer)) ||
+                                                 ask_together(customer, *share));
     if (granted) {
         m_shared.numbers.count("limit_granted_total");
-        m_shared.events.emit(observe::event::limit_granted, request_id);
+        m_shared.events.emit(observe::event::limit_granted, request_id,
+                             {{"customer", std::string(customer)}});
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
     m_shared.numbers.count("limit_refused_total");
-    m_shared.events.emit(observe::event::limit_refused, request_id);
-    const std::optional<limits::ask_plan> after = make_plan(customer);
-    return refusal(after ? after->next_token : seconds(1));
+    m_shared.events.emit(observe::event::limit_refused, request_id,
+                         {{"customer", std::string(customer)}});
+    return refusal(make_plan(customer, *share).next_token);
 }
 
 bool limit_service::note_answer(const limits::holder& who, std::string_view customer,
@@ -142,48 +142,52 @@
     return note_answer(who, customer, answer) && answer->granted + rounding >= 1;
 }
 
-std::vector<limit_service::loan> limit_service::collect_loans(std::span<const limits::holder> whom,
-                                                              std::string_view customer) {
-    std::vector<std::optional<peer::limit_answer>> answers(whom.size());
+void limit_service::collect(std::span<const limits::ask_wish> wishes, std::string_view customer,
+                            std::vector<limits::holder>& lenders, limits::collection& token) {
+    std::vector<std::optional<peer::limit_answer>> answers(wishes.size());
     std::vector<peer::outgoing_call> calls;
     std::vector<std::size_t> index_of_call;
-    for (std::size_t i = 0; i < whom.size(); ++i) {
-        const peer::limit_ask ask{std::string(customer), whom[i].slot, 1, true};
+    for (std::size_t i = 0; i < wishes.size(); ++i) {
+        const limits::holder& who = wishes[i].who;
+        const peer::limit_ask ask{std::string(customer), who.slot, wishes[i].want, true};
         m_shared.numbers.count("limit_asks_total");
-        if (whom[i].host == m_shared.settings.host) {
+        if (who.host == m_shared.settings.host) {
             answers[i] = m_own_slots.answer(ask);
             continue;
         }
-        calls.push_back({whom[i].endpoint, peer::message_type::limit_ask, peer::encode(ask)});
+        calls.push_back({who.endpoint, peer::message_type::limit_ask, peer::encode(ask)});
         index_of_call.push_back(i);
     }
     m_shared.node.call_many(calls, ask_timeout, [&](std::size_t call, const std::string& body) {
         answers[index_of_call[call]] = peer::decode<peer::limit_answer>(body);
         return false;
     });
-    std::vector<loan> loans;
-    for (std::size_t i = 0; i < whom.size(); ++i) {
-        if (note_answer(whom[i], customer, answers[i]) && answers[i]->granted > 0) {
-            loans.push_back({i, *answers[i]});
+    for (std::size_t i = 0; i < wishes.size(); ++i) {
+        if (note_answer(wishes[i].who, customer, answers[i]) && answers[i]->granted > 0) {
+            token.add({lenders.size(), answers[i]->grant_id, answers[i]->granted});
+            lenders.push_back(wishes[i].who);
         }
     }
-    return loans;
 }
 
-bool limit_service::ask_together(std::span<const limits::holder> whom, std::string_view customer) {
-    const std::vector<loan> loans = collect_loans(whom, customer);
-    double sum = 0;
-    for (const loan& l : loans) {
-        sum += l.answer.granted;
+bool limit_service::ask_together(std::string_view customer, limits::part_share share) {
+    limits::collection token;
+    std::vector<limits::holder> lenders;
+    for (int round = 0; round < max_rounds && !token.complete(); ++round) {
+        std::vector<limits::ask_wish> wishes;
+        {
+            const absl::MutexLock lock(&m_mutex);
+            wishes = m_view.wishes(customer, share, token.missing(), m_shared.clock());
+        }
+        if (wishes.empty()) {
+            break;
+        }
+        collect(wishes, customer, lenders, token);
     }
-    const bool enough = sum + rounding >= 1;
-    double needed = enough ? 1 : 0;
-    for (const loan& l : loans) {
-        const double used = std::min(needed, l.answer.granted);
-        needed -= used;
-        give_back(whom[l.holder_index], l.answer.grant_id, l.answer.granted - used);
+    for (const limits::collected& c : token.settle()) {
+        give_back(lenders[c.part], c.grant_id, c.amount);
     }
-    return enough;
+    return token.complete();
 }
 
 void limit_service::give_back(const limits::holder& whom, std::uint64_t grant_id, double amount) {
--- a/src/service/limit_service.hpp
+++ b/src/service/limit_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/error.hpp"
+#include "limits/collection.hpp"
 #include "limits/holder_view.hpp"
 #include "service/member_service.hpp"
 #include "service/runtime.hpp"
@@ -38,21 +39,18 @@
     result<void> admit(std::string_view customer, std::string_view request_id);
 
 private:
-    /// A loan that is used or given back.
-    struct loan {
-        std::size_t holder_index;
-        peer::limit_answer answer;
-    };
-
     void refresh_holders();
     void note_found(std::size_t holders);
-    std::optional<limits::ask_plan> make_plan(std::string_view customer);
+    /// The customer's part in each slot; nothing when the customer does not exist.
+    std::optional<limits::part_share> share_of(std::string_view customer) const;
+    limits::ask_plan make_plan(std::string_view customer, limits::part_share share);
     /// Asks one holder for a whole token.
     bool ask_one(const limits::holder& who, std::string_view customer);
     /// Collects one token in fractions from several holders.
-    bool ask_together(std::span<const limits::holder> whom, std::string_view customer);
-    std::vector<loan> collect_loans(std::span<const limits::holder> whom,
-                                    std::string_view customer);
+    bool ask_together(std::string_view customer, limits::part_share share);
+    /// Asks for the fractions in parallel and adds what was granted.
+    void collect(std::span<const limits::ask_wish> wishes, std::string_view customer,
+                 std::vector<limits::holder>& lenders, limits::collection& token);
     void give_back(const limits::holder& whom, std::uint64_t grant_id, double amount);
     /// Takes in an answer; returns whether it may be used.
     bool note_answer(const limits::holder& who, std::string_view customer,
