--- a/src/routing/target_view.cpp
+++ b/src/routing/target_view.cpp
@@ -102,7 +102,7 @@
     const bool spill = nearest == near.end() || nearest->load_ratio >= spill_ratio;
     const std::vector<candidate>& pool = spill ? all : near;
     const candidate& least = *std::ranges::min_element(pool, {}, ratio);
-    if (least.load_ratio >= 1 && !request.may_exceed_slots) {
+    if (least.load_ratio >= target_view::max_load_ratio && !request.may_exceed_slots) {
         return std::nullopt;
     }
     double sum = 0;
--- a/src/routing/target_view.hpp
+++ b/src/routing/target_view.hpp
@@ -71,6 +71,10 @@
 public:
     /// A target is not picked for this time after a failure.
     static constexpr duration failure_backoff = seconds(2);
+    /// Requests for each slot above which a target counts as full. Some may wait inside a target:
+    /// its queue serves all entry hosts in the order of arrival, while a host that waits for a
+    /// report of a free slot loses against hosts whose own request has just ended there.
+    static constexpr double max_load_ratio = 1.5;
     /// The slots assumed until a target has reported.
     static constexpr std::uint32_t assumed_slots = 8;
 
