Restore the reserve as items end; stream results; read them in an outage

Each online arrival stopped a stream to restore the reserve, and its work was lost; and after an online request ended, its slot was regranted only when the owner asked again, up to 200 ms later. Ruled out: the scheduler (every granted slot was in use at each look). Change: streams are stopped only when online requests need their slot; the reserve fills again as items end; a lane tells owners at once when they may use more.

--- a/src/front/batch_api.cpp
+++ b/src/front/batch_api.cpp
@@ -37,11 +37,11 @@
 } // namespace
 
 void batch_api::add_routes(httplib::Server& server) {
-    const auto bind = [this](auto method, const char* type) {
-        return [this, method, type](const httplib::Request& in, httplib::Response& out) {
+    const auto bind = [this](auto method) {
+        return [this, method](const httplib::Request& in, httplib::Response& out) {
             const result<std::string> answer = (this->*method)(in);
             if (answer) {
-                out.set_content(answer.value(), type);
+                out.set_content(answer.value(), "application/json");
             } else {
                 write_error(out, answer.error(), new_request_id());
             }
@@ -50,9 +50,10 @@
     server.Post("/v1/batches",
                 [this](const httplib::Request& in, httplib::Response& out,
                        const httplib::ContentReader& body) { submit(in, out, body); });
-    server.Get(R"(/v1/batches/([^/]+))", bind(&batch_api::status, "application/json"));
-    server.Post(R"(/v1/batches/([^/]+)/cancel)", bind(&batch_api::cancel, "application/json"));
-    server.Get(R"(/v1/batches/([^/]+)/results)", bind(&batch_api::results, "application/jsonl"));
+    server.Get(R"(/v1/batches/([^/]+))", bind(&batch_api::status));
+    server.Post(R"(/v1/batches/([^/]+)/cancel)", bind(&batch_api::cancel));
+    server.Get(R"(/v1/batches/([^/]+)/results)",
+               [this](const httplib::Request& in, httplib::Response& out) { results(in, out); });
 }
 
 result<caller> batch_api::who_calls(const httplib::Request& in) const {
@@ -112,39 +113,54 @@
     return job_json(record);
 }
 
-result<batch::job_record> batch_api::find_job(const httplib::Request& in) {
+result<batch::job_record> batch_api::find_job(const httplib::Request& in, bool may_lag) {
     BOOST_OUTCOME_TRY(who, who_calls(in));
     const std::string job = in.matches[1].str();
-    BOOST_OUTCOME_TRY(found, m_parts.jobs.load(job));
-    if (found.record.customer != who.customer) {
+    const result<service::stored_job> stored = m_parts.jobs.load(job);
+    const bool out_of_reach = !stored && stored.error().code == error_code::unavailable;
+    if (!stored && !(out_of_reach && may_lag)) {
+        return stored.error();
+    }
+    BOOST_OUTCOME_TRY(found, out_of_reach ? m_parts.keeper.find_with_peers(job)
+                                          : result<batch::job_record>(stored.value().record));
+    if (found.customer != who.customer) {
         return error{error_code::not_found, str_cat("job \"", job, "\" does not exist"),
                      run_state::not_run};
     }
-    return found.record;
+    return found;
 }
 
 result<std::string> batch_api::status(const httplib::Request& in) {
-    BOOST_OUTCOME_TRY(record, find_job(in));
+    BOOST_OUTCOME_TRY(record, find_job(in, true));
     return job_json(record);
 }
 
 result<std::string> batch_api::cancel(const httplib::Request& in) {
-    BOOST_OUTCOME_TRY(before, find_job(in));
+    BOOST_OUTCOME_TRY(before, find_job(in, false));
     BOOST_OUTCOME_TRY(record, m_parts.jobs.cancel(before.job));
     m_parts.keeper.notify(record);
     return job_json(record);
 }
 
-result<std::string> batch_api::results(const httplib::Request& in) {
-    BOOST_OUTCOME_TRY(record, find_job(in));
-    std::string out;
-    BOOST_OUTCOME_TRY(m_parts.jobs.read_entries(record, [&out](const batch::item_entry& entry) {
-        if (!entry.is_intent) {
-            out += entry.line;
-            out += '\n';
-        }
-    }));
-    return out;
+void batch_api::results(const httplib::Request& in, httplib::Response& out) {
+    const result<batch::job_record> record = find_job(in, true);
+    if (!record) {
+        write_error(out, record.error(), new_request_id());
+        return;
+    }
+    out.set_chunked_content_provider(
+        "application/jsonl", [this, record = record.value()](std::size_t, httplib::DataSink& sink) {
+            const result<void> read =
+                m_parts.jobs.read_entries(record, [&sink](const batch::item_entry& entry) {
+                    const std::string line = entry.line + "\n";
+                    return entry.is_intent || sink.write(line.data(), line.size());
+                });
+            // Without the final chunk the caller sees that the answer is not whole.
+            if (read) {
+                sink.done();
+            }
+            return read.has_value();
+        });
 }
 
 } // namespace eelgrassdoor::front
--- a/src/front/batch_api.hpp
+++ b/src/front/batch_api.hpp
@@ -46,9 +46,10 @@
                                const std::string& request_id);
     result<std::string> status(const httplib::Request& in);
     result<std::string> cancel(const httplib::Request& in);
-    result<std::string> results(const httplib::Request& in);
-    /// The record of the job in the path, when it belongs to the caller.
-    result<batch::job_record> find_job(const httplib::Request& in);
+    void results(const httplib::Request& in, httplib::Response& out);
+    /// The record of the job in the path, when it belongs to the caller. With \p may_lag it may
+    /// come from the hosts with copies while the key-value service is out.
+    result<batch::job_record> find_job(const httplib::Request& in, bool may_lag);
     result<caller> who_calls(const httplib::Request& in) const;
 
     batch_api_parts m_parts;
--- a/src/limits/slot_record.cpp
+++ b/src/limits/slot_record.cpp
@@ -29,7 +29,8 @@
 std::string to_json(const slot_record& record) {
     nlohmann::json slots = nlohmann::json::array();
     for (const slot_holder& s : record.slots) {
-        slots.push_back({{"host", s.host}, {"incarnation", s.incarnation}, {"released", s.released}});
+        slots.push_back(
+            {{"host", s.host}, {"incarnation", s.incarnation}, {"released", s.released}});
     }
     return nlohmann::json{{"epoch", record.epoch}, {"slots", slots}}.dump();
 }
--- a/src/peer/message.hpp
+++ b/src/peer/message.hpp
@@ -19,11 +19,12 @@
     confirm = 4,
     online_load = 5,
     lane_ask = 6,
-    lane_revoke = 7,
+    lane_change = 7,
     job_notice = 8,
     pull_document = 20,
     store_copy = 21,
     read_copy = 22,
+    find_job = 23,
 };
 
 /// A load report of a target. Age is counted by each forwarder, so that no clocks are compared.
@@ -53,8 +54,8 @@
             text(a, m.host);
             text(a, m.availability_zone);
             text(a, m.address);
-            a(m.http_port, m.peer_port, m.incarnation, m.heartbeat, m.revision, m.leaving, m.platform_reachable,
-              m.has_spool, m.config_version, m.host_list_version);
+            a(m.http_port, m.peer_port, m.incarnation, m.heartbeat, m.revision, m.leaving,
+              m.platform_reachable, m.has_spool, m.config_version, m.host_list_version);
             list(a, m.slots, [](Archive& b, membership::held_slot& s) { b(s.slot, s.epoch); });
         });
         list(ar, heartbeats,
@@ -152,15 +153,14 @@
     template <typename Archive> void serialize(Archive& ar) { ar(runs_lane, granted); }
 };
 
-/// Tells a job owner to stop batch streams on a target at once.
-struct lane_revoke {
+/// Tells a job owner what it may use on a target from now on; it stops streams above it at once.
+struct lane_change {
     std::string target;
-    /// The slots that remain granted.
-    std::uint32_t keep = 0;
+    std::uint32_t granted = 0;
 
     template <typename Archive> void serialize(Archive& ar) {
         text(ar, target);
-        ar(keep);
+        ar(granted);
     }
 };
 
@@ -171,6 +171,14 @@
     template <typename Archive> void serialize(Archive& ar) { text(ar, job); }
 };
 
+/// Asks for a job's record as the asked daemon knows it; the payload of the answer is its JSON, or
+/// empty. For reading while the key-value service is out.
+struct find_job {
+    std::string job;
+
+    template <typename Archive> void serialize(Archive& ar) { text(ar, job); }
+};
+
 /// The kinds of document that daemons pull from each other.
 enum class document_kind : std::uint8_t { configuration = 1, host_list = 2, members = 3 };
 
--- a/src/service/item_dispatcher.cpp
+++ b/src/service/item_dispatcher.cpp
@@ -30,8 +30,8 @@
 item_dispatcher::item_dispatcher(runtime& shared, member_service& members, target_service& targets,
                                  lane_service& lanes, job_table& table)
     : m_shared(shared), m_members(members), m_targets(targets), m_lanes(lanes), m_table(table) {
-    m_lanes.on_revoke(
-        [this](const std::string& target, std::uint32_t keep) { revoke(target, keep); });
+    m_lanes.on_change(
+        [this](const std::string& target, std::uint32_t granted) { take_change(target, granted); });
 }
 
 void item_dispatcher::start() {
@@ -280,7 +280,7 @@
     m_shared.numbers.count("batch_items_failed_total");
 }
 
-void item_dispatcher::revoke(const std::string& target, std::uint32_t keep) {
+void item_dispatcher::take_change(const std::string& target, std::uint32_t granted) {
     struct candidate {
         time_point began;
         std::shared_ptr<running_item> item;
@@ -288,7 +288,7 @@
     std::vector<candidate> on_target;
     {
         const absl::MutexLock lock(&m_table.mutex);
-        m_granted[target] = std::min(keep, m_granted[target]);
+        m_granted[target] = granted;
         for (const auto& [id, job] : m_table.jobs) {
             for (const auto& [index, entry] : job->running) {
                 // Items that must not run twice are left to end.
@@ -299,7 +299,7 @@
         }
     }
     std::ranges::sort(on_target, std::less<>(), &candidate::began);
-    for (std::size_t i = keep; i < on_target.size(); ++i) {
+    for (std::size_t i = granted; i < on_target.size(); ++i) {
         on_target[i].item->cancel();
     }
 }
--- a/src/service/item_dispatcher.hpp
+++ b/src/service/item_dispatcher.hpp
@@ -55,8 +55,8 @@
     void end_with_error(owned_job& job, std::uint64_t index, std::string_view custom_id,
                         std::string_view code, std::string_view message)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_table.mutex);
-    /// Stops the youngest items on \p target, so that only \p keep go on.
-    void revoke(const std::string& target, std::uint32_t keep);
+    /// Takes in what a lane grants now, and stops the youngest items above it.
+    void take_change(const std::string& target, std::uint32_t granted);
     std::uint32_t in_use(std::string_view target) const
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_table.mutex);
     /// Whether this daemon cannot reach the key-value service and no other live daemon can.
--- a/src/service/item_sender.cpp
+++ b/src/service/item_sender.cpp
@@ -11,7 +11,8 @@
 
 using batch::attempt_outcome;
 
-constexpr std::size_t max_answer_bytes = 8U << 20U;
+/// A result must fit into one chunk in which results are read, also with its quotes escaped.
+constexpr std::size_t max_answer_bytes = 1U << 20U;
 constexpr int attempt_id_bytes = 6;
 
 /// Whether the answer of an engine names the attempt.
--- a/src/service/job_keeper.cpp
+++ b/src/service/job_keeper.cpp
@@ -18,6 +18,7 @@
 constexpr duration look_interval_lost = seconds(1);
 /// A storage without a record was never acknowledged; it is removed after this time.
 constexpr duration orphan_age = seconds(600);
+constexpr duration find_timeout = seconds(1);
 constexpr std::uint64_t max_job_id_bytes = 128;
 
 bool contains(const std::vector<std::string>& hosts, std::string_view host) {
@@ -43,6 +44,69 @@
                              }
                              return std::optional<std::string>();
                          });
+    m_shared.node.handle_bulk(peer::message_type::find_job, [this](const peer::bulk_message& m) {
+        const auto wanted = peer::decode<peer::find_job>(m.head);
+        const auto record = wanted ? find_kept(wanted->job) : std::nullopt;
+        return peer::bulk_message{{}, record ? batch::to_json(*record) : std::string()};
+    });
+    m_committer.on_released([this](const batch::job_record& r) { note_released(r); });
+}
+
+std::optional<batch::job_record> job_keeper::find_kept(std::string_view job) {
+    {
+        const absl::MutexLock lock(&m_table.mutex);
+        const auto owned = m_table.jobs.find(job);
+        if (owned != m_table.jobs.end()) {
+            return owned->second->stored.record;
+        }
+    }
+    const absl::MutexLock lock(&m_mutex);
+    const auto found = m_kept.find(job);
+    const bool known = found != m_kept.end() && !found->second.record.job.empty();
+    return known ? std::optional(found->second.record) : std::nullopt;
+}
+
+result<batch::job_record> job_keeper::find_with_peers(std::string_view job) {
+    std::optional<batch::job_record> best = find_kept(job);
+    const std::vector<std::string> spools =
+        m_members.with_table([](const membership::member_table& table) {
+            std::vector<std::string> out;
+            for (const membership::member_record* r : table.live()) {
+                if (r->has_spool && r->host != table.self().host) {
+                    out.push_back(r->peer_endpoint());
+                }
+            }
+            return out;
+        });
+    const peer::bulk_message question{peer::encode(peer::find_job{std::string(job)}), {}};
+    for (const std::string& endpoint : spools) {
+        const auto answer =
+            m_shared.node.bulk_call(endpoint, peer::message_type::find_job, question, find_timeout);
+        const auto record =
+            answer ? batch::job_record_from_json(answer.value().payload) : std::nullopt;
+        if (record && (!best || std::pair(record->epoch, record->done) >
+                                    std::pair(best->epoch, best->done))) {
+            best = record;
+        }
+    }
+    if (!best) {
+        return error{error_code::unavailable,
+                     "the key-value service is out and no live host knows the job",
+                     run_state::not_run, seconds(5)};
+    }
+    return *std::move(best);
+}
+
+void job_keeper::note_released(const batch::job_record& record) {
+    {
+        const absl::MutexLock lock(&m_mutex);
+        const auto found = m_kept.find(record.job);
+        if (found != m_kept.end()) {
+            found->second.record = record;
+        }
+    }
+    // The host of the other copy learns how the job ended.
+    notify(record);
 }
 
 void job_keeper::start() {
@@ -75,6 +139,8 @@
         const auto found = m_kept.find(job);
         if (found != m_kept.end()) {
             found->second.next_look = {};
+            // The record known here may be old; the next look reads it again.
+            found->second.record_is_old = true;
         }
     }
     m_ticker.wake();
@@ -165,7 +231,7 @@
         known && std::ranges::any_of(kept.record.copies, [&](const std::string& host) {
             return host != m_shared.settings.host && copy_is_lost(host, kept);
         });
-    if (known && !copy_lost && (idle || owner_live)) {
+    if (known && !copy_lost && !kept.record_is_old && (idle || owner_live)) {
         kept.next_look = now + (idle ? look_interval_ended : look_interval_running);
         update(job, kept);
         return;
@@ -182,6 +248,7 @@
         return;
     }
     kept.record = found.value().record;
+    kept.record_is_old = false;
     if (!contains(kept.record.copies, m_shared.settings.host) ||
         kept.record.storage != kept.storage) {
         // Another submission of the same job was kept, or another host took this copy's place.
@@ -203,6 +270,7 @@
     const auto found = m_kept.find(job);
     if (found != m_kept.end()) {
         found->second.record = kept.record;
+        found->second.record_is_old = kept.record_is_old;
         found->second.checked = kept.checked;
         found->second.next_look = std::max(found->second.next_look, kept.next_look);
     }
@@ -218,8 +286,11 @@
         return;
     }
     std::vector<batch::item_entry> entries;
-    const result<void> restored = m_jobs.read_entries(
-        found.record, [&entries](const batch::item_entry& entry) { entries.push_back(entry); });
+    const result<void> restored =
+        m_jobs.read_entries(found.record, [&entries](const batch::item_entry& entry) {
+            entries.push_back({entry.index, entry.is_intent, entry.failed, {}});
+            return true;
+        });
     if (!restored) {
         give_up_one(std::move(found));
         return;
--- a/src/service/job_keeper.hpp
+++ b/src/service/job_keeper.hpp
@@ -16,6 +16,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +36,11 @@
     void note_changed(std::string_view job);
     /// Tells the hosts that keep the job's copies, and its owner, to look at its record.
     void notify(const batch::job_record& record);
+    /// An owned job has ended or was lost; the record is the last one known.
+    void note_released(const batch::job_record& record);
+    /// The newest record that live daemons with copies know, while the key-value service is out.
+    /// It may lag behind; what it names as committed is committed.
+    result<batch::job_record> find_with_peers(std::string_view job);
     /// Gives up every owned job, so that another host claims it at once.
     void give_up();
 
@@ -43,6 +49,8 @@
     struct kept_job {
         std::string storage;
         batch::job_record record;
+        /// Somebody said that the record has changed since.
+        bool record_is_old = false;
         time_point next_look{};
         time_point first_seen{};
         /// The incarnations of the other copies' hosts when their files were last seen.
@@ -50,6 +58,7 @@
     };
 
     void step();
+    std::optional<batch::job_record> find_kept(std::string_view job);
     void scan_spool();
     void add_storage(std::string_view storage);
     void look(const std::string& job, kept_job kept);
--- a/src/service/job_store.cpp
+++ b/src/service/job_store.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::uint64_t read_chunk_bytes = 1U << 20U;
+/// Above the largest record, so that every chunk holds a whole one.
+constexpr std::uint64_t read_chunk_bytes = 4U << 20U;
 constexpr int max_cancel_attempts = 20;
 
 error not_found(std::string_view job) {
@@ -73,24 +74,19 @@
                  seconds(1)};
 }
 
-result<std::string> job_store::read_segment(const batch::job_record& record,
-                                            const batch::committed_segment& segment) {
-    const std::string file = batch::segment_file(segment.epoch);
+result<std::string> job_store::read_chunk(const batch::job_record& record,
+                                          const batch::committed_segment& segment,
+                                          std::uint64_t offset) {
+    const std::uint64_t length = std::min(read_chunk_bytes, segment.bytes - offset);
     for (const std::string& host : record.copies) {
-        std::string bytes;
-        while (bytes.size() < segment.bytes) {
-            const std::uint64_t want = std::min(read_chunk_bytes, segment.bytes - bytes.size());
-            const result<std::string> chunk =
-                m_copies.read(host, record.storage, file, bytes.size(), want);
-            if (!chunk || chunk.value().empty()) {
-                break;
-            }
-            bytes += chunk.value();
-        }
-        const bool whole = bytes.size() == segment.bytes &&
-                           spool::read_records(bytes, [](std::string_view) {}) == bytes.size();
-        if (whole) {
-            return bytes;
+        result<std::string> chunk =
+            m_copies.read(host, record.storage, batch::segment_file(segment.epoch), offset, length);
+        // Both copies hold the same bytes, so each chunk may come from either. A chunk that ends
+        // inside a record is completed by the next; one without any whole record is damaged.
+        const bool useful = chunk && !chunk.value().empty() &&
+                            spool::read_records(chunk.value(), [](std::string_view) {}) > 0;
+        if (useful) {
+            return std::move(chunk.value());
         }
     }
     return error{error_code::unavailable,
@@ -98,15 +94,25 @@
                  run_state::not_run, seconds(5)};
 }
 
+result<void> job_store::read_segment(const batch::job_record& record,
+                                     const batch::committed_segment& segment,
+                                     const std::function<bool(const batch::item_entry&)>& each) {
+    std::uint64_t offset = 0;
+    bool wanted = true;
+    while (offset < segment.bytes && wanted) {
+        BOOST_OUTCOME_TRY(chunk, read_chunk(record, segment, offset));
+        offset += spool::read_records(chunk, [&](std::string_view payload) {
+            const auto entry = batch::decode_entry(payload);
+            wanted = wanted && entry && each(*entry);
+        });
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 result<void> job_store::read_entries(const batch::job_record& record,
-                                     const std::function<void(const batch::item_entry&)>& each) {
+                                     const std::function<bool(const batch::item_entry&)>& each) {
     for (const batch::committed_segment& segment : record.segments) {
-        BOOST_OUTCOME_TRY(bytes, read_segment(record, segment));
-        spool::read_records(bytes, [&each](std::string_view payload) {
-            if (const auto entry = batch::decode_entry(payload)) {
-                each(*entry);
-            }
-        });
+        BOOST_OUTCOME_TRY(read_segment(record, segment, each));
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/src/service/job_store.hpp
+++ b/src/service/job_store.hpp
@@ -34,13 +34,18 @@
     /// Marks a running job as to be cancelled; returns the record as it is then.
     result<batch::job_record> cancel(std::string_view job);
 
-    /// Calls \p each for every committed entry, from whichever copy can be read.
+    /// Calls \p each for every committed entry, from whichever copy can be read, until it returns
+    /// false. Memory does not grow with the job.
     result<void> read_entries(const batch::job_record& record,
-                              const std::function<void(const batch::item_entry&)>& each);
+                              const std::function<bool(const batch::item_entry&)>& each);
 
 private:
-    result<std::string> read_segment(const batch::job_record& record,
-                                     const batch::committed_segment& segment);
+    /// Reads the next bytes of a segment from the first copy that has them.
+    result<std::string> read_chunk(const batch::job_record& record,
+                                   const batch::committed_segment& segment, std::uint64_t offset);
+    result<void> read_segment(const batch::job_record& record,
+                              const batch::committed_segment& segment,
+                              const std::function<bool(const batch::item_entry&)>& each);
 
     runtime& m_shared;
     copy_store& m_copies;
--- a/src/service/lane_service.cpp
+++ b/src/service/lane_service.cpp
@@ -42,7 +42,7 @@
 
 lane_service::lane_service(runtime& shared, member_service& members, target_service& targets)
     : m_shared(shared), m_members(members), m_targets(targets),
-      m_revoke_hook([](const std::string&, std::uint32_t) {}) {
+      m_change_hook([](const std::string&, std::uint32_t) {}) {
     m_shared.node.handle(peer::message_type::online_load,
                          [this](const peer::envelope& e, std::string_view) {
                              if (const auto load = peer::decode<peer::online_load>(e.body)) {
@@ -55,10 +55,10 @@
             const auto ask = peer::decode<peer::lane_ask>(e.body);
             return ask ? std::optional(peer::encode(answer(e.sender, *ask))) : std::nullopt;
         });
-    m_shared.node.handle(peer::message_type::lane_revoke,
+    m_shared.node.handle(peer::message_type::lane_change,
                          [this](const peer::envelope& e, std::string_view) {
-                             if (const auto revoke = peer::decode<peer::lane_revoke>(e.body)) {
-                                 m_revoke_hook(revoke->target, revoke->keep);
+                             if (const auto change = peer::decode<peer::lane_change>(e.body)) {
+                                 m_change_hook(change->target, change->granted);
                              }
                              return std::optional<std::string>();
                          });
@@ -117,25 +117,25 @@
 }
 
 void lane_service::apply_online(const std::string& from_host, const peer::online_load& load) {
-    std::vector<batch::revocation> revocations;
+    std::vector<batch::grant_change> changes;
     {
         const absl::MutexLock lock(&m_mutex);
-        revocations = lane_of(load.target).note_online(from_host, load.in_flight, m_shared.clock());
+        changes = lane_of(load.target).note_online(from_host, load.in_flight, m_shared.clock());
     }
-    for (const batch::revocation& r : revocations) {
-        m_shared.numbers.count("lane_revocations_total");
-        if (r.owner == m_shared.settings.host) {
-            m_revoke_hook(load.target, r.keep);
+    for (const batch::grant_change& c : changes) {
+        m_shared.numbers.count("lane_changes_total");
+        if (c.owner == m_shared.settings.host) {
+            m_change_hook(load.target, c.granted);
             continue;
         }
         const std::string endpoint =
-            m_members.with_table([&r](const membership::member_table& table) {
-                const membership::member* m = table.find(r.owner);
+            m_members.with_table([&c](const membership::member_table& table) {
+                const membership::member* m = table.find(c.owner);
                 return m == nullptr ? std::string() : m->record.peer_endpoint();
             });
         if (!endpoint.empty()) {
-            m_shared.node.send(endpoint, peer::message_type::lane_revoke,
-                               peer::encode(peer::lane_revoke{load.target, r.keep}));
+            m_shared.node.send(endpoint, peer::message_type::lane_change,
+                               peer::encode(peer::lane_change{load.target, c.granted}));
         }
     }
 }
--- a/src/service/lane_service.hpp
+++ b/src/service/lane_service.hpp
@@ -39,9 +39,9 @@
     /// Asks the lanes; returns the slots granted by target. A lane that does not answer grants
     /// nothing new.
     std::map<std::string, std::uint32_t> ask(const std::vector<lane_wish>& wishes);
-    /// Called when streams on a target must stop at once so that only \p keep go on.
-    void on_revoke(std::function<void(const std::string& target, std::uint32_t keep)> hook) {
-        m_revoke_hook = std::move(hook);
+    /// Called when a lane changes what this daemon may use of a target. Streams above it must stop.
+    void on_change(std::function<void(const std::string& target, std::uint32_t granted)> hook) {
+        m_change_hook = std::move(hook);
     }
     /// This daemon has sent an online request to a target, or one has ended.
     void note_online(const std::string& target);
@@ -64,7 +64,7 @@
     runtime& m_shared;
     member_service& m_members;
     target_service& m_targets;
-    std::function<void(const std::string&, std::uint32_t)> m_revoke_hook;
+    std::function<void(const std::string&, std::uint32_t)> m_change_hook;
     mutable absl::Mutex m_mutex;
     std::map<std::string, batch::lane, std::less<>> m_lanes ABSL_GUARDED_BY(m_mutex);
     /// Targets on which this daemon has online requests.
--- a/src/service/member_service.cpp
+++ b/src/service/member_service.cpp
@@ -49,7 +49,8 @@
 } // namespace
 
 member_service::member_service(runtime& shared, hooks to_others)
-    : m_shared(shared), m_hooks(std::move(to_others)), m_table(make_self(shared), membership::options_for(shared.settings.gossip_interval)),
+    : m_shared(shared), m_hooks(std::move(to_others)),
+      m_table(make_self(shared), membership::options_for(shared.settings.gossip_interval)),
       m_random(shared.incarnation) {
     m_shared.node.handle(
         peer::message_type::gossip,
--- a/src/service/slot_service.cpp
+++ b/src/service/slot_service.cpp
@@ -243,8 +243,7 @@
 
 void slot_service::release(std::size_t slot) {
     const result<platform::kv_value> value = m_shared.kv.get(m_record_key);
-    const auto record =
-        value ? limits::slot_record_from_json(value.value().value) : std::nullopt;
+    const auto record = value ? limits::slot_record_from_json(value.value().value) : std::nullopt;
     const bool mine = record && record->slots[slot].host == m_shared.settings.host &&
                       record->slots[slot].incarnation == m_shared.incarnation;
     if (!mine) {
--- a/test/performance/slopes_bench.cpp
+++ b/test/performance/slopes_bench.cpp
@@ -198,6 +198,17 @@
     print_fit("gossip message made and taken in by members", "us", receive);
 }
 
+void print_frame_sizes() {
+    peer::sealer seal("a secret of enough length", "entry-host-123", 1);
+    const auto size = [&seal](const std::string& body) { return seal.seal({.body = body}).size(); };
+    std::printf(
+        "frames: limit ask %zu, answer %zu, return %zu, online load %zu, lane ask %zu bytes\n",
+        size(peer::encode(peer::limit_ask{"customer-123", 1, 1, true})),
+        size(peer::encode(peer::limit_answer{})), size(peer::encode(peer::limit_return{})),
+        size(peer::encode(peer::online_load{"engine-123", 3})),
+        size(peer::encode(peer::lane_ask{"engine-123", 1, 2, 3})));
+}
+
 void bench_configuration() {
     std::vector<point> points;
     for (const int customers : {8, 55, 220}) {
@@ -277,6 +288,7 @@
     bench_routing_pick();
     bench_fair_queue();
     bench_gossip();
+    print_frame_sizes();
     bench_configuration();
     bench_job();
     return 0;
