--- a/src/service/job_intake.hpp
+++ b/src/service/job_intake.hpp
@@ -18,6 +18,7 @@
 /// The name of the file with the submitted items, and of the one with the job's id.
 inline constexpr std::string_view items_file = "items";
 inline constexpr std::string_view job_file = "job";
+inline constexpr std::uint64_t max_job_id_bytes = 128;
 
 /// What was said with a submission besides its items.
 struct submission {
--- a/src/service/job_keeper.cpp
+++ b/src/service/job_keeper.cpp
@@ -19,7 +19,6 @@
 /// A storage without a record was never acknowledged; it is removed after this time.
 constexpr duration orphan_age = seconds(600);
 constexpr duration find_timeout = seconds(1);
-constexpr std::uint64_t max_job_id_bytes = 128;
 
 bool contains(const std::vector<std::string>& hosts, std::string_view host) {
     return std::ranges::find(hosts, host) != hosts.end();
@@ -30,8 +29,8 @@
 job_keeper::job_keeper(runtime& shared, member_service& members, document_service& documents,
                        copy_store& copies, job_store& jobs, job_committer& committer,
                        job_table& table)
-    : m_shared(shared), m_members(members), m_documents(documents), m_copies(copies), m_jobs(jobs),
-      m_committer(committer), m_table(table) {
+    : m_shared(shared), m_members(members), m_copies(copies), m_jobs(jobs), m_committer(committer),
+      m_table(table), m_repair(shared, members, documents, copies, jobs) {
     m_copies.on_stored([this](std::string_view storage, std::string_view file) {
         if (file == job_file) {
             add_storage(storage);
@@ -229,7 +228,7 @@
     const bool owner_live = known && !may_claim(kept.record);
     const bool copy_lost =
         known && std::ranges::any_of(kept.record.copies, [&](const std::string& host) {
-            return host != m_shared.settings.host && copy_is_lost(host, kept);
+            return host != m_shared.settings.host && m_repair.is_lost(host, kept.checked);
         });
     if (known && !copy_lost && !kept.record_is_old && (idle || owner_live)) {
         kept.next_look = now + (idle ? look_interval_ended : look_interval_running);
@@ -257,8 +256,14 @@
         m_kept.erase(job);
         return;
     }
-    const bool whole = repair(found.value(), kept);
-    kept.next_look = now + (whole ? look_interval_running : look_interval_lost);
+    const repair_outcome repaired = m_repair.repair(found.value(), kept.checked);
+    if (repaired == repair_outcome::replaced) {
+        kept.record = found.value().record;
+        m_committer.set_record(found.value());
+        notify(kept.record);
+    }
+    const bool missing = repaired == repair_outcome::missing;
+    kept.next_look = now + (missing ? look_interval_lost : look_interval_running);
     update(job, kept);
     if (!kept.record.ended() && !m_table.owns(job) && may_claim(kept.record)) {
         claim(std::move(found.value()));
@@ -339,88 +344,4 @@
     }
 }
 
-bool job_keeper::copy_is_lost(const std::string& host, const kept_job& kept) const {
-    return m_members.with_table([&](const membership::member_table& table) {
-        const membership::member* m = table.find(host);
-        if (m == nullptr || m->status == membership::member_status::gone) {
-            return m_documents.host_list_fresh(seconds(5)) && !table.listed(host);
-        }
-        // A new incarnation may have come up without its disk.
-        const auto checked = kept.checked.find(host);
-        return m->status == membership::member_status::live &&
-               (checked == kept.checked.end() || checked->second != m->record.incarnation);
-    });
-}
-
-bool job_keeper::repair(stored_job& found, kept_job& kept) {
-    const batch::job_record record = found.record;
-    for (const std::string& host : record.copies) {
-        if (host == m_shared.settings.host || !copy_is_lost(host, kept)) {
-            continue;
-        }
-        const std::uint64_t incarnation =
-            m_members.with_table([&host](const membership::member_table& table) {
-                const membership::member* m = table.find(host);
-                return m != nullptr && m->status == membership::member_status::live
-                           ? m->record.incarnation
-                           : std::uint64_t{0};
-            });
-        if (incarnation != 0) {
-            const bool there =
-                m_copies.read(host, record.storage, job_file, 0, max_job_id_bytes).has_value();
-            if (there || copy_files(record, host)) {
-                kept.checked[host] = incarnation;
-                continue;
-            }
-            return false;
-        }
-        const std::string other = choose_other_host(record);
-        if (other.empty() || !copy_files(record, other)) {
-            return false;
-        }
-        batch::job_record next = record;
-        std::ranges::replace(next.copies, host, other);
-        const auto outcome = m_jobs.save(found, next);
-        if (!outcome || outcome.value() != platform::swap_outcome::written) {
-            return false;
-        }
-        kept.record = next;
-        m_committer.set_record(found);
-        m_shared.events.emit(observe::event::copy_repaired, record.job,
-                             {{"from", host}, {"to", other}});
-        notify(next);
-    }
-    return true;
-}
-
-bool job_keeper::copy_files(const batch::job_record& record, const std::string& to) {
-    const std::string& self = m_shared.settings.host;
-    if (!m_copies.copy(self, to, record.storage, items_file, record.item_bytes)) {
-        return false;
-    }
-    for (const batch::committed_segment& segment : record.segments) {
-        if (!m_copies.copy(self, to, record.storage, batch::segment_file(segment.epoch),
-                           segment.bytes)) {
-            return false;
-        }
-    }
-    return m_copies.write(to, record.storage, job_file, 0, record.job, true).has_value();
-}
-
-std::string job_keeper::choose_other_host(const batch::job_record& record) const {
-    const std::uint64_t key = stable_hash(record.storage);
-    return m_members.with_table([&](const membership::member_table& table) {
-        const membership::member_record* best = nullptr;
-        for (const membership::member_record* r : table.live()) {
-            const bool fits = r->has_spool && !contains(record.copies, r->host) &&
-                              r->availability_zone != table.self().availability_zone;
-            if (fits && (best == nullptr ||
-                         rendezvous_weight(key, r->host) > rendezvous_weight(key, best->host))) {
-                best = r;
-            }
-        }
-        return best == nullptr ? std::string() : best->host;
-    });
-}
-
 } // namespace eelgrassdoor::service
--- a/src/service/job_keeper.hpp
+++ b/src/service/job_keeper.hpp
@@ -3,6 +3,7 @@
 /// live daemon owns, and makes lost copies again.
 #pragma once
 
+#include "service/copy_repair.hpp"
 #include "service/copy_store.hpp"
 #include "service/document_service.hpp"
 #include "service/job_committer.hpp"
@@ -53,8 +54,7 @@
         bool record_is_old = false;
         time_point next_look{};
         time_point first_seen{};
-        /// The incarnations of the other copies' hosts when their files were last seen.
-        std::map<std::string, std::uint64_t> checked;
+        checked_copies checked;
     };
 
     void step();
@@ -66,19 +66,14 @@
     bool may_claim(const batch::job_record& record) const;
     void claim(stored_job found);
     void give_up_one(stored_job job);
-    /// Makes the files of \p record whole on both copies; returns whether they are.
-    bool repair(stored_job& found, kept_job& kept);
-    bool copy_is_lost(const std::string& host, const kept_job& kept) const;
-    bool copy_files(const batch::job_record& record, const std::string& to);
-    std::string choose_other_host(const batch::job_record& record) const;
 
     runtime& m_shared;
     member_service& m_members;
-    document_service& m_documents;
     copy_store& m_copies;
     job_store& m_jobs;
     job_committer& m_committer;
     job_table& m_table;
+    copy_repair m_repair;
     absl::Mutex m_mutex;
     std::map<std::string, kept_job, std::less<>> m_kept ABSL_GUARDED_BY(m_mutex);
     ticker m_ticker;
--- a/test/scenario/answers.lua
+++ b/test/scenario/answers.lua
@@ -14,10 +14,31 @@
     local answer = f:complete(host, key, more)
     expect(answer.status == 200, message .. ": " .. answer.status .. " " .. answer.body)
     expect(json_decode(answer.body).choices[1].text == whole_text, message .. ": the whole text")
+    return answer.headers["X-Request-Id"]
+end
+
+-- The time lines of three processes tell one request in causal order.
+local function check_timeline(id)
+    local last, processes = 0, 0
+    for _, name in ipairs{"request_received", "limit_granted", "target_chosen", "target_failed", "request_retried", "request_finished"} do
+        local found
+        for _, e in ipairs(timeline_events(host, name)) do if e.subject == id then found = found or e end end
+        expect(found and found.stamp > last, name .. " stands in its place in the time line")
+        last = found.stamp
+    end
+    for _, engine in ipairs(f.target_order) do
+        for _, e in ipairs(timeline_events(engine, "engine_ran")) do
+            if e.subject == id then
+                processes = processes + 1
+                expect(e.stamp < last, "the engine ran before the request finished")
+            end
+        end
+    end
+    expect(processes == 2, "two engines and the daemon know the request: " .. processes)
 end
 
 f:control(near, {cross_answers = 1})
-check_whole("a crossed answer is discarded and the request sent elsewhere")
+check_timeline(check_whole("a crossed answer is discarded and the request sent elsewhere"))
 pass(2.1)
 f:control(near, {cross_answers = 1})
 local stream = f:complete(host, key, {stream = true})
--- a/test/scenario/runner_verbs.cpp
+++ b/test/scenario/runner_verbs.cpp
@@ -1,5 +1,7 @@
 #include "runner_verbs.hpp"
 
+#include "runner_json.hpp"
+
 #include <httplib.h>
 #include <lua.hpp>
 #include <nlohmann/json.hpp>
@@ -54,76 +56,6 @@
     return *static_cast<runner_state*>(lua_touserdata(lua, lua_upvalueindex(1)));
 }
 
-std::string text_at(lua_State* lua, int index) {
-    std::size_t size = 0;
-    const char* data = luaL_checklstring(lua, index, &size);
-    return {data, size};
-}
-
-void push_json(lua_State* lua, const json& value) {
-    if (value.is_object()) {
-        lua_newtable(lua);
-        for (const auto& [name, item] : value.items()) {
-            push_json(lua, item);
-            lua_setfield(lua, -2, name.c_str());
-        }
-    } else if (value.is_array()) {
-        lua_newtable(lua);
-        for (std::size_t i = 0; i < value.size(); ++i) {
-            push_json(lua, value[i]);
-            lua_rawseti(lua, -2, static_cast<lua_Integer>(i + 1));
-        }
-    } else if (value.is_string()) {
-        const auto& text = value.get_ref<const std::string&>();
-        lua_pushlstring(lua, text.data(), text.size());
-    } else if (value.is_boolean()) {
-        lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
-    } else if (value.is_number_integer()) {
-        lua_pushinteger(lua, value.get<lua_Integer>());
-    } else if (value.is_number()) {
-        lua_pushnumber(lua, value.get<double>());
-    } else {
-        lua_pushnil(lua);
-    }
-}
-
-json to_json(lua_State* lua, int index) {
-    index = lua_absindex(lua, index);
-    switch (lua_type(lua, index)) {
-    case LUA_TBOOLEAN:
-        return lua_toboolean(lua, index) != 0;
-    case LUA_TNUMBER:
-        return lua_isinteger(lua, index) != 0 ? json(lua_tointeger(lua, index))
-                                              : json(lua_tonumber(lua, index));
-    case LUA_TSTRING:
-        return text_at(lua, index);
-    case LUA_TTABLE: {
-        if (lua_rawlen(lua, index) > 0) {
-            json list = json::array();
-            for (std::size_t i = 1; i <= lua_rawlen(lua, index); ++i) {
-                lua_rawgeti(lua, index, static_cast<lua_Integer>(i));
-                list.push_back(to_json(lua, -1));
-                lua_pop(lua, 1);
-            }
-            return list;
-        }
-        // An empty table stands for an empty list.
-        json object = json::array();
-        lua_pushnil(lua);
-        while (lua_next(lua, index) != 0) {
-            if (object.is_array()) {
-                object = json::object();
-            }
-            object[text_at(lua, -2)] = to_json(lua, -1);
-            lua_pop(lua, 1);
-        }
-        return object;
-    }
-    default:
-        return nullptr;
-    }
-}
-
 /// start(name, program, {arguments})
 int verb_start(lua_State* lua) {
     runner_state& s = state_of(lua);
