Make the conservation property use tokens after their flight

Change: a token is used up to 240 ms after it was lent (two rounds of questions), and then everything left in all parts is taken at once. Ruled out: settling a loan twice, which the part table stops as well as the part.

--- a/test/correctness/limits_conservation.cpp
+++ b/test/correctness/limits_conservation.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t parts = 8;
 constexpr std::string_view customer = "c";
+/// Two rounds of questions end within this time, below part_table::loan_time.
+constexpr int longest_flight_ms = 240;
 
 /// The holders of one customer's parts, and every admission so far.
 class fleet {
@@ -38,8 +40,18 @@
         }
     }
 
-    /// Collects fractions; each answer may be lost, and the rest may come back late.
-    void ask_fractions(unsigned lost_mask, duration late) {
+    /// Takes whatever the parts have.
+    void drain() {
+        for (auto& part : m_parts) {
+            while (part->ask(customer, 1, false, m_clock.now()).amount > 0) {
+                admit();
+            }
+        }
+    }
+
+    /// Collects fractions. Each answer may be lost; the token is used after \p flight, while
+    /// others go on, and the rest may come back late.
+    void ask_fractions(unsigned lost_mask, duration flight, duration late) {
         double sum = 0;
         std::vector<std::pair<std::size_t, grant>> loans;
         for (std::size_t i = 0; i < parts; ++i) {
@@ -49,9 +61,11 @@
                 loans.emplace_back(i, g);
             }
         }
+        pass(flight);
         double needed = sum >= 1 ? 1 : 0;
         if (needed > 0) {
             admit();
+            drain();
         }
         pass(late);
         for (const auto& [i, g] : loans) {
@@ -114,6 +128,7 @@
                 break;
             case 3:
                 f.ask_fractions(*rc::gen::inRange(0U, 256U),
+                                milliseconds(*rc::gen::inRange(0, longest_flight_ms)),
                                 milliseconds(*rc::gen::inRange(0, 600)));
                 break;
             default:
