--- a/src/service/job_keeper.cpp
+++ b/src/service/job_keeper.cpp
@@ -206,67 +206,73 @@
     });
 }
 
+bool job_keeper::runs_well_here(const std::string& job, kept_job& kept) const {
+    const absl::MutexLock lock(&m_table.mutex);
+    const auto found = m_table.jobs.find(job);
+    if (found == m_table.jobs.end()) {
+        return false;
+    }
+    kept.record = found->second->stored.record;
+    return !found->second->copy_failing_since;
+}
+
+bool job_keeper::needs_record(const kept_job& kept) const {
+    if (kept.record.job.empty() || kept.record_is_old) {
+        return true;
+    }
+    const bool copy_lost = std::ranges::any_of(kept.record.copies, [&](const std::string& host) {
+        return host != m_shared.settings.host && m_repair.is_lost(host, kept.checked);
+    });
+    return copy_lost || (!kept.record.ended() && may_claim(kept.record));
+}
+
 void job_keeper::look(const std::string& job, kept_job kept) {
     const time_point now = m_shared.clock();
-    if (m_table.owns(job)) {
-        bool failing = false;
-        {
-            const absl::MutexLock lock(&m_table.mutex);
-            const auto found = m_table.jobs.find(job);
-            failing = found != m_table.jobs.end() && found->second->copy_failing_since;
-            if (found != m_table.jobs.end()) {
-                kept.record = found->second->stored.record;
-            }
-        }
-        if (!failing) {
-            update(job, kept);
-            return;
-        }
+    if (runs_well_here(job, kept)) {
+        update(job, kept);
+        return;
     }
-    const bool known = !kept.record.job.empty();
-    const bool idle = known && kept.record.ended();
-    const bool owner_live = known && !may_claim(kept.record);
-    const bool copy_lost =
-        known && std::ranges::any_of(kept.record.copies, [&](const std::string& host) {
-            return host != m_shared.settings.host && m_repair.is_lost(host, kept.checked);
-        });
-    if (known && !copy_lost && !kept.record_is_old && (idle || owner_live)) {
-        kept.next_look = now + (idle ? look_interval_ended : look_interval_running);
+    if (!needs_record(kept)) {
+        kept.next_look = now + (kept.record.ended() ? look_interval_ended : look_interval_running);
         update(job, kept);
         return;
     }
     result<stored_job> found = m_jobs.load(job);
-    if (!found) {
-        const bool orphan =
-            found.error().code == error_code::not_found && now - kept.first_seen > orphan_age;
-        if (orphan) {
-            m_copies.local().remove(kept.storage);
-            const absl::MutexLock lock(&m_mutex);
-            m_kept.erase(job);
-        }
+    if (found) {
+        act_on(job, std::move(kept), std::move(found.value()));
         return;
     }
-    kept.record = found.value().record;
-    kept.record_is_old = false;
-    if (!contains(kept.record.copies, m_shared.settings.host) ||
-        kept.record.storage != kept.storage) {
+    const bool unknown = found.error().code == error_code::not_found;
+    if (unknown && now - kept.first_seen > orphan_age) {
+        drop(job, kept);
+    }
+}
+
+void job_keeper::drop(const std::string& job, const kept_job& kept) {
+    m_copies.local().remove(kept.storage);
+    const absl::MutexLock lock(&m_mutex);
+    m_kept.erase(job);
+}
+
+void job_keeper::act_on(const std::string& job, kept_job kept, stored_job found) {
+    const bool named = contains(found.record.copies, m_shared.settings.host);
+    if (!named || found.record.storage != kept.storage) {
         // Another submission of the same job was kept, or another host took this copy's place.
-        m_copies.local().remove(kept.storage);
-        const absl::MutexLock lock(&m_mutex);
-        m_kept.erase(job);
+        drop(job, kept);
         return;
     }
-    const repair_outcome repaired = m_repair.repair(found.value(), kept.checked);
+    const repair_outcome repaired = m_repair.repair(found, kept.checked);
     if (repaired == repair_outcome::replaced) {
-        kept.record = found.value().record;
-        m_committer.set_record(found.value());
-        notify(kept.record);
+        m_committer.set_record(found);
+        notify(found.record);
     }
+    kept.record = found.record;
+    kept.record_is_old = false;
     const bool missing = repaired == repair_outcome::missing;
-    kept.next_look = now + (missing ? look_interval_lost : look_interval_running);
+    kept.next_look = m_shared.clock() + (missing ? look_interval_lost : look_interval_running);
     update(job, kept);
-    if (!kept.record.ended() && !m_table.owns(job) && may_claim(kept.record)) {
-        claim(std::move(found.value()));
+    if (!found.record.ended() && !m_table.owns(job) && may_claim(found.record)) {
+        claim(std::move(found));
     }
 }
 
--- a/src/service/job_keeper.hpp
+++ b/src/service/job_keeper.hpp
@@ -62,6 +62,14 @@
     void scan_spool();
     void add_storage(std::string_view storage);
     void look(const std::string& job, kept_job kept);
+    /// Whether this daemon owns the job and writes both copies; takes in its record then.
+    bool runs_well_here(const std::string& job, kept_job& kept) const;
+    /// Whether the record must be read to know what to do.
+    bool needs_record(const kept_job& kept) const;
+    /// Repairs copies and claims the job by the record that was just read.
+    void act_on(const std::string& job, kept_job kept, stored_job found);
+    /// Forgets a job and removes its local files.
+    void drop(const std::string& job, const kept_job& kept);
     void update(const std::string& job, const kept_job& kept);
     bool may_claim(const batch::job_record& record) const;
     void claim(stored_job found);
