--- a/test/scenario/batch_ends.lua
+++ b/test/scenario/batch_ends.lua
@@ -100,3 +100,17 @@
 eventually(10, "the job says cancelled", function() return f:job(host, key, job).status == "cancelled" end)
 local _, kept = f:results(host, key, job)
 expect(kept > 3 and kept < 400, "results so far are readable: " .. tostring(kept))
+
+-- Items that would run for a minute are stopped by a cancel.
+local slow = {}
+for i = 1, 6 do slow[i] = line("slow-" .. i, "slow " .. i, nil, 6000) end
+job = submit(slow)
+eventually(10, "slow items run", function()
+    local n = 0
+    for _, h in ipairs(f.order) do
+        for _, e in ipairs(timeline_events(h, "item_dispatched")) do if e.subject == job then n = n + 1 end end
+    end
+    return n >= 6
+end)
+expect(f:cancel_job(host, key, job).status == 200, "the cancel is confirmed")
+eventually(5, "running items are stopped", function() return f:job(other, key, job).status == "cancelled" end)
