Fill both engines before the claimed call in at_most_once

Since a target counts as full at 1.5 requests a slot, two requests a host did not always fill both one-slot engines, and the call went out before its host was killed; it was answered as unknown afterwards, so the promise held. Ruled out: the claim (created before the send in the time line) and the resend (unknown, not run again). Change: three requests a host, and the scenario waits until the host itself sees two requests on each engine. The check stays as it was.

--- a/test/scenario/at_most_once.lua
+++ b/test/scenario/at_most_once.lua
@@ -72,13 +72,21 @@
 -- The host is killed between claim and send: the call waits for a place on a full engine.
 local busy = {}
 for _, host in ipairs(f.order) do
-    for i = 1, 2 do busy[#busy + 1] = begin(f:completion_request(host, key, {max_tokens = 200, stream = true, timeout = 40})) end
+    for i = 1, 3 do busy[#busy + 1] = begin(f:completion_request(host, key, {max_tokens = 200, stream = true, timeout = 40})) end
 end
 eventually(8, "both engines are full", function()
     local full = 0
     for _, r in ipairs(busy) do if peek(r).body:find("data:") then full = full + 1 end end
     return full >= 2
 end)
+-- A target with one slot is full for the host when it knows of two requests there.
+eventually(8, "the host sees that both engines are full", function()
+    local full = 0
+    for _, t in ipairs(json_decode(f:admin("GET", "/status", "", a).body).targets) do
+        if t.slots == 1 and t.running + t.waiting >= 2 then full = full + 1 end
+    end
+    return full == 2
+end)
 local claimed = f:completion_request(a, key, {model = "once-lm", prompt = "claimed-and-killed", headers = {["Idempotency-Key"] = "once-1"}})
 local claims_before = #timeline_events(a, "claim_created")
 local waiting = begin(claimed)
