Recognise a target's answer in one place

Cause: item_sender and event_stream each checked the id of an engine's answer, and forwarder and item_sender each knew which statuses refuse a request. Change: target/answer_check holds both. Ruled out: leaving it in front, which service may not use.

--- a/src/front/caller_api.cpp
+++ b/src/front/caller_api.cpp
@@ -4,6 +4,7 @@
 #include "base/text.hpp"
 #include "front/event_relay.hpp"
 #include "front/responses.hpp"
+#include "target/answer_check.hpp"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -292,7 +293,8 @@
         answer, m_forwarder.forward(std::move(request), [&](forwarded& f) -> result<void> {
             BOOST_OUTCOME_TRY(whole, f.answer->read_all(max_time_between_bytes, max_answer_bytes));
             text = std::move(whole);
-            if (from_engine && f.head.status == 200 && !answer_belongs(text, f.attempt_id)) {
+            if (from_engine && f.head.status == 200 &&
+                !target::answer_belongs(text, f.attempt_id)) {
                 return error{error_code::target_failed, "the target answered another request",
                              run_state::unknown};
             }
--- a/src/front/event_stream.cpp
+++ b/src/front/event_stream.cpp
@@ -1,8 +1,7 @@
 #include "front/event_stream.hpp"
 
 #include "base/text.hpp"
-
-#include <nlohmann/json.hpp>
+#include "target/answer_check.hpp"
 
 namespace eelgrassdoor::front {
 
@@ -13,22 +12,12 @@
 
 } // namespace
 
-bool answer_belongs(std::string_view json, std::string_view attempt_id) {
-    const nlohmann::json answer = nlohmann::json::parse(json, nullptr, false);
-    if (!answer.is_object()) {
-        return false;
-    }
-    const auto id = answer.find("id");
-    return id != answer.end() && id->is_string() &&
-           id->get_ref<const std::string&>().ends_with(attempt_id);
-}
-
 bool event_stream::belongs(std::string_view event) const {
     std::string_view data = event;
     if (!consume_prefix(data, "data: ")) {
         return false;
     }
-    return answer_belongs(data, m_attempt_id);
+    return target::answer_belongs(data, m_attempt_id);
 }
 
 std::optional<std::string> event_stream::next() {
--- a/src/front/event_stream.hpp
+++ b/src/front/event_stream.hpp
@@ -32,7 +32,4 @@
     bool m_complete = false;
 };
 
-/// Whether the JSON text of an engine names \p attempt_id in its `id`.
-bool answer_belongs(std::string_view json, std::string_view attempt_id);
-
 } // namespace eelgrassdoor::front
--- a/src/front/forwarder.cpp
+++ b/src/front/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "front/forwarder.hpp"
 
 #include "base/text.hpp"
+#include "target/answer_check.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -14,11 +15,6 @@
 constexpr std::string_view request_id_header = "X-Request-Id";
 constexpr std::string_view stamp_header = "X-Causal-Stamp";
 
-/// Statuses by which a target says that it did not run the request.
-bool refused_by_target(int status) {
-    return status == 429 || status == 503;
-}
-
 error target_refusal() {
     return {error_code::overloaded, "the target refused the request", run_state::not_run,
             seconds(1)};
@@ -56,7 +52,7 @@
         return head.error();
     }
     out.head = std::move(head.value());
-    if (refused_by_target(out.head.status)) {
+    if (target::is_refusal(out.head.status)) {
         return target_refusal();
     }
     const std::string_view echoed = out.head.header(request_id_header);
--- a/src/service/item_sender.cpp
+++ b/src/service/item_sender.cpp
@@ -2,6 +2,7 @@
 
 #include "base/random_source.hpp"
 #include "base/text.hpp"
+#include "target/answer_check.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -15,18 +16,6 @@
 constexpr std::size_t max_answer_bytes = 1U << 20U;
 constexpr int attempt_id_bytes = 6;
 
-/// Whether the answer of an engine names the attempt.
-bool belongs(const std::string& body, const std::string& attempt_id) {
-    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
-    return answer.is_object() && answer.contains("id") && answer["id"].is_string() &&
-           answer["id"].get_ref<const std::string&>().ends_with(attempt_id);
-}
-
-/// A status by which the target says that it did not run the item.
-bool refused(int status) {
-    return status == 429 || status == 503;
-}
-
 target::target_request make_request(const item_task& task, const std::string& attempt_id) {
     nlohmann::json body = nlohmann::json::parse(task.item.body);
     body["model"] = task.route.model;
@@ -82,14 +71,14 @@
             sent ? attempt_outcome::failed : attempt_outcome::not_run, 0, {}, body.error().message};
     }
     const int status = head.value().status;
-    if (refused(status)) {
+    if (target::is_refusal(status)) {
         return {attempt_outcome::not_run, status, {}, "the target refused the item"};
     }
     if (status != 200) {
         return {attempt_outcome::failed, status, std::move(body.value()),
                 str_cat("the target answered with status ", status)};
     }
-    if (!belongs(body.value(), attempt_id)) {
+    if (!target::answer_belongs(body.value(), attempt_id)) {
         return {attempt_outcome::failed, 0, {}, "the target answered another request"};
     }
     return {attempt_outcome::answered, status, std::move(body.value()), {}};
--- a/test/correctness/answers_belong.cpp
+++ b/test/correctness/answers_belong.cpp
@@ -2,10 +2,12 @@
 /// Only events and answers of the caller's own request are passed on.
 #include "check.hpp"
 #include "front/event_stream.hpp"
+#include "target/answer_check.hpp"
 
 namespace {
 
 using namespace eelgrassdoor::front;
+using eelgrassdoor::target::answer_belongs;
 using eelgrassdoor::test::property;
 using eelgrassdoor::test::require;
 
