Measure what running jobs cost one daemon

Cause: CAPACITY had no slope by running jobs. Change: control_cost.lua runs 1, 8 and 32 jobs on 8 daemons and 8 engines.

--- a/test/performance/control_cost.lua
+++ b/test/performance/control_cost.lua
@@ -12,14 +12,23 @@
     return (tonumber(fields[12]) + tonumber(fields[13])) / TICKS, tonumber(fields[22]) * 4096 / 1048576
 end
 
-local function measure(label, hosts, engines, customers, gossip_ms)
+-- With `jobs`, that many batch jobs run meanwhile.
+local function measure(label, hosts, engines, customers, gossip_ms, jobs)
     local zones, per_zone = {}, math.max(1, hosts // 4)
     for i = 1, math.min(4, hosts) do zones[i] = "zone-" .. i end
-    local f = Fleet.new{zones = zones, hosts_per_zone = per_zone, engines_per_zone = engines // #zones, spools = false,
-        engine = {["lag-ms"] = 50}, daemon = {["gossip-interval-ms"] = gossip_ms}}
+    local f = Fleet.new{zones = zones, hosts_per_zone = per_zone, engines_per_zone = engines // #zones, spools = jobs ~= nil,
+        engine = {["lag-ms"] = 50, ["token-ms"] = 50}, daemon = {["gossip-interval-ms"] = gossip_ms}}
     local list = {}
-    for i = 1, customers do list[i] = {name = "customer-" .. i, rate = 10, burst = 20} end
+    for i = 1, customers do list[i] = {name = "customer-" .. i, rate = 10, burst = 200} end
     f:boot(plain_sheet(f, {customers = list}))
+    if jobs then
+        local _, key, version = f:add_key("customer-1")
+        f:wait_version(version, 5)
+        for i = 1, jobs do
+            local answer = f:submit(f.order[i % #f.order + 1], key, batch_lines(400, {max_tokens = 40}), {idempotency_key = "job-" .. i})
+            expect(answer.status == 200, "a job is accepted: " .. answer.body)
+        end
+    end
     pass(3)
     f:control("platform", {reset_stats = true})
     local before = {}
@@ -56,3 +65,5 @@
 for _, engines in ipairs{4, 16, 40} do measure("engines", 8, engines, 8, 500) end
 for _, customers in ipairs{8, 55, 220} do measure("customers", 8, 8, customers, 500) end
 for _, gossip in ipairs{250, 1000} do measure("gossip interval", 8, 8, 8, gossip) end
+-- Items run for 2 s; 8 engines with 8 slots hold 51 of them beside the reserve.
+for _, jobs in ipairs{1, 8, 32} do measure(jobs .. " jobs", 8, 8, 8, 500, jobs) end
