Ask lanes once a second, since they tell changes by themselves

Cause: running jobs cost a daemon 19.4 KB/s, over the budget of 19: each owner asked every lane every 200 ms. Change: granted lanes are asked every second (every 200 ms while nothing is granted); grants and announcements live 3 s. Ruled out: slower regrants, since lanes push them.

--- a/src/batch/lane.hpp
+++ b/src/batch/lane.hpp
@@ -27,7 +27,7 @@
 class lane {
 public:
     /// A grant or an online count that is not renewed ends after this time.
-    static constexpr duration renewal_time = seconds(2);
+    static constexpr duration renewal_time = seconds(3);
 
     /// Takes in the size of the target and the share of it that is kept for online requests.
     void configure(std::uint32_t slots, double reserve_percent);
--- a/src/service/item_dispatcher.cpp
+++ b/src/service/item_dispatcher.cpp
@@ -14,7 +14,10 @@
 using batch::attempt_outcome;
 
 constexpr duration step_interval = milliseconds(50);
-constexpr duration lane_interval = milliseconds(200);
+/// Lanes tell changes by themselves; asking renews the grants, within lane::renewal_time.
+constexpr duration lane_interval = seconds(1);
+/// While nothing is granted.
+constexpr duration lane_interval_unserved = milliseconds(200);
 /// A daemon uses the lanes of at most so many targets, so that asking costs the same at any size.
 constexpr std::size_t max_lanes = 16;
 constexpr std::uint32_t max_wish_per_target = 64;
@@ -95,9 +98,9 @@
     if (now < m_next_lane_ask) {
         return;
     }
-    m_next_lane_ask = now + lane_interval;
     const std::vector<lane_wish> wishes = make_wishes();
     const std::map<std::string, std::uint32_t> granted = m_lanes.ask(wishes);
+    m_next_lane_ask = now + (granted.empty() ? lane_interval_unserved : lane_interval);
     const absl::MutexLock lock(&m_table.mutex);
     m_granted.clear();
     for (const lane_wish& w : wishes) {
