Tell of a holder's pause also when an ask noticed it first

When an ask came before the next step, the ask's check used the pause up; the event was not written and the record was read up to 5 s later. The promise held: nothing was granted, no admission over the limit. Change: the authority counts pauses and the step compares the count. Ruled out: a missed lapse, as the part was lost.

--- a/src/limits/authority.cpp
+++ b/src/limits/authority.cpp
@@ -15,6 +15,7 @@
     const bool paused = holds() && now - m_last_tick > pause_bound;
     if (paused) {
         m_lapsed = true;
+        ++m_pauses;
         m_woke_at = now;
     }
     m_last_tick = std::max(now, m_last_tick);
--- a/src/limits/authority.hpp
+++ b/src/limits/authority.hpp
@@ -29,6 +29,8 @@
     /// The question asked at \p asked_at found the record unchanged in this daemon's favour.
     void confirm(std::uint64_t epoch, time_point asked_at);
 
+    /// How many pauses were noticed, by whichever call came first.
+    [[nodiscard]] std::uint64_t pauses() const { return m_pauses; }
     [[nodiscard]] bool holds() const { return m_slot.has_value(); }
     [[nodiscard]] bool lapsed() const { return holds() && m_lapsed; }
     [[nodiscard]] std::optional<std::size_t> slot() const { return m_slot; }
@@ -40,6 +42,7 @@
     time_point m_last_tick{};
     time_point m_woke_at{};
     bool m_lapsed = false;
+    std::uint64_t m_pauses = 0;
 };
 
 } // namespace eelgrassdoor::limits
--- a/src/service/slot_service.cpp
+++ b/src/service/slot_service.cpp
@@ -40,11 +40,15 @@
 void slot_service::step() {
     const time_point now = m_shared.clock();
     bool paused = false;
+    std::uint64_t pauses = 0;
     {
         const absl::MutexLock lock(&m_mutex);
         for (held_part& part : m_held) {
-            paused = part.right.tick(now) || paused;
+            part.right.tick(now);
+            pauses += part.right.pauses();
         }
+        // An ask may have noticed the pause before this step.
+        paused = std::exchange(m_noted_pauses, pauses) != pauses;
         if (paused) {
             m_next_record_read = now;
         }
--- a/src/service/slot_service.hpp
+++ b/src/service/slot_service.hpp
@@ -75,6 +75,7 @@
     std::size_t m_part_count ABSL_GUARDED_BY(m_mutex) = 1;
     std::uint64_t m_configured_version ABSL_GUARDED_BY(m_mutex) = 0;
     std::uint64_t m_known_epoch ABSL_GUARDED_BY(m_mutex) = 0;
+    std::uint64_t m_noted_pauses ABSL_GUARDED_BY(m_mutex) = 0;
     time_point m_next_record_read ABSL_GUARDED_BY(m_mutex){};
     ticker m_ticker;
 };
--- a/test/correctness/limits_conservation.cpp
+++ b/test/correctness/limits_conservation.cpp
@@ -164,6 +164,8 @@
     }
     clock.advance(seconds(30));
     require(!right.may_use(clock.now()), "a holder that was paused may not");
+    right.tick(clock.now());
+    require(right.pauses() == 1, "a pause that an ask noticed is still told");
     const time_point before_pause = clock.now() - seconds(30);
     right.confirm(1, before_pause);
     require(!right.may_use(clock.now()), "an answer asked for before the pause does not help");
