--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ctime>
 
 namespace eelgrassdoor {
 
@@ -25,4 +26,17 @@
     return std::max(1, static_cast<int>(std::ceil(to_seconds(d))));
 }
 
+clock_fn boot_clock() {
+    return [] {
+        timespec now{};
+        ::clock_gettime(CLOCK_BOOTTIME, &now);
+        return time_point(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+    };
+}
+
+std::int64_t wall_clock_ms() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
 } // namespace eelgrassdoor
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace eelgrassdoor {
@@ -18,6 +19,13 @@
 /// The clock of the running process.
 clock_fn steady_clock();
 
+/// The time since the host was started, also while it was suspended, which the monotonic clock does
+/// not count. For what must end on time although this process was stopped, such as a lease.
+clock_fn boot_clock();
+
+/// Unix milliseconds by the wall clock, which may differ between hosts and may be set.
+std::int64_t wall_clock_ms();
+
 /// A clock that stands still until it is advanced. The object must outlive the functions it gives.
 class manual_clock {
 public:
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -41,6 +41,7 @@
 };
 
 template <typename T> using result = BOOST_OUTCOME_V2_NAMESPACE::checked<T, error>;
+using BOOST_OUTCOME_V2_NAMESPACE::success;
 
 std::string_view to_string(error_code code);
 std::string_view to_string(run_state run);
--- /dev/null
+++ b/src/entry/job_front.cpp
@@ -0,0 +1,270 @@
+#include "entry/job_front.hpp"
+
+#include "base/digest.hpp"
+#include "base/text.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::entry {
+
+namespace {
+
+/// How long a daemon may take to answer beyond the wait that the caller asked for. It may have to
+/// commit to the key-value service first.
+constexpr duration call_timeout = milliseconds(900);
+/// Creating a job is repeated for longer inside the daemon that runs it.
+constexpr duration submit_timeout = milliseconds(2700);
+constexpr duration store_timeout = seconds(2);
+/// Daemons that are asked before the store is read.
+constexpr std::size_t max_asked = 2;
+/// Owners that are remembered.
+constexpr std::size_t max_owners = 4096;
+/// When a caller may come back after a call that no daemon could answer: a registration of a daemon
+/// that is gone lapses within three seconds, and another one answers mostly at once.
+constexpr duration unavailable_retry = milliseconds(500);
+/// When tokens may have become free on a full route.
+constexpr duration full_retry = seconds(1);
+
+/// Why a job was not accepted.
+error submission_error(jobs::reply_status status) {
+    switch (status) {
+    case jobs::reply_status::refused:
+        return {error_code::rate_limited, "too many tokens wait on the route", run_state::not_run,
+                full_retry};
+    case jobs::reply_status::invalid:
+        return {error_code::invalid_request, "malformed job"};
+    case jobs::reply_status::unknown:
+        return {error_code::outcome_unknown, "the job may have been accepted", run_state::unknown};
+    default:
+        return {error_code::unavailable, "no daemon can accept jobs now", run_state::not_run,
+                unavailable_retry};
+    }
+}
+
+/// Why a call about an existing job failed.
+error call_error(jobs::reply_status status) {
+    switch (status) {
+    case jobs::reply_status::not_found:
+        return {error_code::not_found, "there is no such job or item"};
+    case jobs::reply_status::unknown:
+        return {error_code::outcome_unknown, "the call may have taken effect", run_state::unknown};
+    default:
+        return {error_code::unavailable, "the job cannot be read now", run_state::not_run,
+                unavailable_retry};
+    }
+}
+
+} // namespace
+
+std::vector<std::string> job_front::endpoints(std::string_view job) const {
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto& [host, member] : m_context.link.members()) {
+        if (member.runs_jobs) {
+            ranked.emplace_back(rendezvous_weight(stable_hash(job), host), member.endpoint);
+        }
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> out;
+    if (const auto known = m_owners.find(job); known != m_owners.end()) {
+        out.push_back(known->second);
+    }
+    for (const auto& [weight, endpoint] : ranked) {
+        if (std::find(out.begin(), out.end(), endpoint) == out.end()) {
+            out.push_back(endpoint);
+        }
+    }
+    return out;
+}
+
+net::task<jobs::job_reply> job_front::ask_one(const std::string& endpoint,
+                                              const jobs::job_call& call, duration timeout) {
+    net::http_request request;
+    request.method = "POST";
+    request.target = jobs::job_call_path;
+    request.body = jobs::encode(call);
+    jobs::job_reply failed;
+    result<net::http_response> response =
+        co_await m_client.call(endpoint, std::move(request), m_context.clock() + timeout);
+    if (!response) {
+        failed.status = response.error().run == run_state::not_run
+                            ? jobs::reply_status::unavailable
+                            : jobs::reply_status::unknown;
+        co_return failed;
+    }
+    std::optional<jobs::job_reply> reply = jobs::decode_reply(response.value().body);
+    co_return reply ? std::move(*reply) : failed;
+}
+
+net::task<jobs::job_reply> job_front::ask(jobs::job_call call, duration timeout) {
+    jobs::job_reply last;
+    bool unknown = false;
+    std::size_t asked = 0;
+    std::vector<std::string> candidates = endpoints(call.job);
+    for (std::size_t i = 0; i < candidates.size() && asked < max_asked; ++i, ++asked) {
+        last = co_await ask_one(candidates[i], call, timeout);
+        if (last.status == jobs::reply_status::moved) {
+            if (m_owners.size() >= max_owners) {
+                m_owners.clear();
+            }
+            m_owners[call.job] = last.owner_endpoint;
+            last = co_await ask_one(last.owner_endpoint, call, timeout);
+        }
+        unknown = unknown || last.status == jobs::reply_status::unknown;
+        const bool settled = last.status != jobs::reply_status::unavailable &&
+                             last.status != jobs::reply_status::unknown &&
+                             last.status != jobs::reply_status::moved;
+        if (settled) {
+            co_return last;
+        }
+        m_owners.erase(call.job);
+    }
+    last.status = unknown ? jobs::reply_status::unknown : jobs::reply_status::unavailable;
+    co_return last;
+}
+
+net::task<> job_front::answer_error(net::server_exchange& caller, const std::string& job,
+                                    error why) {
+    m_context.log.write(observe::event::request_refused, job,
+                        {{"reason", why.message},
+                         {"status", std::to_string(http_status(why.code))}});
+    net::http_response response = m_context.wire.encode_error(why);
+    co_await caller.respond(std::move(response));
+}
+
+net::task<> job_front::submit(net::server_exchange& caller, caller_request request,
+                              const config::serving_route& route, std::string customer) {
+    jobs::job_call call;
+    call.kind = jobs::call_kind::submit;
+    call.job = request.id;
+    call.customer = std::move(customer);
+    call.route = route.name;
+    call.host = request.host;
+    call.body = std::move(request.content.body);
+    const std::string job = call.job;
+    const jobs::job_reply reply = co_await ask(std::move(call), submit_timeout);
+    if (reply.status == jobs::reply_status::ok) {
+        net::http_response accepted;
+        accepted.status = 202;
+        co_await caller.respond(std::move(accepted));
+        co_return;
+    }
+    const error why = submission_error(reply.status);
+    co_await answer_error(caller, job, why);
+}
+
+net::task<jobs::job_reply> job_front::read_from_store(jobs::job_call call) {
+    jobs::job_reply reply;
+    const result<std::optional<jobs::versioned_state>> known =
+        co_await m_repository.read(call.job);
+    if (!known) {
+        co_return reply;
+    }
+    if (!known.value() || known.value()->state.customer != call.customer) {
+        reply.status = jobs::reply_status::not_found;
+        co_return reply;
+    }
+    if (call.kind == jobs::call_kind::read) {
+        const result<std::vector<listed_result>> results =
+            co_await m_repository.read_results(call.job);
+        if (results) {
+            reply.status = jobs::reply_status::ok;
+            reply.page = jobs::make_page(known.value()->state, results.value(), call.after);
+        }
+        co_return reply;
+    }
+    const result<std::vector<submitted_item>> items = co_await m_repository.read_items(call.job);
+    if (!items) {
+        co_return reply;
+    }
+    reply.status = jobs::reply_status::not_found;
+    for (const submitted_item& item : items.value()) {
+        if (item.id == call.item) {
+            reply.status = jobs::reply_status::ok;
+            reply.body = item.body;
+        }
+    }
+    co_return reply;
+}
+
+net::task<> job_front::read(net::server_exchange& caller, job_read call, std::string customer) {
+    jobs::job_call query;
+    query.kind = jobs::call_kind::read;
+    query.job = call.job;
+    query.customer = std::move(customer);
+    query.after = call.after;
+    query.wait_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<milliseconds>(call.wait).count());
+    jobs::job_reply reply = co_await ask(query, call.wait + call_timeout);
+    if (reply.status == jobs::reply_status::unavailable ||
+        reply.status == jobs::reply_status::unknown) {
+        reply = co_await read_from_store(query);
+    }
+    if (reply.status == jobs::reply_status::ok) {
+        net::http_response response = m_context.wire.encode_results(reply.page);
+        co_await caller.respond(std::move(response));
+        co_return;
+    }
+    const error why = call_error(reply.status);
+    co_await answer_error(caller, call.job, why);
+}
+
+net::task<> job_front::read_item(net::server_exchange& caller, item_read call,
+                                 std::string customer) {
+    jobs::job_call query;
+    query.kind = jobs::call_kind::read_item;
+    query.job = call.job;
+    query.customer = std::move(customer);
+    query.item = call.item;
+    jobs::job_reply reply = co_await ask(query, call_timeout);
+    if (reply.status == jobs::reply_status::unavailable ||
+        reply.status == jobs::reply_status::unknown) {
+        reply = co_await read_from_store(query);
+    }
+    if (reply.status == jobs::reply_status::ok) {
+        net::http_response response;
+        response.status = 200;
+        response.headers.set("Content-Type", "application/octet-stream");
+        response.body = std::move(reply.body);
+        co_await caller.respond(std::move(response));
+        co_return;
+    }
+    const error why = call_error(reply.status);
+    co_await answer_error(caller, call.job, why);
+}
+
+net::task<> job_front::end(net::server_exchange& caller, job_end call, std::string customer) {
+    jobs::job_call query;
+    query.kind = jobs::call_kind::end;
+    query.job = call.job;
+    query.customer = std::move(customer);
+    jobs::job_reply reply = co_await ask(query, submit_timeout);
+    if (reply.status == jobs::reply_status::unavailable) {
+        const result<bool> ended =
+            co_await m_repository.end(call.job, query.customer, m_context.clock() + store_timeout);
+        if (ended) {
+            reply.status =
+                ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
+        }
+    }
+    if (reply.status == jobs::reply_status::ok) {
+        net::http_response response;
+        response.status = 200;
+        co_await caller.respond(std::move(response));
+        co_return;
+    }
+    const error why = call_error(reply.status);
+    co_await answer_error(caller, call.job, why);
+}
+
+net::task<> job_front::handle(net::server_exchange& caller, caller_call call,
+                              std::string customer) {
+    if (auto* reading = std::get_if<job_read>(&call)) {
+        co_await read(caller, std::move(*reading), std::move(customer));
+    } else if (auto* item = std::get_if<item_read>(&call)) {
+        co_await read_item(caller, std::move(*item), std::move(customer));
+    } else if (auto* ending = std::get_if<job_end>(&call)) {
+        co_await end(caller, std::move(*ending), std::move(customer));
+    }
+}
+
+} // namespace eelgrassdoor::entry
--- /dev/null
+++ b/src/fleet/link.cpp
@@ -0,0 +1,252 @@
+#include "fleet/link.hpp"
+
+#include "base/digest.hpp"
+#include "base/text.hpp"
+#include "net/endpoint.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::fleet {
+
+namespace {
+
+/// How long a request waits for tokens of other daemons. Far above a round trip between zones, far
+/// below a quarter of the shortest latency objective, within which a refusal helps the caller.
+constexpr duration token_wait = milliseconds(25);
+
+net::udp::endpoint to_udp(const net::tcp::endpoint& endpoint) {
+    return {endpoint.address(), endpoint.port()};
+}
+
+std::vector<net::udp::endpoint> to_endpoints(const std::vector<std::string>& texts) {
+    std::vector<net::udp::endpoint> out;
+    for (const std::string& text : texts) {
+        if (const result<net::tcp::endpoint> endpoint = net::parse_endpoint(text)) {
+            out.push_back(to_udp(endpoint.value()));
+        }
+    }
+    return out;
+}
+
+std::string to_text(const net::udp::endpoint& endpoint) {
+    return str_cat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+} // namespace
+
+link::link(net::asio::any_io_executor executor, link_options options, clock_fn clock,
+           observe::decision_log& log, routing::fleet_load& loads, store::mirror& mirrors,
+           limits::customer_shares& shares)
+    : m_executor(std::move(executor)), m_options(std::move(options)), m_clock(std::move(clock)),
+      m_log(log), m_loads(loads), m_mirrors(mirrors), m_shares(shares), m_socket(m_executor),
+      m_wake(m_executor), m_seed_endpoints(to_endpoints(m_options.seeds)) {}
+
+result<void> link::start() {
+    BOOST_OUTCOME_TRY(own, net::parse_endpoint(m_options.self.endpoint));
+    BOOST_OUTCOME_TRY(
+        m_socket.open(to_udp(own), [this](std::string_view bytes, const net::udp::endpoint& from) {
+            receive(bytes, from);
+        }));
+    net::asio::co_spawn(m_executor, run(), net::asio::detached);
+    return success();
+}
+
+void link::stop() {
+    m_stopped = true;
+    m_wake.notify();
+    m_socket.close();
+}
+
+void link::set_members(const std::vector<member>& members) {
+    m_members.clear();
+    std::vector<std::string> endpoints;
+    for (const member& each : members) {
+        m_members[each.host] = each;
+        if (each.host != m_options.self.host) {
+            endpoints.push_back(each.endpoint);
+        }
+    }
+    m_endpoints = to_endpoints(endpoints);
+}
+
+net::task<> link::run() {
+    while (!m_stopped) {
+        send_digest();
+        // A change waits until the last digest is change_interval old.
+        co_await net::sleep_for(m_options.change_interval);
+        if (!m_changed) {
+            co_await m_wake.wait_until(m_clock() + m_options.repeat_interval);
+        }
+    }
+}
+
+std::string link::own_digest() {
+    load_digest digest;
+    digest.host = m_options.self.host;
+    digest.incarnation = m_options.self.incarnation;
+    digest.sequence = ++m_sequence;
+    for (const std::string& prefix : m_mirrors.prefixes()) {
+        digest.known_revisions.push_back(m_mirrors.content_revision(prefix));
+    }
+    for (const auto& [id, share] : m_loads.own()) {
+        digest.targets.push_back({stable_hash(id), static_cast<std::uint16_t>(share.online),
+                                  static_cast<std::uint16_t>(share.batch)});
+    }
+    digest.reaches_store = reaches_store && reaches_store();
+    if (own_waiting) {
+        digest.waiting = own_waiting();
+    }
+    return to_datagram(digest);
+}
+
+void link::send_digest() {
+    m_changed = false;
+    const std::string bytes = own_digest();
+    for (const net::udp::endpoint& endpoint : m_endpoints) {
+        m_socket.send(bytes, endpoint);
+    }
+    if (m_endpoints.empty()) {
+        for (const net::udp::endpoint& endpoint : m_seed_endpoints) {
+            m_socket.send(bytes, endpoint);
+        }
+    }
+}
+
+void link::receive(std::string_view bytes, const net::udp::endpoint& from) {
+    if (bytes.size() < 2 || bytes[0] != protocol_version) {
+        m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
+        return;
+    }
+    const std::string_view body = bytes.substr(2);
+    switch (static_cast<std::uint8_t>(bytes[1])) {
+    case load_digest::kind:
+        receive_digest(body, from);
+        break;
+    case token_request::kind:
+        receive_token_request(body, from);
+        break;
+    case token_transfer::kind:
+        receive_transfer(body);
+        break;
+    default:
+        m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
+    }
+}
+
+routing::load_by_target link::named(const std::vector<target_count>& counts) const {
+    routing::load_by_target out;
+    for (const target_count& count : counts) {
+        if (const std::string* id = m_loads.find_hashed(count.target)) {
+            out[*id] = {count.online, count.batch};
+        }
+    }
+    return out;
+}
+
+void link::receive_digest(std::string_view body, const net::udp::endpoint& from) {
+    const auto digest = peer::decode<load_digest>(body);
+    if (!digest || digest->host == m_options.self.host) {
+        return;
+    }
+    peer_state& known = m_peers[digest->host];
+    const bool older =
+        digest->incarnation < known.incarnation ||
+        (digest->incarnation == known.incarnation && digest->sequence <= known.sequence);
+    if (older) {
+        return;
+    }
+    known = {digest->incarnation, digest->sequence, m_clock(), digest->reaches_store,
+             digest->waiting};
+    m_loads.note_peer(digest->host, named(digest->targets), m_clock());
+    if (on_peer_load) {
+        on_peer_load();
+    }
+    const std::vector<std::string>& prefixes = m_mirrors.prefixes();
+    for (std::size_t i = 0; i < std::min(prefixes.size(), digest->known_revisions.size()); ++i) {
+        if (digest->known_revisions[i] > m_mirrors.revision(prefixes[i]) && on_newer_revision) {
+            on_newer_revision(to_text(from), prefixes[i], digest->known_revisions[i]);
+        }
+    }
+    // A daemon that is not registered, because it cannot reach the key-value service, learns from
+    // an answer who can tell it the configuration.
+    if (!m_members.contains(digest->host)) {
+        m_socket.send(own_digest(), from);
+    }
+}
+
+void link::receive_token_request(std::string_view body, const net::udp::endpoint& from) {
+    const auto request = peer::decode<token_request>(body);
+    if (!request) {
+        return;
+    }
+    const double amount = m_shares.lend(request->customer, request->want, m_clock());
+    if (amount > 0) {
+        m_socket.send(to_datagram(token_transfer{request->customer, amount}), from);
+    }
+}
+
+void link::receive_transfer(std::string_view body) {
+    const auto transfer = peer::decode<token_transfer>(body);
+    if (!transfer) {
+        return;
+    }
+    m_shares.receive(transfer->customer, transfer->amount);
+    const auto waiting = m_waiters.find(transfer->customer);
+    if (waiting == m_waiters.end()) {
+        return;
+    }
+    for (const std::shared_ptr<net::notification>& waiter : waiting->second) {
+        waiter->notify();
+    }
+}
+
+net::task<bool> link::take_token(std::string customer) {
+    if (m_shares.try_take(customer, m_clock())) {
+        co_return true;
+    }
+    if (m_shares.may_ask(customer, m_clock())) {
+        const std::string request =
+            to_datagram(token_request{customer, m_shares.tokens_to_ask(customer)});
+        for (const auto& [host, each] : m_members) {
+            const result<net::tcp::endpoint> endpoint = net::parse_endpoint(each.endpoint);
+            if (each.serves_callers && host != m_options.self.host && endpoint) {
+                m_socket.send(request, to_udp(endpoint.value()));
+            }
+        }
+    }
+    const time_point give_up = m_clock() + token_wait;
+    const auto waiter = std::make_shared<net::notification>(m_executor);
+    m_waiters[customer].push_back(waiter);
+    bool taken = false;
+    bool notified = true;
+    while (!taken && notified) {
+        notified = co_await waiter->wait_until(give_up);
+        taken = notified && m_shares.try_take(customer, m_clock());
+    }
+    std::erase(m_waiters[customer], waiter);
+    co_return taken;
+}
+
+std::uint64_t link::waiting_elsewhere(std::uint64_t customer_and_route) const {
+    std::uint64_t sum = 0;
+    for (const auto& [host, peer] : m_peers) {
+        for (const waiting_tokens& each : peer.waiting) {
+            sum += each.customer_and_route == customer_and_route ? each.tokens : 0;
+        }
+    }
+    return sum;
+}
+
+bool link::any_peer_has_store() const {
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        return entry.second.reaches_store &&
+               m_clock() - entry.second.heard_at <= routing::fleet_load::peer_load_lifetime;
+    });
+}
+
+bool link::heard_within(std::string_view host, duration age) const {
+    const auto found = m_peers.find(host);
+    return found != m_peers.end() && m_clock() - found->second.heard_at <= age;
+}
+
+} // namespace eelgrassdoor::fleet
--- /dev/null
+++ b/src/fleet/link.hpp
@@ -0,0 +1,114 @@
+/// \file
+/// Defines what daemons tell each other by datagrams.
+#pragma once
+
+#include "base/clock.hpp"
+#include "fleet/member.hpp"
+#include "fleet/message.hpp"
+#include "limits/customer_shares.hpp"
+#include "net/notification.hpp"
+#include "net/udp_socket.hpp"
+#include "observe/decision_log.hpp"
+#include "routing/fleet_load.hpp"
+#include "store/mirror.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace eelgrassdoor::fleet {
+
+struct link_options {
+    member self;
+    /// `IP:PORT` of daemons to tell of this one before any member is known.
+    std::vector<std::string> seeds;
+    /// Changes of load are told at most this often. A third of the time in which a slot frees in
+    /// a full fleet of the first users' size.
+    duration change_interval = milliseconds(30);
+    /// An unchanged digest is repeated this often.
+    duration repeat_interval = milliseconds(500);
+};
+
+/// Sends and receives datagrams: load, revisions of mirrors, tokens of customers' rates.
+class link {
+public:
+    link(net::asio::any_io_executor executor, link_options options, clock_fn clock,
+         observe::decision_log& log, routing::fleet_load& loads, store::mirror& mirrors,
+         limits::customer_shares& shares);
+
+    result<void> start();
+    void stop();
+
+    /// Another daemon knows a newer revision of a prefix: `endpoint`, `prefix`, its revision.
+    std::function<void(const std::string&, const std::string&, std::uint64_t)> on_newer_revision;
+    /// The load at a target, as it was told by another daemon, has changed.
+    std::function<void()> on_peer_load;
+    /// Tokens that wait here, for the digest.
+    std::function<std::vector<waiting_tokens>()> own_waiting;
+
+    /// Whether the key-value service answers this daemon.
+    std::function<bool()> reaches_store;
+
+    /// Takes in all daemons, from the mirrored registrations.
+    void set_members(const std::vector<member>& members);
+    [[nodiscard]] const std::map<std::string, member, std::less<>>& members() const {
+        return m_members;
+    }
+    /// Tells the others soon that something in the digest has changed.
+    void note_change() { m_changed = true; m_wake.notify(); }
+
+    /// Takes a token of the customer's rate, if need be from other daemons.
+    net::task<bool> take_token(std::string customer);
+    /// When a token of the customer's rate is likely to be there.
+    duration until_token(std::string_view customer) {
+        return m_shares.until_next(customer, m_clock());
+    }
+
+    /// Tokens of a customer and route that wait at other daemons.
+    [[nodiscard]] std::uint64_t waiting_elsewhere(std::uint64_t customer_and_route) const;
+    /// Whether a daemon that was heard lately is answered by the key-value service.
+    [[nodiscard]] bool any_peer_has_store() const;
+    /// Whether a daemon was heard within \p age.
+    [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
+
+private:
+    struct peer_state {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        time_point heard_at{};
+        bool reaches_store = false;
+        std::vector<waiting_tokens> waiting;
+    };
+
+    net::task<> run();
+    void receive(std::string_view bytes, const net::udp::endpoint& from);
+    void receive_digest(std::string_view body, const net::udp::endpoint& from);
+    void receive_token_request(std::string_view body, const net::udp::endpoint& from);
+    void receive_transfer(std::string_view body);
+    [[nodiscard]] std::string own_digest();
+    void send_digest();
+    [[nodiscard]] routing::load_by_target named(const std::vector<target_count>& counts) const;
+
+    net::asio::any_io_executor m_executor;
+    link_options m_options;
+    clock_fn m_clock;
+    observe::decision_log& m_log;
+    routing::fleet_load& m_loads;
+    store::mirror& m_mirrors;
+    limits::customer_shares& m_shares;
+    net::udp_socket m_socket;
+    net::notification m_wake;
+    bool m_changed = false;
+    bool m_stopped = false;
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, member, std::less<>> m_members;
+    std::vector<net::udp::endpoint> m_endpoints;
+    std::vector<net::udp::endpoint> m_seed_endpoints;
+    std::map<std::string, peer_state, std::less<>> m_peers;
+    /// Requests that wait for tokens of a customer.
+    std::map<std::string, std::vector<std::shared_ptr<net::notification>>, std::less<>> m_waiters;
+};
+
+} // namespace eelgrassdoor::fleet
--- /dev/null
+++ b/src/fleet/member.cpp
@@ -0,0 +1,33 @@
+#include "fleet/member.hpp"
+
+#include "base/text.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrassdoor::fleet {
+
+std::string member_key(std::string_view host) {
+    return str_cat(member_prefix, host);
+}
+
+std::string to_json(const member& record) {
+    return nlohmann::json{{"host", record.host},
+                          {"zone", record.availability_zone},
+                          {"endpoint", record.endpoint},
+                          {"incarnation", record.incarnation},
+                          {"callers", record.serves_callers},
+                          {"jobs", record.runs_jobs}}
+        .dump();
+}
+
+std::optional<member> member_from_json(std::string_view text) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    try {
+        return member{json.at("host"),        json.at("zone"),    json.at("endpoint"),
+                      json.at("incarnation"), json.at("callers"), json.at("jobs")};
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace eelgrassdoor::fleet
--- /dev/null
+++ b/src/fleet/message.hpp
@@ -0,0 +1,91 @@
+/// \file
+/// Defines the datagrams between daemons.
+#pragma once
+
+#include "peer/bounded.hpp"
+#include "peer/codec.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace eelgrassdoor::fleet {
+
+/// Requests of the sender at one target.
+struct target_count {
+    /// stable_hash() of the target's id; ids would make the digest several times larger.
+    std::uint64_t target = 0;
+    std::uint16_t online = 0;
+    std::uint16_t batch = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(target, online, batch); }
+};
+
+/// Tokens of one customer's accepted items on one route that wait at the sender.
+struct waiting_tokens {
+    std::uint64_t customer_and_route = 0;
+    std::uint64_t tokens = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(customer_and_route, tokens); }
+};
+
+/// What a daemon tells all others, at once when it changes and a few times a second anyway.
+struct load_digest {
+    static constexpr std::uint8_t kind = 1;
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    /// Whether the key-value service answers the sender.
+    bool reaches_store = false;
+    /// The highest revision of any key that the sender knows, for each mirrored prefix in order.
+    std::vector<std::uint64_t> known_revisions;
+    std::vector<target_count> targets;
+    std::vector<waiting_tokens> waiting;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        peer::text(ar, host);
+        ar(incarnation, sequence, reaches_store);
+        const auto number = [](Archive& a, std::uint64_t& value) { a(value); };
+        const auto whole = [](Archive& a, auto& value) { a(value); };
+        peer::list(ar, known_revisions, number);
+        peer::list(ar, targets, whole);
+        peer::list(ar, waiting, whole);
+    }
+};
+
+/// Asks for tokens of a customer's rate.
+struct token_request {
+    static constexpr std::uint8_t kind = 2;
+    std::string customer;
+    double want = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        peer::text(ar, customer);
+        ar(want);
+    }
+};
+
+/// Gives tokens to the daemon that asked.
+struct token_transfer {
+    static constexpr std::uint8_t kind = 3;
+    std::string customer;
+    double amount = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        peer::text(ar, customer);
+        ar(amount);
+    }
+};
+
+/// The bytes of a datagram: protocol version, kind, message.
+inline constexpr char protocol_version = 1;
+
+template <typename Message> std::string to_datagram(const Message& message) {
+    std::string out;
+    out += protocol_version;
+    out += static_cast<char>(Message::kind);
+    out += peer::encode(message);
+    return out;
+}
+
+} // namespace eelgrassdoor::fleet
--- /dev/null
+++ b/src/fleet/registration.cpp
@@ -0,0 +1,99 @@
+#include "fleet/registration.hpp"
+
+#include "base/text.hpp"
+
+namespace eelgrassdoor::fleet {
+
+namespace {
+
+/// Pause after a registration that failed.
+constexpr duration retry_pause = milliseconds(250);
+/// The mirror lags behind the store; a registration counts as missing after so many renewals.
+constexpr int max_unlisted_rounds = 3;
+
+} // namespace
+
+registration::registration(net::asio::any_io_executor executor, store::kv_store& store,
+                           const store::mirror& mirrors, registration_options options,
+                           clock_fn clock, clock_fn lease_clock, observe::decision_log& log)
+    : m_executor(std::move(executor)), m_store(store), m_mirror(mirrors),
+      m_options(std::move(options)), m_clock(std::move(clock)),
+      m_lease_clock(std::move(lease_clock)), m_log(log), m_wake(m_executor) {}
+
+void registration::start() {
+    net::asio::co_spawn(m_executor, run(), net::asio::detached);
+}
+
+bool registration::is_listed() const {
+    const store::kv_item* item = m_mirror.find(member_key(m_options.self.host));
+    return item != nullptr && item->value == to_json(m_options.self);
+}
+
+net::task<bool> registration::register_anew() {
+    const time_point asked_at = m_lease_clock();
+    const result<store::kv_lease> lease = co_await m_store.grant_lease(m_options.ttl);
+    if (!lease) {
+        co_return false;
+    }
+    store::kv_transaction change;
+    change.writes.push_back(
+        {member_key(m_options.self.host), to_json(m_options.self), lease.value().id});
+    const result<store::commit_outcome> written = co_await m_store.commit(std::move(change));
+    if (!written || !std::holds_alternative<store::kv_committed>(written.value())) {
+        co_return false;
+    }
+    m_lease = lease.value().id;
+    m_valid_until = asked_at + lease.value().ttl;
+    m_unlisted_rounds = 0;
+    co_return true;
+}
+
+net::task<bool> registration::renew() {
+    const time_point asked_at = m_lease_clock();
+    const result<bool> renewed = co_await m_store.renew_lease(m_lease);
+    if (!renewed) {
+        co_return false;
+    }
+    if (!renewed.value()) {
+        m_log.write(observe::event::limit_authority_lapsed, m_options.self.host,
+                    {{"reason", "the lease has ended"}});
+        m_lease = 0;
+        m_valid_until = {};
+        co_return false;
+    }
+    m_valid_until = asked_at + m_options.ttl;
+    // A write of an earlier start that arrived late may have replaced the registration.
+    m_unlisted_rounds = is_listed() ? 0 : m_unlisted_rounds + 1;
+    if (m_unlisted_rounds >= max_unlisted_rounds) {
+        m_lease = 0;
+    }
+    co_return true;
+}
+
+net::task<> registration::run() {
+    while (!m_ended) {
+        bool done = false;
+        if (m_lease == 0) {
+            done = co_await register_anew();
+        } else {
+            done = co_await renew();
+        }
+        const duration wait = done && m_lease != 0 ? m_options.renew_interval : retry_pause;
+        co_await m_wake.wait_until(m_clock() + wait);
+    }
+}
+
+net::task<> registration::end() {
+    m_ended = true;
+    m_wake.notify();
+    m_valid_until = {};
+    if (m_lease != 0) {
+        const result<bool> ended = co_await m_store.end_lease(m_lease);
+        if (!ended) {
+            m_log.write(observe::event::commit_failed, m_options.self.host,
+                        {{"reason", ended.error().message}});
+        }
+    }
+}
+
+} // namespace eelgrassdoor::fleet
--- /dev/null
+++ b/src/host/fleet_host.cpp
@@ -0,0 +1,373 @@
+#include "host/fleet_host.hpp"
+
+#include "base/text.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::host {
+
+namespace {
+
+/// How often logs are handed over and slow conditions are looked at.
+constexpr duration tick_interval = milliseconds(250);
+/// The settings file is looked at every so many ticks, as it may change without a signal.
+constexpr int reload_ticks = 8;
+/// After SIGTERM callers still arrive until the balancer has missed two answers, a second apart.
+constexpr duration leave_rotation_time = milliseconds(3500);
+/// What is left of the grace period for the last steps.
+constexpr duration shutdown_margin = milliseconds(700);
+/// A daemon that cannot learn of the targets for this long is ready without any.
+constexpr std::size_t reserved_descriptors = 300;
+/// What one caller may need besides its own connection: one to a target.
+constexpr std::size_t descriptors_per_caller = 2;
+
+std::vector<std::string> mirrored_prefixes(const host_adapter& adapter, bool runs_jobs) {
+    std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
+                                      std::string(fleet::member_prefix)};
+    if (runs_jobs) {
+        prefixes.emplace_back(jobs::ended_prefix);
+    }
+    return prefixes;
+}
+
+} // namespace
+
+fleet_host::fleet_host(net::asio::io_context& loop, host_settings settings, host_adapter& adapter,
+                       observe::decision_log& log)
+    : m_loop(loop), m_settings(std::move(settings)), m_adapter(adapter), m_log(log),
+      m_incarnation(static_cast<std::uint64_t>(wall_clock_ms())), m_random(secure_number()),
+      m_loads({.own_zone = m_settings.availability_zone}), m_shares(m_settings.first_start),
+      m_mirror(mirrored_prefixes(adapter, m_settings.runs_jobs)),
+      m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
+      m_link(loop.get_executor(), {.self = self(), .seeds = m_settings.seeds}, m_clock, log,
+             m_loads, m_mirror, m_shares),
+      m_registration(loop.get_executor(), adapter.store, m_mirror, {.self = self()}, m_clock,
+                     boot_clock(), log),
+      m_context{.executor = loop.get_executor(),
+                .clock = m_clock,
+                .random = m_random,
+                .log = log,
+                .numbers = m_numbers,
+                .loads = m_loads,
+                .link = m_link,
+                .wire = adapter.wire,
+                .plan = nullptr},
+      m_repository(adapter.store, m_clock, log),
+      m_runner(m_settings.runs_jobs
+                   ? std::make_unique<jobs::job_runner>(
+                         m_context, m_repository,
+                         jobs::runner_options{
+                             .self = self(),
+                             .registration_valid = [this] { return m_registration.valid(); },
+                             .store_connected_since = [this] { return m_feed.connected_since(); },
+                             .wall_clock = wall_clock_ms})
+                   : nullptr),
+      m_job_front(m_context, m_repository), m_front(m_context, m_job_front),
+      m_peer_api(m_context, m_mirror, m_runner.get()) {}
+
+fleet_host::~fleet_host() = default;
+
+fleet::member fleet_host::self() const {
+    return {.host = m_settings.host,
+            .availability_zone = m_settings.availability_zone,
+            .endpoint = m_settings.peer_endpoint,
+            .incarnation = m_incarnation,
+            .serves_callers = m_settings.serves_callers,
+            .runs_jobs = m_settings.runs_jobs};
+}
+
+bool fleet_host::ready() const {
+    return !m_shutting_down && m_context.plan && m_mirror.revision(m_adapter.target_prefix) > 0;
+}
+
+void fleet_host::open_servers() {
+    const auto make = [this](const std::string& endpoint, net::request_handler handler,
+                             std::function<net::caller_limits()> limits,
+                             std::size_t max_connections) {
+        return std::make_unique<net::http_server>(
+            m_context.executor,
+            net::http_server_options{
+                .endpoint = endpoint, .limits = std::move(limits), .max_connections = max_connections},
+            std::move(handler));
+    };
+    const auto between_daemons = [] {
+        net::caller_limits limits;
+        limits.sizes.max_body_bytes = 64ULL * 1024 * 1024;
+        limits.idle_timeout = seconds(60);
+        return limits;
+    };
+    const std::size_t most =
+        (m_settings.max_descriptors - reserved_descriptors) / descriptors_per_caller;
+    if (m_settings.serves_callers) {
+        m_caller_server = make(
+            m_settings.caller_endpoint,
+            [this](net::server_exchange& caller) { return m_front.handle(caller); },
+            [this] { return m_context.plan ? m_context.plan->limits : net::caller_limits(); },
+            most);
+    }
+    if (!m_settings.readiness_endpoint.empty()) {
+        m_readiness_server = make(
+            m_settings.readiness_endpoint,
+            [this](net::server_exchange& caller) { return answer_readiness(caller); },
+            between_daemons, 64);
+    }
+    if (!m_settings.metrics_endpoint.empty()) {
+        m_metrics_server = make(
+            m_settings.metrics_endpoint,
+            [this](net::server_exchange& caller) { return answer_metrics(caller); },
+            between_daemons, 16);
+    }
+    m_peer_server = make(
+        m_settings.peer_endpoint,
+        [this](net::server_exchange& caller) { return m_peer_api.handle(caller); },
+        between_daemons, 512);
+}
+
+result<void> fleet_host::start_servers() {
+    open_servers();
+    for (net::http_server* server : {m_caller_server.get(), m_readiness_server.get(),
+                                     m_metrics_server.get(), m_peer_server.get()}) {
+        if (server != nullptr) {
+            BOOST_OUTCOME_TRY(server->start());
+        }
+    }
+    return success();
+}
+
+result<void> fleet_host::start() {
+    m_log.write(observe::event::daemon_started, m_settings.host,
+                {{"zone", m_settings.availability_zone},
+                 {"incarnation", std::to_string(m_incarnation)},
+                 {"peer_endpoint", m_settings.peer_endpoint},
+                 {"callers", m_settings.serves_callers ? "yes" : "no"},
+                 {"jobs", m_settings.runs_jobs ? "yes" : "no"}});
+    m_mirror.on_change([this](std::string_view prefix) { on_mirror_change(prefix); });
+    m_link.on_newer_revision = [this](const std::string& endpoint, const std::string& prefix,
+                                      std::uint64_t revision) {
+        m_peer_api.pull(endpoint, prefix, revision);
+    };
+    m_link.reaches_store = [this] { return m_feed.connected_since() != time_point::max(); };
+    if (m_runner) {
+        m_link.on_peer_load = [this] { m_runner->note_load(); };
+        m_link.own_waiting = [this] { return m_runner->waiting(); };
+    }
+    BOOST_OUTCOME_TRY(start_servers());
+    BOOST_OUTCOME_TRY(m_link.start());
+    m_feed.start();
+    m_registration.start();
+    if (m_runner) {
+        m_runner->start();
+    }
+    net::asio::co_spawn(m_context.executor, tick_loop(), net::asio::detached);
+    return success();
+}
+
+void fleet_host::on_mirror_change(std::string_view prefix) {
+    if (prefix == m_adapter.operator_prefix) {
+        apply_plan();
+        check_evacuation();
+    } else if (prefix == m_adapter.target_prefix) {
+        apply_targets();
+    } else if (prefix == fleet::member_prefix) {
+        apply_members();
+    } else if (prefix == jobs::ended_prefix) {
+        apply_ended_jobs();
+    }
+    if (!m_started_ready && ready()) {
+        m_started_ready = true;
+        m_log.write(observe::event::daemon_ready, m_settings.host,
+                    {{"configuration", std::to_string(m_context.plan->version)}});
+    }
+}
+
+void fleet_host::apply_plan() {
+    const store::kv_item* item = m_mirror.find(m_adapter.plan_key);
+    if (item == nullptr) {
+        return;
+    }
+    result<config::serving_plan> plan = m_adapter.decode_plan(item->value);
+    const std::uint64_t current = m_context.plan ? m_context.plan->version : 0;
+    if (!plan) {
+        m_log.write(observe::event::configuration_rejected, item->key,
+                    {{"reason", plan.error().message},
+                     {"revision", std::to_string(item->revision)},
+                     {"in_force", std::to_string(current)}});
+        return;
+    }
+    if (plan.value().version <= current) {
+        return;
+    }
+    m_log.write(observe::event::configuration_in_force, m_adapter.plan_key,
+                {{"version", std::to_string(plan.value().version)},
+                 {"before", std::to_string(current)},
+                 {"revision", std::to_string(item->revision)}});
+    m_context.plan = std::make_shared<const config::serving_plan>(std::move(plan.value()));
+    apply_limits();
+}
+
+void fleet_host::apply_limits() {
+    if (!m_context.plan) {
+        return;
+    }
+    limits::customer_limits limits;
+    for (const auto& [name, customer] : m_context.plan->customers) {
+        limits[name] = {customer.rate_per_second, customer.burst};
+    }
+    const auto& members = m_link.members();
+    const auto fronts = std::count_if(members.begin(), members.end(), [](const auto& entry) {
+        return entry.second.serves_callers;
+    });
+    m_shares.configure(limits, static_cast<std::size_t>(fronts), m_clock());
+}
+
+void fleet_host::apply_targets() {
+    std::vector<routing::fleet_target> listed;
+    for (const auto& [key, item] : m_mirror.items(m_adapter.target_prefix)) {
+        result<routing::fleet_target> target = m_adapter.decode_target(item);
+        if (target) {
+            listed.push_back(std::move(target.value()));
+            m_rejected_entries.erase(key);
+        } else if (m_rejected_entries[key] != item.revision) {
+            m_rejected_entries[key] = item.revision;
+            m_log.write(observe::event::entry_rejected, key,
+                        {{"reason", target.error().message},
+                         {"revision", std::to_string(item.revision)}});
+        }
+    }
+    const std::vector<routing::fleet_target> used =
+        m_roster.update(listed, {m_feed.connected_since(), m_feed.last_outage()}, m_clock());
+    std::set<std::string> known;
+    for (const routing::fleet_target& target : used) {
+        if (target.leaving) {
+            continue;
+        }
+        known.insert(target.id);
+        if (!m_known_targets.contains(target.id)) {
+            m_log.write(observe::event::target_listed, target.id,
+                        {{"endpoint", target.endpoint}, {"service", target.service}});
+        }
+    }
+    for (const std::string& id : m_known_targets) {
+        if (!known.contains(id)) {
+            m_log.write(observe::event::target_withdrawn, id);
+        }
+    }
+    m_known_targets = std::move(known);
+    m_loads.set_targets(used);
+}
+
+void fleet_host::apply_members() {
+    std::vector<fleet::member> members;
+    for (const auto& [key, item] : m_mirror.items(fleet::member_prefix)) {
+        if (std::optional<fleet::member> record = fleet::member_from_json(item.value)) {
+            members.push_back(std::move(*record));
+        }
+    }
+    m_link.set_members(members);
+    apply_limits();
+    if (m_runner) {
+        m_runner->note_members();
+    }
+}
+
+void fleet_host::apply_ended_jobs() {
+    for (const auto& [key, item] : m_mirror.items(jobs::ended_prefix)) {
+        m_runner->note_ended(key.substr(jobs::ended_prefix.size()));
+    }
+}
+
+void fleet_host::check_evacuation() {
+    const bool asked = m_mirror.find(m_adapter.evacuation_key(m_settings.host)) != nullptr;
+    if (asked && m_runner && !m_evacuating) {
+        m_evacuating = true;
+        m_runner->release_all();
+        net::asio::co_spawn(m_context.executor, evacuate(), net::asio::detached);
+    }
+}
+
+net::task<> fleet_host::evacuate() {
+    bool reported_active = false;
+    for (;;) {
+        const bool complete = m_runner->owns_nothing();
+        if (complete || !reported_active) {
+            store::kv_transaction change;
+            change.writes.push_back(m_adapter.evacuation_status(m_settings.host, complete));
+            const auto written = co_await m_adapter.store.commit(std::move(change));
+            reported_active = reported_active || written.has_value();
+            if (complete && written) {
+                m_log.write(observe::event::host_emptied, m_settings.host);
+                co_return;
+            }
+        }
+        co_await net::sleep_for(tick_interval);
+    }
+}
+
+net::task<> fleet_host::tick_loop() {
+    for (int tick = 0;; ++tick) {
+        // Targets that were kept for a while after an outage may have to go now.
+        apply_targets();
+        if (tick % reload_ticks == 0 && m_adapter.reload) {
+            m_adapter.reload();
+        }
+        m_log.flush();
+        co_await net::sleep_for(tick_interval);
+    }
+}
+
+net::task<> fleet_host::answer_readiness(net::server_exchange& caller) {
+    net::http_response response;
+    const bool known_path = caller.request().path() == m_adapter.readiness_path;
+    response.status = !known_path ? 404 : ready() ? 200 : 503;
+    co_await caller.respond(std::move(response));
+}
+
+net::task<> fleet_host::answer_metrics(net::server_exchange& caller) {
+    net::http_response response;
+    response.status = 200;
+    response.headers.set("Content-Type", "text/plain; version=0.0.4");
+    m_numbers.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
+    m_numbers.gauge("configuration_version",
+                    m_context.plan ? static_cast<double>(m_context.plan->version) : 0);
+    response.body = m_numbers.text();
+    co_await caller.respond(std::move(response));
+}
+
+void fleet_host::begin_shutdown() {
+    if (m_shutting_down) {
+        return;
+    }
+    m_shutting_down = true;
+    m_log.write(observe::event::drain_started, m_settings.host);
+    if (m_caller_server) {
+        m_caller_server->close_connections_after_response();
+    }
+    if (m_runner) {
+        m_runner->release_all();
+    }
+    net::asio::co_spawn(m_context.executor, shutdown(), net::asio::detached);
+}
+
+net::task<> fleet_host::shutdown() {
+    const time_point begun = m_clock();
+    const time_point last = begun + m_settings.grace - shutdown_margin;
+    for (;;) {
+        const time_point now = m_clock();
+        const bool idle = (!m_caller_server || m_caller_server->active_requests() == 0) &&
+                          (!m_runner || m_runner->owns_nothing());
+        const bool out_of_rotation = !m_caller_server || now - begun >= leave_rotation_time;
+        if (now >= last || (idle && out_of_rotation)) {
+            break;
+        }
+        co_await net::sleep_for(milliseconds(50));
+    }
+    if (m_caller_server) {
+        m_caller_server->stop();
+    }
+    co_await m_registration.end();
+    m_log.write(observe::event::daemon_stopped, m_settings.host);
+    m_log.flush();
+    m_loop.stop();
+}
+
+} // namespace eelgrassdoor::host
--- /dev/null
+++ b/src/host/fleet_host.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// Defines one daemon on the event loop: it wires the services and runs start and shutdown.
+#pragma once
+
+#include "entry/front.hpp"
+#include "entry/job_front.hpp"
+#include "fleet/link.hpp"
+#include "fleet/registration.hpp"
+#include "fleet/target_roster.hpp"
+#include "host/host_adapter.hpp"
+#include "host/host_settings.hpp"
+#include "host/peer_api.hpp"
+#include "jobs/job_runner.hpp"
+#include "store/mirror_feed.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace eelgrassdoor::host {
+
+/// Runs until it is told to end.
+class fleet_host {
+public:
+    fleet_host(net::asio::io_context& loop, host_settings settings, host_adapter& adapter,
+               observe::decision_log& log);
+    ~fleet_host();
+
+    /// Listens and starts everything; an error names what could not be opened.
+    result<void> start();
+    /// Ends gracefully: the event loop stops when nothing is left to do, or when time is up.
+    void begin_shutdown();
+
+private:
+    [[nodiscard]] fleet::member self() const;
+    [[nodiscard]] bool ready() const;
+    void open_servers();
+    result<void> start_servers();
+
+    void on_mirror_change(std::string_view prefix);
+    void apply_plan();
+    void apply_targets();
+    void apply_members();
+    void apply_ended_jobs();
+    void apply_limits();
+    void check_evacuation();
+
+    net::task<> tick_loop();
+    net::task<> evacuate();
+    net::task<> shutdown();
+    net::task<> answer_readiness(net::server_exchange& caller);
+    net::task<> answer_metrics(net::server_exchange& caller);
+
+    net::asio::io_context& m_loop;
+    const host_settings m_settings;
+    host_adapter& m_adapter;
+    observe::decision_log& m_log;
+    const std::uint64_t m_incarnation;
+    clock_fn m_clock = steady_clock();
+    random_source m_random;
+    observe::metrics m_numbers;
+    routing::fleet_load m_loads;
+    limits::customer_shares m_shares;
+    store::mirror m_mirror;
+    store::mirror_feed m_feed;
+    fleet::link m_link;
+    fleet::registration m_registration;
+    fleet::target_roster m_roster;
+    serving::host_context m_context;
+    jobs::job_repository m_repository;
+    std::unique_ptr<jobs::job_runner> m_runner;
+    entry::job_front m_job_front;
+    entry::front m_front;
+    peer_api m_peer_api;
+    std::unique_ptr<net::http_server> m_caller_server;
+    std::unique_ptr<net::http_server> m_readiness_server;
+    std::unique_ptr<net::http_server> m_peer_server;
+    std::unique_ptr<net::http_server> m_metrics_server;
+    std::set<std::string> m_known_targets;
+    /// Entries that were found malformed, with the revision that was reported.
+    std::map<std::string, std::uint64_t, std::less<>> m_rejected_entries;
+    bool m_started_ready = false;
+    bool m_shutting_down = false;
+    bool m_evacuating = false;
+};
+
+} // namespace eelgrassdoor::host
--- /dev/null
+++ b/src/host/peer_api.cpp
@@ -0,0 +1,96 @@
+#include "host/peer_api.hpp"
+
+#include "base/text.hpp"
+#include "net/notification.hpp"
+#include "peer/codec.hpp"
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace eelgrassdoor::store {
+
+template <typename Archive> void serialize(Archive& ar, kv_item& item) {
+    ar(item.key, item.value, item.revision);
+}
+
+template <typename Archive> void serialize(Archive& ar, mirror_snapshot& snapshot) {
+    ar(snapshot.prefix, snapshot.revision, snapshot.items);
+}
+
+} // namespace eelgrassdoor::store
+
+namespace eelgrassdoor::host {
+
+namespace {
+
+constexpr std::string_view mirror_path = "/mirror";
+/// News from the key-value service are usually there by then; a pull would repeat them.
+constexpr duration pull_delay = milliseconds(250);
+constexpr duration pull_timeout = milliseconds(1000);
+
+} // namespace
+
+net::task<> peer_api::handle(net::server_exchange& caller) {
+    const std::string_view path = caller.request().path();
+    if (path == mirror_path) {
+        co_await answer_mirror(caller);
+    } else if (path == jobs::job_call_path && m_runner != nullptr) {
+        co_await answer_jobs(caller);
+    } else {
+        net::http_response response;
+        response.status = 404;
+        co_await caller.respond(std::move(response));
+    }
+}
+
+net::task<> peer_api::answer_mirror(net::server_exchange& caller) {
+    const std::string prefix = caller.request().query("prefix").value_or("");
+    net::http_response response;
+    response.status = 200;
+    response.body = peer::encode(m_mirror.snapshot(prefix));
+    co_await caller.respond(std::move(response));
+}
+
+net::task<> peer_api::answer_jobs(net::server_exchange& caller) {
+    std::optional<jobs::job_call> call = jobs::decode_call(caller.request().body);
+    net::http_response response;
+    response.status = call ? 200 : 400;
+    if (call) {
+        caller.request().body.clear();
+        const jobs::job_reply reply = co_await m_runner->handle(std::move(*call));
+        response.body = jobs::encode(reply);
+    }
+    co_await caller.respond(std::move(response));
+}
+
+void peer_api::pull(std::string endpoint, std::string prefix, std::uint64_t revision) {
+    if (m_pulling.insert(prefix).second) {
+        net::asio::co_spawn(m_context.executor,
+                            run_pull(std::move(endpoint), std::move(prefix), revision),
+                            net::asio::detached);
+    }
+}
+
+net::task<> peer_api::run_pull(std::string endpoint, std::string prefix, std::uint64_t revision) {
+    if (m_mirror.revision(prefix) != 0) {
+        co_await net::sleep_for(pull_delay);
+    }
+    if (m_mirror.revision(prefix) < revision) {
+        net::http_request request;
+        request.method = "GET";
+        request.target = str_cat(mirror_path, "?prefix=", prefix);
+        const result<net::http_response> response = co_await m_client.call(
+            endpoint, std::move(request), m_context.clock() + pull_timeout);
+        if (response) {
+            if (const auto snapshot = peer::decode<store::mirror_snapshot>(response.value().body)) {
+                m_mirror.apply_snapshot(*snapshot);
+                m_context.log.write(observe::event::mirror_pulled, prefix,
+                                    {{"from", endpoint},
+                                     {"revision", std::to_string(snapshot->revision)}});
+            }
+        }
+    }
+    m_pulling.erase(prefix);
+}
+
+} // namespace eelgrassdoor::host
--- /dev/null
+++ b/src/host/peer_api.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Defines the calls between daemons: mirrors and jobs.
+#pragma once
+
+#include "jobs/job_runner.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "store/mirror.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace eelgrassdoor::host {
+
+/// Serves and makes calls on the port between daemons.
+class peer_api {
+public:
+    /// \p runner may be null on daemons that run no jobs.
+    peer_api(serving::host_context& context, store::mirror& mirrors, jobs::job_runner* runner)
+        : m_context(context), m_mirror(mirrors), m_runner(runner), m_client(context.executor) {}
+
+    net::task<> handle(net::server_exchange& caller);
+
+    /// Fetches a prefix from another daemon that knows a newer revision, unless the key-value
+    /// service tells it first.
+    void pull(std::string endpoint, std::string prefix, std::uint64_t revision);
+
+private:
+    net::task<> run_pull(std::string endpoint, std::string prefix, std::uint64_t revision);
+    net::task<> answer_mirror(net::server_exchange& caller);
+    net::task<> answer_jobs(net::server_exchange& caller);
+
+    serving::host_context& m_context;
+    store::mirror& m_mirror;
+    jobs::job_runner* m_runner;
+    net::http_client m_client;
+    std::set<std::string> m_pulling;
+};
+
+} // namespace eelgrassdoor::host
--- /dev/null
+++ b/src/jobs/owned_job.cpp
@@ -0,0 +1,128 @@
+#include "jobs/owned_job.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace eelgrassdoor::jobs {
+
+owned_job::owned_job(versioned_state record, std::vector<serving::submitted_item> items,
+                     std::vector<serving::listed_result> listed, time_point due)
+    : m_record(std::move(record)), m_listed(std::move(listed)), m_due(due) {
+    std::set<std::string_view> done;
+    for (const serving::listed_result& result : m_listed) {
+        done.insert(result.item);
+    }
+    for (serving::submitted_item& content : items) {
+        owned_item item;
+        item.done = done.contains(content.id);
+        item.content = std::move(content);
+        m_items.push_back(std::move(item));
+    }
+}
+
+std::optional<std::size_t> owned_job::next() const {
+    if (m_record.state.ended) {
+        return std::nullopt;
+    }
+    // Items that were interrupted go on before new ones start, so that results come early.
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < m_items.size(); ++i) {
+        const owned_item& item = m_items[i];
+        if (item.done || item.running) {
+            continue;
+        }
+        if (!found || item.events > m_items[*found].events) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+bool owned_job::add_events(std::size_t index, const std::vector<serving::stream_event>& events) {
+    owned_item& item = m_items[index];
+    for (const serving::stream_event& event : events) {
+        if (event.id && item.last_event && *event.id <= *item.last_event) {
+            continue;
+        }
+        if (event.id && item.last_event && *event.id != *item.last_event + 1) {
+            return false;
+        }
+        item.output += item.events > 0 ? "\n" : "";
+        item.output += event.data;
+        item.last_event = event.id ? event.id : item.last_event;
+        ++item.events;
+    }
+    return true;
+}
+
+void owned_job::add_result(std::size_t index, bool complete) {
+    owned_item& item = m_items[index];
+    item.done = true;
+    m_uncommitted.push_back(
+        {item.content.id, complete, complete ? std::move(item.output) : std::string()});
+    item.output.clear();
+}
+
+void owned_job::note_ended(std::size_t index, item_outcome outcome, int max_attempts) {
+    owned_item& item = m_items[index];
+    item.running = false;
+    if (item.done) {
+        return;
+    }
+    switch (outcome) {
+    case item_outcome::complete:
+        add_result(index, true);
+        break;
+    case item_outcome::impossible:
+        add_result(index, false);
+        break;
+    case item_outcome::failed:
+        ++item.failures;
+        if (item.failures >= max_attempts) {
+            add_result(index, false);
+        }
+        break;
+    case item_outcome::interrupted:
+        break;
+    }
+}
+
+void owned_job::give_up_waiting() {
+    for (std::size_t i = 0; i < m_items.size(); ++i) {
+        if (!m_items[i].done && !m_items[i].running) {
+            add_result(i, false);
+        }
+    }
+}
+
+void owned_job::note_committed(std::size_t count, versioned_state record) {
+    const auto end = m_uncommitted.begin() + static_cast<std::ptrdiff_t>(count);
+    std::move(m_uncommitted.begin(), end, std::back_inserter(m_listed));
+    m_uncommitted.erase(m_uncommitted.begin(), end);
+    m_record = std::move(record);
+}
+
+const owned_item* owned_job::find(std::string_view id) const {
+    const auto found = std::find_if(m_items.begin(), m_items.end(),
+                                    [&](const owned_item& item) { return item.content.id == id; });
+    return found == m_items.end() ? nullptr : &*found;
+}
+
+std::uint64_t owned_job::waiting_tokens() const {
+    if (m_record.state.ended) {
+        return 0;
+    }
+    std::uint64_t sum = 0;
+    for (const owned_item& item : m_items) {
+        sum += item.done ? 0 : item.content.tokens;
+    }
+    return sum;
+}
+
+bool owned_job::finished() const {
+    const bool all_done = std::all_of(m_items.begin(), m_items.end(),
+                                      [](const owned_item& item) { return item.done; });
+    return m_uncommitted.empty() && (all_done || m_record.state.ended);
+}
+
+} // namespace eelgrassdoor::jobs
--- /dev/null
+++ b/src/jobs/owned_job.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// Defines what the owner of a batch job decides about its items. Pure: no I/O.
+#pragma once
+
+#include "jobs/job_repository.hpp"
+#include "serving/event_splitter.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace eelgrassdoor::jobs {
+
+/// How a run of an item ended.
+enum class item_outcome {
+    /// Its stream is complete.
+    complete,
+    /// The target says that it can never be done.
+    impossible,
+    /// The target failed while it ran the item.
+    failed,
+    /// It was not run, was broken off or made room for online work: it goes on elsewhere.
+    interrupted,
+};
+
+/// One item of a job that this daemon owns.
+struct owned_item {
+    serving::submitted_item content;
+    bool running = false;
+    bool done = false;
+    int failures = 0;
+    /// What its runs have made so far: the next run goes on behind it.
+    std::optional<std::uint64_t> last_event;
+    std::string output;
+    std::size_t events = 0;
+    /// Targets of the latest runs that failed; they are not tried next.
+    std::string last_failed_target;
+};
+
+/// A job that this daemon owns: which items wait, run or are done, and which results wait for
+/// their commit.
+class owned_job {
+public:
+    owned_job(versioned_state record, std::vector<serving::submitted_item> items,
+              std::vector<serving::listed_result> listed, time_point due);
+
+    /// The next item to run, or none now.
+    [[nodiscard]] std::optional<std::size_t> next() const;
+    void note_started(std::size_t index) { m_items[index].running = true; }
+    /// Takes in events of a run; those that the item has already are passed over. False when an
+    /// event is missing before one of them: the run must be broken off.
+    bool add_events(std::size_t index, const std::vector<serving::stream_event>& events);
+    /// Takes in how a run ended. \p max_attempts failures end an item.
+    void note_ended(std::size_t index, item_outcome outcome, int max_attempts);
+    /// Gives up every item that is not done and does not run.
+    void give_up_waiting();
+
+    /// Results that wait for their commit, in the order in which they will be listed.
+    [[nodiscard]] const std::vector<serving::listed_result>& uncommitted() const {
+        return m_uncommitted;
+    }
+    /// The first \p count of them are committed by the change that led to \p record.
+    void note_committed(std::size_t count, versioned_state record);
+
+    [[nodiscard]] const versioned_state& record() const { return m_record; }
+    versioned_state& record() { return m_record; }
+    [[nodiscard]] const std::vector<serving::listed_result>& listed() const { return m_listed; }
+    [[nodiscard]] const owned_item& item(std::size_t index) const { return m_items[index]; }
+    [[nodiscard]] const std::vector<owned_item>& items() const { return m_items; }
+    [[nodiscard]] const owned_item* find(std::string_view id) const;
+    [[nodiscard]] time_point due() const { return m_due; }
+    /// Tokens of the items that are not done.
+    [[nodiscard]] std::uint64_t waiting_tokens() const;
+    /// Whether nothing is left to run or to commit.
+    [[nodiscard]] bool finished() const;
+
+private:
+    void add_result(std::size_t index, bool complete);
+
+    versioned_state m_record;
+    std::vector<owned_item> m_items;
+    std::vector<serving::listed_result> m_listed;
+    std::vector<serving::listed_result> m_uncommitted;
+    time_point m_due;
+};
+
+} // namespace eelgrassdoor::jobs
--- /dev/null
+++ b/src/limits/customer_shares.cpp
@@ -0,0 +1,110 @@
+#include "limits/customer_shares.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace eelgrassdoor::limits {
+
+namespace {
+
+/// The part of a share that is lent at once. What stays covers the lender's own next requests.
+constexpr double lent_part = 0.75;
+/// A daemon that ran out of its own tokens lends none for this time, so that two daemons in need
+/// do not pass the same tokens to and fro.
+constexpr duration need_time = milliseconds(200);
+
+part_share share_of(const customer_limit& limit, std::size_t daemons) {
+    const auto count = static_cast<double>(std::max<std::size_t>(daemons, 1));
+    return {limit.rate_per_second / count, limit.burst / count};
+}
+
+} // namespace
+
+void customer_shares::configure(const customer_limits& limits, std::size_t daemons,
+                                time_point now) {
+    std::erase_if(m_shares, [&](const auto& entry) { return !limits.contains(entry.first); });
+    for (const auto& [customer, limit] : limits) {
+        const part_share wanted = share_of(limit, daemons);
+        const auto known = m_shares.find(customer);
+        if (known != m_shares.end()) {
+            known->second.limit = limit;
+            known->second.part.set_share(wanted, now);
+            known->second.received = std::min(known->second.received, limit.burst);
+            continue;
+        }
+        // A customer that is new to a running daemon is new to the fleet.
+        const bool full = m_begins_full || m_configured;
+        m_shares.emplace(customer, share{limit, token_part(wanted, full ? wanted.capacity : 0, now),
+                                         0,
+                                         {},
+                                         0,
+                                         {}});
+    }
+    m_configured = true;
+    m_daemons = daemons;
+}
+
+bool customer_shares::try_take(std::string_view customer, time_point now) {
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end() || found->second.limit.rate_per_second <= 0) {
+        return true;
+    }
+    share& own = found->second;
+    own.recent_need += 1;
+    if (own.part.take(1, true, now) > 0) {
+        return true;
+    }
+    const double balance = own.part.balance(now);
+    if (own.received + balance < 1) {
+        own.needed_until = now + need_time;
+        return false;
+    }
+    own.part.take(balance, false, now);
+    own.received -= 1 - balance;
+    return true;
+}
+
+bool customer_shares::may_ask(std::string_view customer, time_point now) {
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end() || now - found->second.asked_at < ask_interval) {
+        return false;
+    }
+    found->second.asked_at = now;
+    return true;
+}
+
+double customer_shares::tokens_to_ask(std::string_view customer) const {
+    const auto found = m_shares.find(customer);
+    return found == m_shares.end() ? 0 : std::clamp(found->second.recent_need, 1.0, 4.0);
+}
+
+double customer_shares::lend(std::string_view customer, double want, time_point now) {
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end() || now < found->second.needed_until) {
+        return 0;
+    }
+    share& own = found->second;
+    const double from_received = std::min(want, own.received);
+    own.received -= from_received;
+    const double rest = std::min(want - from_received, own.part.balance(now) * lent_part);
+    return from_received + own.part.take(rest, false, now);
+}
+
+void customer_shares::receive(std::string_view customer, double amount) {
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end()) {
+        return;
+    }
+    found->second.received = std::min(found->second.received + amount, found->second.limit.burst);
+    found->second.recent_need = 0;
+}
+
+duration customer_shares::until_next(std::string_view customer, time_point now) {
+    const auto found = m_shares.find(customer);
+    if (found == m_shares.end()) {
+        return duration::zero();
+    }
+    return from_seconds(found->second.part.seconds_to_token(now));
+}
+
+} // namespace eelgrassdoor::limits
--- /dev/null
+++ b/src/limits/customer_shares.hpp
@@ -0,0 +1,66 @@
+/// \file
+/// Defines one daemon's share of every customer's rate, and how daemons lend each other tokens.
+/// Pure: no I/O.
+#pragma once
+
+#include "base/clock.hpp"
+#include "limits/part_table.hpp"
+#include "limits/token_part.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace eelgrassdoor::limits {
+
+/// Each daemon that serves callers fills an equal share of each customer's bucket. A daemon whose
+/// callers need more asks the others, which give away what they have and do not need now. Tokens
+/// only move or vanish, so all shares together never admit more than the rate and burst, without
+/// any agreement on time and also while daemons are cut off from each other.
+class customer_shares {
+public:
+    /// A daemon asks the others for one customer's tokens at most this often. Twice the round trip
+    /// between the most distant zones with a margin for a busy host.
+    static constexpr duration ask_interval = milliseconds(50);
+
+    /// \p begins_full: whether no daemon has used the tokens before, as at the first start of the
+    /// fleet. Otherwise shares begin empty, because an earlier start may have used them.
+    explicit customer_shares(bool begins_full) : m_begins_full(begins_full) {}
+
+    /// Takes in the limits and the number of daemons that serve callers.
+    void configure(const customer_limits& limits, std::size_t daemons, time_point now);
+
+    /// Takes one token; true also for customers without a limit.
+    bool try_take(std::string_view customer, time_point now);
+    /// Whether the others may be asked now; notes that they are.
+    bool may_ask(std::string_view customer, time_point now);
+    /// How many tokens to ask for: what this daemon needed lately, at least one.
+    [[nodiscard]] double tokens_to_ask(std::string_view customer) const;
+    /// Gives tokens away for another daemon; returns how many.
+    double lend(std::string_view customer, double want, time_point now);
+    /// Takes in what another daemon gave.
+    void receive(std::string_view customer, double amount);
+    /// When this daemon's own share has a token again.
+    duration until_next(std::string_view customer, time_point now);
+
+private:
+    struct share {
+        customer_limit limit;
+        token_part part;
+        /// Tokens from other daemons; at most the burst.
+        double received = 0;
+        time_point asked_at{};
+        /// Requests since the others were asked last.
+        double recent_need = 0;
+        /// Until when the own need goes before that of others.
+        time_point needed_until{};
+    };
+
+    const bool m_begins_full;
+    bool m_configured = false;
+    std::size_t m_daemons = 0;
+    std::map<std::string, share, std::less<>> m_shares;
+};
+
+} // namespace eelgrassdoor::limits
--- /dev/null
+++ b/src/net/http_exchange.cpp
@@ -0,0 +1,99 @@
+#include "net/http_exchange.hpp"
+
+#include "base/text.hpp"
+
+namespace eelgrassdoor::net {
+
+http_exchange::http_exchange(std::shared_ptr<tcp_connection> connection, parse_limits limits)
+    : m_connection(std::move(connection)), m_limits(limits),
+      m_parser(std::make_unique<response_parser>(limits)) {}
+
+http_exchange::~http_exchange() = default;
+
+task<> http_exchange::write_all(std::shared_ptr<tcp_connection> connection,
+                                std::shared_ptr<pending_write> what) {
+    const io_error ec = co_await connection->write(what->bytes);
+    what->done = true;
+    what->failed = static_cast<bool>(ec);
+    what->bytes.clear();
+}
+
+void http_exchange::send(const http_request& request) {
+    m_write = std::make_shared<pending_write>();
+    m_write->bytes = serialize(request);
+    m_parser = std::make_unique<response_parser>(m_limits);
+    asio::co_spawn(m_connection->executor(), write_all(m_connection, m_write), asio::detached);
+}
+
+error http_exchange::failure(std::string_view what) const {
+    const run_state run = m_write ? run_state::unknown : run_state::not_run;
+    if (m_connection->timed_out()) {
+        return {error_code::deadline_exceeded, str_cat(what, ": timeout"), run};
+    }
+    return {error_code::target_failed, std::string(what), run};
+}
+
+task<result<void>> http_exchange::advance() {
+    std::string& input = m_connection->input();
+    const std::size_t used = m_parser->feed(input);
+    input.erase(0, used);
+    if (m_parser->fault() != parse_fault::none) {
+        co_return failure("the response is malformed");
+    }
+    if (used > 0) {
+        co_return success();
+    }
+    const io_error ec = co_await m_connection->read_more();
+    if (ec == asio::error::eof) {
+        m_parser->feed_end();
+        if (m_parser->complete()) {
+            co_return success();
+        }
+        co_return failure("the connection was closed before the end of the response");
+    }
+    if (ec) {
+        co_return failure("the connection broke before the end of the response");
+    }
+    co_return success();
+}
+
+task<result<void>> http_exchange::read_head() {
+    if (m_parser->complete()) {
+        m_parser = std::make_unique<response_parser>(m_limits);
+    }
+    while (!m_parser->has_head()) {
+        const result<void> step = co_await advance();
+        if (!step) {
+            co_return step.error();
+        }
+    }
+    co_return success();
+}
+
+task<result<bool>> http_exchange::read_body() {
+    while (!m_parser->complete() && m_parser->message().body.empty()) {
+        const result<void> step = co_await advance();
+        if (!step) {
+            co_return step.error();
+        }
+    }
+    co_return !m_parser->message().body.empty() || !m_parser->complete();
+}
+
+task<result<void>> http_exchange::read_all() {
+    while (!m_parser->complete()) {
+        const result<void> step = co_await advance();
+        if (!step) {
+            co_return step.error();
+        }
+    }
+    co_return success();
+}
+
+bool http_exchange::reusable() {
+    return m_parser->complete() && m_parser->message().keep_alive && m_parser->message().framed &&
+           m_write && m_write->done && !m_write->failed && m_connection->is_open() &&
+           m_connection->input().empty();
+}
+
+} // namespace eelgrassdoor::net
--- /dev/null
+++ b/src/net/http_parser.cpp
@@ -0,0 +1,194 @@
+#include "net/http_parser.hpp"
+
+#include "base/text.hpp"
+
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <limits>
+
+namespace eelgrassdoor::net {
+
+namespace {
+
+namespace http = boost::beast::http;
+using beast_error = boost::beast::error_code;
+using beast_view = boost::beast::string_view;
+
+std::string_view to_std(beast_view text) {
+    return {text.data(), text.size()};
+}
+
+/// Collects what Beast's parser reports in one of our messages.
+template <bool is_request, typename Message>
+class collecting_parser : public http::basic_parser<is_request> {
+public:
+    Message message;
+
+private:
+    void on_request_impl(http::verb /*method*/, beast_view method_text, beast_view target,
+                         int /*version*/, beast_error& ec) override {
+        ec = {};
+        if constexpr (is_request) {
+            message.method = to_std(method_text);
+            message.target = to_std(target);
+        }
+    }
+    void on_response_impl(int code, beast_view /*reason*/, int /*version*/,
+                          beast_error& ec) override {
+        ec = {};
+        if constexpr (!is_request) {
+            message.status = code;
+        }
+    }
+    void on_field_impl(http::field /*name*/, beast_view name, beast_view value,
+                       beast_error& ec) override {
+        ec = {};
+        message.headers.add(to_std(name), to_std(value));
+    }
+    void on_header_impl(beast_error& ec) override { ec = {}; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, beast_error& ec) override {
+        ec = {};
+        if constexpr (!is_request) {
+            if (length) {
+                message.content_length = *length;
+            }
+        }
+    }
+    std::size_t on_body_impl(beast_view body, beast_error& ec) override {
+        ec = {};
+        message.body.append(body.data(), body.size());
+        return body.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast_view /*extensions*/,
+                              beast_error& ec) override {
+        ec = {};
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast_view body,
+                                   beast_error& ec) override {
+        return on_body_impl(body, ec);
+    }
+    void on_finish_impl(beast_error& ec) override { ec = {}; }
+};
+
+parse_fault to_fault(const beast_error& ec) {
+    if (!ec || ec == http::error::need_more) {
+        return parse_fault::none;
+    }
+    if (ec == http::error::header_limit) {
+        return parse_fault::header_too_large;
+    }
+    if (ec == http::error::body_limit) {
+        return parse_fault::body_too_large;
+    }
+    if (ec == http::error::partial_message || ec == http::error::end_of_stream) {
+        return parse_fault::truncated;
+    }
+    return parse_fault::malformed;
+}
+
+template <typename Parser> void set_limits(Parser& parser, const parse_limits& limits) {
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+    parser.body_limit(limits.max_body_bytes);
+}
+
+template <typename Parser>
+std::size_t feed_parser(Parser& parser, std::string_view bytes, parse_fault& fault) {
+    std::size_t used = 0;
+    while (used < bytes.size() && !parser.is_done() && fault == parse_fault::none) {
+        beast_error ec;
+        const std::size_t taken =
+            parser.put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), ec);
+        used += taken;
+        fault = to_fault(ec);
+        if (taken == 0) {
+            break;
+        }
+    }
+    return used;
+}
+
+template <typename Parser> void end_parser(Parser& parser, parse_fault& fault) {
+    if (parser.is_done() || fault != parse_fault::none) {
+        return;
+    }
+    if (!parser.got_some()) {
+        fault = parse_fault::truncated;
+        return;
+    }
+    beast_error ec;
+    parser.put_eof(ec);
+    fault = to_fault(ec);
+}
+
+} // namespace
+
+struct request_parser::state {
+    collecting_parser<true, http_request> parser;
+};
+
+request_parser::request_parser(parse_limits limits) : m_state(std::make_unique<state>()) {
+    set_limits(m_state->parser, limits);
+}
+request_parser::~request_parser() = default;
+
+std::size_t request_parser::feed(std::string_view bytes) {
+    return feed_parser(m_state->parser, bytes, m_fault);
+}
+void request_parser::feed_end() {
+    end_parser(m_state->parser, m_fault);
+}
+bool request_parser::started() const {
+    return m_state->parser.got_some();
+}
+bool request_parser::has_head() const {
+    return m_state->parser.is_header_done();
+}
+bool request_parser::complete() const {
+    return m_state->parser.is_done();
+}
+http_request& request_parser::message() {
+    if (m_state->parser.is_header_done()) {
+        m_state->parser.message.keep_alive = m_state->parser.keep_alive();
+    }
+    return m_state->parser.message;
+}
+bool request_parser::expects_continue() const {
+    return equals_ignore_case(m_state->parser.message.headers.get("Expect"), "100-continue");
+}
+
+struct response_parser::state {
+    collecting_parser<false, http_response> parser;
+};
+
+response_parser::response_parser(parse_limits limits) : m_state(std::make_unique<state>()) {
+    set_limits(m_state->parser, limits);
+}
+response_parser::~response_parser() = default;
+
+std::size_t response_parser::feed(std::string_view bytes) {
+    return feed_parser(m_state->parser, bytes, m_fault);
+}
+void response_parser::feed_end() {
+    end_parser(m_state->parser, m_fault);
+}
+bool response_parser::started() const {
+    return m_state->parser.got_some();
+}
+bool response_parser::has_head() const {
+    return m_state->parser.is_header_done();
+}
+bool response_parser::complete() const {
+    return m_state->parser.is_done();
+}
+http_response& response_parser::message() {
+    if (m_state->parser.is_header_done()) {
+        m_state->parser.message.keep_alive = m_state->parser.keep_alive();
+        m_state->parser.message.framed = !m_state->parser.need_eof();
+    }
+    return m_state->parser.message;
+}
+
+} // namespace eelgrassdoor::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,212 @@
+#include "net/http_server.hpp"
+
+#include "net/endpoint.hpp"
+#include "net/notification.hpp"
+
+namespace eelgrassdoor::net {
+
+namespace {
+
+/// Connections that may wait to be accepted; the kernel drops the opening packet of more.
+constexpr int listen_backlog = 1024;
+/// Pause after an accept that failed for lack of descriptors.
+constexpr duration accept_pause = milliseconds(20);
+
+int status_of(parse_fault fault) {
+    switch (fault) {
+    case parse_fault::header_too_large:
+        return 431;
+    case parse_fault::body_too_large:
+        return 413;
+    default:
+        return 400;
+    }
+}
+
+} // namespace
+
+task<bool> server_exchange::send(std::string bytes) {
+    const io_error ec = co_await m_connection->write(bytes);
+    if (ec) {
+        m_left = true;
+        m_connection->close();
+    }
+    co_return !ec;
+}
+
+task<bool> server_exchange::respond(http_response response) {
+    m_finished = true;
+    if (!reusable()) {
+        response.headers.set("Connection", "close");
+    }
+    co_return co_await send(serialize(response));
+}
+
+task<bool> server_exchange::begin(http_response head) {
+    head.headers.set("Transfer-Encoding", "chunked");
+    if (!reusable()) {
+        head.headers.set("Connection", "close");
+    }
+    co_return co_await send(serialize_head(head));
+}
+
+task<bool> server_exchange::write(std::string data) {
+    if (data.empty()) {
+        co_return true;
+    }
+    co_return co_await send(as_chunk(data));
+}
+
+task<bool> server_exchange::finish() {
+    m_finished = true;
+    co_return co_await send(std::string(last_chunk));
+}
+
+void server_exchange::abort() {
+    m_aborted = true;
+    m_connection->close();
+}
+
+void server_exchange::on_caller_left(std::function<void()> on_left) {
+    m_connection->watch_for_close([this, notify = std::move(on_left)] {
+        m_left = true;
+        notify();
+    });
+}
+
+bool server_exchange::reusable() const {
+    return m_request.keep_alive && !m_close_after && !m_aborted && !m_left &&
+           m_connection->is_open();
+}
+
+http_server::http_server(asio::any_io_executor executor, http_server_options options,
+                         request_handler handler)
+    : m_executor(std::move(executor)), m_options(std::move(options)),
+      m_handler(std::move(handler)), m_acceptor(m_executor) {}
+
+result<void> http_server::start() {
+    BOOST_OUTCOME_TRY(endpoint, parse_endpoint(m_options.endpoint));
+    io_error ec;
+    m_acceptor.open(endpoint.protocol(), ec);
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    m_acceptor.bind(endpoint, ec);
+    if (ec) {
+        return error{error_code::unavailable,
+                     "listening on " + m_options.endpoint + ": " + ec.message()};
+    }
+    m_acceptor.listen(listen_backlog, ec);
+    if (ec) {
+        return error{error_code::unavailable,
+                     "listening on " + m_options.endpoint + ": " + ec.message()};
+    }
+    asio::co_spawn(m_executor, accept_loop(), asio::detached);
+    return success();
+}
+
+void http_server::stop() {
+    io_error ignored;
+    m_acceptor.close(ignored);
+    const std::set<std::shared_ptr<tcp_connection>> idle = m_idle;
+    for (const std::shared_ptr<tcp_connection>& connection : idle) {
+        connection->close();
+    }
+}
+
+task<> http_server::accept_loop() {
+    while (m_acceptor.is_open()) {
+        io_error ec;
+        tcp::socket socket = co_await m_acceptor.async_accept(store_error(ec));
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            co_await sleep_for(accept_pause);
+            continue;
+        }
+        if (m_connections.size() >= m_options.max_connections) {
+            socket.close(ec);
+            continue;
+        }
+        auto connection = std::make_shared<tcp_connection>(std::move(socket));
+        m_connections.insert(connection);
+        asio::co_spawn(m_executor, serve(connection), asio::detached);
+    }
+}
+
+task<> http_server::serve(std::shared_ptr<tcp_connection> connection) {
+    bool goes_on = true;
+    while (goes_on && connection->is_open()) {
+        goes_on = co_await serve_request(connection);
+    }
+    connection->close();
+    m_idle.erase(connection);
+    m_connections.erase(connection);
+}
+
+task<bool> http_server::read_request(const std::shared_ptr<tcp_connection>& connection,
+                                     request_parser& parser, const caller_limits& limits) {
+    bool head_deadline_set = false;
+    bool body_deadline_set = false;
+    while (!parser.complete()) {
+        const std::size_t used = parser.feed(connection->input());
+        connection->input().erase(0, used);
+        if (parser.fault() != parse_fault::none || parser.complete()) {
+            break;
+        }
+        if (parser.started() && !head_deadline_set) {
+            head_deadline_set = true;
+            m_idle.erase(connection);
+            connection->set_deadline(steady_clock()() + limits.header_timeout);
+        }
+        if (parser.has_head() && !body_deadline_set) {
+            body_deadline_set = true;
+            connection->set_deadline(steady_clock()() + limits.idle_timeout);
+            if (parser.expects_continue()) {
+                co_await connection->write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        if (used > 0) {
+            continue;
+        }
+        const io_error ec = co_await connection->read_more();
+        if (ec) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+task<> http_server::reject(const std::shared_ptr<tcp_connection>& connection, int status) {
+    http_response response;
+    response.status = status;
+    response.headers.set("Connection", "close");
+    co_await connection->write(serialize(response));
+}
+
+task<bool> http_server::serve_request(const std::shared_ptr<tcp_connection>& connection) {
+    const caller_limits limits = m_options.limits();
+    request_parser parser(limits.sizes);
+    m_idle.insert(connection);
+    connection->set_deadline(steady_clock()() + limits.idle_timeout);
+    const bool arrived = co_await read_request(connection, parser, limits);
+    m_idle.erase(connection);
+    if (!arrived) {
+        co_return false;
+    }
+    connection->set_deadline(time_point::max());
+    if (parser.fault() != parse_fault::none) {
+        co_await reject(connection, status_of(parser.fault()));
+        co_return false;
+    }
+    server_exchange exchange(connection, std::move(parser.message()), steady_clock()(), m_closing);
+    ++m_active;
+    co_await m_handler(exchange);
+    --m_active;
+    connection->unwatch();
+    if (!exchange.answered()) {
+        exchange.abort();
+    }
+    co_return exchange.reusable();
+}
+
+} // namespace eelgrassdoor::net
--- /dev/null
+++ b/src/net/notification.hpp
@@ -0,0 +1,43 @@
+/// \file
+/// Defines a notification on which one coroutine waits.
+#pragma once
+
+#include "base/clock.hpp"
+#include "net/asio.hpp"
+
+namespace eelgrassdoor::net {
+
+/// Wakes the coroutine that waits on it. A notify() before the wait ends that wait at once.
+class notification {
+public:
+    explicit notification(const asio::any_io_executor& executor) : m_timer(executor) {}
+
+    /// Wakes the waiting coroutine, or the next one that waits.
+    void notify() {
+        m_notified = true;
+        m_timer.cancel();
+    }
+
+    /// Waits until notify() or \p deadline. Returns whether it was notified.
+    task<bool> wait_until(time_point deadline) {
+        if (!m_notified) {
+            io_error ec;
+            m_timer.expires_at(deadline);
+            co_await m_timer.async_wait(store_error(ec));
+        }
+        co_return std::exchange(m_notified, false);
+    }
+
+private:
+    asio::steady_timer m_timer;
+    bool m_notified = false;
+};
+
+/// Waits for \p step.
+inline task<> sleep_for(duration step) {
+    asio::steady_timer timer(co_await asio::this_coro::executor, step);
+    io_error ec;
+    co_await timer.async_wait(store_error(ec));
+}
+
+} // namespace eelgrassdoor::net
--- /dev/null
+++ b/src/net/tcp_connection.cpp
@@ -0,0 +1,184 @@
+#include "net/tcp_connection.hpp"
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace eelgrassdoor::net {
+
+namespace {
+
+/// A silent connection is found within idle + count * interval = 3 s. Source: the platform calls a
+/// host undisturbed again 3 s after its connections went silent.
+constexpr int keepalive_idle_s = 1;
+constexpr int keepalive_interval_s = 1;
+constexpr int keepalive_count = 2;
+/// How long written bytes may stay unacknowledged, in milliseconds; the same bound.
+constexpr int unacknowledged_ms = 3000;
+/// Bytes read by one call. Shared by all connections, which read one after the other.
+constexpr std::size_t scratch_bytes = 64 * 1024;
+/// Bytes that a peer may send ahead while its request is being answered.
+constexpr std::size_t max_input_ahead = 64 * 1024;
+
+std::array<char, scratch_bytes>& scratch() {
+    thread_local std::array<char, scratch_bytes> buffer;
+    return buffer;
+}
+
+void set_option(int socket, int level, int name, int value) {
+    // Options only shorten waits; a socket that refuses one still has the deadlines.
+    (void)::setsockopt(socket, level, name, &value, sizeof value);
+}
+
+void set_options(tcp::socket& socket) {
+    const int handle = socket.native_handle();
+    set_option(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
+    set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_count);
+    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
+    set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    io_error ignored;
+    socket.non_blocking(true, ignored);
+}
+
+} // namespace
+
+tcp_connection::tcp_connection(tcp::socket socket)
+    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()) {
+    if (m_socket.is_open()) {
+        set_options(m_socket);
+    }
+}
+
+task<io_error> tcp_connection::connect(tcp::endpoint peer) {
+    io_error ec;
+    m_socket.open(peer.protocol(), ec);
+    if (ec) {
+        co_return ec;
+    }
+    set_options(m_socket);
+    co_await m_socket.async_connect(peer, store_error(ec));
+    co_return ec;
+}
+
+task<io_error> tcp_connection::read_more() {
+    io_error ec;
+    for (;;) {
+        co_await m_socket.async_wait(tcp::socket::wait_read, store_error(ec));
+        if (ec) {
+            co_return ec;
+        }
+        ec = read_available();
+        if (ec != asio::error::would_block) {
+            co_return ec;
+        }
+    }
+}
+
+io_error tcp_connection::read_available() {
+    io_error ec;
+    const std::size_t count = m_socket.read_some(asio::buffer(scratch()), ec);
+    if (!ec) {
+        m_input.append(scratch().data(), count);
+    }
+    return ec;
+}
+
+task<io_error> tcp_connection::write(std::string_view bytes) {
+    io_error ec;
+    co_await asio::async_write(m_socket, asio::buffer(bytes.data(), bytes.size()), store_error(ec));
+    co_return ec;
+}
+
+void tcp_connection::set_deadline(time_point when) {
+    const bool earlier = when < m_deadline;
+    m_deadline = when;
+    if (when == time_point::max()) {
+        return;
+    }
+    // A later deadline is taken in when the timer fires, which saves a system call.
+    if (!m_timer_armed || earlier) {
+        arm_timer();
+    }
+}
+
+void tcp_connection::arm_timer() {
+    m_timer_armed = true;
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([weak = weak_from_this()](const io_error& ec) {
+        const std::shared_ptr<tcp_connection> self = weak.lock();
+        if (ec || !self) {
+            return;
+        }
+        self->m_timer_armed = false;
+        if (self->m_deadline == time_point::max()) {
+            return;
+        }
+        if (asio::steady_timer::clock_type::now() < self->m_deadline) {
+            self->arm_timer();
+            return;
+        }
+        self->m_timed_out = true;
+        self->close();
+    });
+}
+
+void tcp_connection::close() {
+    io_error ignored;
+    m_socket.close(ignored);
+    m_timer.cancel(ignored);
+    m_timer_armed = false;
+}
+
+void tcp_connection::reset() {
+    io_error ignored;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+bool tcp_connection::has_unexpected_input() {
+    if (!m_input.empty()) {
+        return true;
+    }
+    char byte = 0;
+    const ssize_t got = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void tcp_connection::watch_for_close(std::function<void()> on_closed) {
+    m_on_closed = std::move(on_closed);
+    arm_watch();
+}
+
+void tcp_connection::unwatch() {
+    if (!m_on_closed) {
+        return;
+    }
+    m_on_closed = nullptr;
+    ++m_watch_number;
+    io_error ignored;
+    m_socket.cancel(ignored);
+}
+
+void tcp_connection::arm_watch() {
+    const auto on_ready = [weak = weak_from_this(), number = m_watch_number](const io_error& ec) {
+        const std::shared_ptr<tcp_connection> self = weak.lock();
+        if (ec || !self || number != self->m_watch_number || !self->m_on_closed) {
+            return;
+        }
+        const io_error read = self->read_available();
+        const bool open = !read || read == asio::error::would_block;
+        if (open && self->m_input.size() < max_input_ahead) {
+            self->arm_watch();
+            return;
+        }
+        if (!open) {
+            const std::function<void()> notify = std::exchange(self->m_on_closed, nullptr);
+            notify();
+        }
+    };
+    m_socket.async_wait(tcp::socket::wait_read, on_ready);
+}
+
+} // namespace eelgrassdoor::net
--- /dev/null
+++ b/src/routing/fleet_load.hpp
@@ -0,0 +1,129 @@
+/// \file
+/// Defines what is known of the targets' load and which target gets a request. Pure: no I/O.
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/random_source.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace eelgrassdoor::routing {
+
+/// One start of a target.
+struct fleet_target {
+    std::string id;
+    std::string service;
+    /// `IP:PORT`.
+    std::string endpoint;
+    std::string availability_zone;
+    /// Requests that it runs at a time.
+    int slots = 1;
+    bool leaving = false;
+    /// When it was started, in Unix milliseconds: tells two starts under one id apart.
+    std::uint64_t started_at = 0;
+
+    bool operator==(const fleet_target&) const = default;
+};
+
+/// Requests of one daemon at one target.
+struct target_share {
+    int online = 0;
+    int batch = 0;
+
+    bool operator==(const target_share&) const = default;
+};
+
+/// All work on the targets comes from the daemons of the fleet, so what each tells of its own
+/// requests gives the whole load, without asking the targets.
+using load_by_target = std::map<std::string, target_share, std::less<>>;
+
+struct placement_options {
+    std::string own_zone;
+    /// Online requests that may wait inside a target beyond its slots. With eight slots of 0.7 s a
+    /// place frees every 90 ms, so two that wait still start within an objective of 300 ms.
+    int max_waiting_inside = 2;
+    /// Slots of each target that batch work leaves free for the next online requests.
+    int batch_reserve = 1;
+};
+
+/// The targets, their load and their failures. Everything here may be wrong for a while.
+class fleet_load {
+public:
+    /// What another daemon told counts for this long. Three lost datagrams in a row at the
+    /// interval in which unchanged loads are repeated.
+    static constexpr duration peer_load_lifetime = milliseconds(2000);
+    /// First and longest time for which a target that failed gets no request.
+    static constexpr duration first_backoff = milliseconds(500);
+    static constexpr duration longest_backoff = seconds(4);
+
+    explicit fleet_load(placement_options options) : m_options(std::move(options)) {}
+
+    /// Takes in the targets. Counts of those that stay are kept.
+    void set_targets(std::vector<fleet_target> targets);
+    [[nodiscard]] const fleet_target* find(std::string_view id) const;
+    /// The id whose stable_hash() is \p hash, or null.
+    [[nodiscard]] const std::string* find_hashed(std::uint64_t hash) const;
+
+    void note_peer(std::string_view peer, load_by_target loads, time_point now);
+    void forget_peer(std::string_view peer) { m_peers.erase(std::string(peer)); }
+    /// This daemon's own requests, for the others.
+    [[nodiscard]] const load_by_target& own() const { return m_own; }
+
+    void note_online_sent(std::string_view id) { ++m_own[std::string(id)].online; }
+    void note_online_ended(std::string_view id) { release(id, &target_share::online); }
+    void note_batch_sent(std::string_view id) { ++m_own[std::string(id)].batch; }
+    void note_batch_ended(std::string_view id) { release(id, &target_share::batch); }
+
+    /// The target could not be reached, broke off or did not answer.
+    void note_failed(std::string_view id, time_point now);
+    void note_answered(std::string_view id);
+
+    /// Picks a target of \p service for an online request: none when each is gone, failing,
+    /// excluded or full. Batch streams make room and do not count as load.
+    [[nodiscard]] std::optional<fleet_target>
+    pick_online(std::string_view service, const std::set<std::string, std::less<>>& excluded,
+                time_point now, random_source& random) const;
+    /// Picks a target with a slot that neither online nor batch work uses.
+    [[nodiscard]] std::optional<fleet_target>
+    pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
+               time_point now, random_source& random) const;
+    /// How many of this daemon's batch streams at \p id have to make room for online requests. Of
+    /// several daemons with batch streams there, the one with the most makes room first.
+    [[nodiscard]] int batch_to_stop(std::string_view id, std::string_view own_name,
+                                    time_point now) const;
+
+    /// Requests of all daemons at a target.
+    [[nodiscard]] target_share total(std::string_view id, time_point now) const;
+    /// Whether the list names any target of \p service that is not leaving.
+    [[nodiscard]] bool serves(std::string_view service) const;
+
+private:
+    struct peer_load {
+        load_by_target loads;
+        time_point heard_at;
+    };
+    struct failure_state {
+        duration backoff{};
+        time_point until{};
+    };
+
+    void release(std::string_view id, int target_share::*kind);
+    [[nodiscard]] bool usable(const fleet_target& target, std::string_view service,
+                              const std::set<std::string, std::less<>>& excluded,
+                              time_point now) const;
+
+    placement_options m_options;
+    std::map<std::string, fleet_target, std::less<>> m_targets;
+    std::map<std::uint64_t, std::string> m_ids_by_hash;
+    std::map<std::string, peer_load, std::less<>> m_peers;
+    load_by_target m_own;
+    std::map<std::string, failure_state, std::less<>> m_failures;
+};
+
+} // namespace eelgrassdoor::routing
