--- a/src/config/serving_plan.cpp
+++ b/src/config/serving_plan.cpp
@@ -9,8 +9,7 @@
     for (const serving_route& route : routes) {
         const bool fits = equals_ignore_case(route.host, host) &&
                           path.substr(0, route.path_prefix.size()) == route.path_prefix;
-        if (fits &&
-            (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
+        if (fits && (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
             best = &route;
         }
     }
--- a/src/entry/front.hpp
+++ b/src/entry/front.hpp
@@ -2,10 +2,10 @@
 /// Defines the front: it decodes, admits and dispatches what callers send.
 #pragma once
 
-#include "net/http_server.hpp"
-#include "serving/host_context.hpp"
 #include "entry/job_front.hpp"
 #include "entry/online_service.hpp"
+#include "net/http_server.hpp"
+#include "serving/host_context.hpp"
 
 #include <string>
 
--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -86,9 +86,8 @@
     result<net::http_response> response =
         co_await m_client.call(endpoint, std::move(request), m_context.clock() + timeout);
     if (!response) {
-        failed.status = response.error().run == run_state::not_run
-                            ? jobs::reply_status::unavailable
-                            : jobs::reply_status::unknown;
+        failed.status = response.error().run == run_state::not_run ? jobs::reply_status::unavailable
+                                                                   : jobs::reply_status::unknown;
         co_return failed;
     }
     std::optional<jobs::job_reply> reply = jobs::decode_reply(response.value().body);
@@ -124,9 +123,9 @@
 
 net::task<> job_front::answer_error(net::server_exchange& caller, const std::string& job,
                                     error why) {
-    m_context.log.write(observe::event::request_refused, job,
-                        {{"reason", why.message},
-                         {"status", std::to_string(http_status(why.code))}});
+    m_context.log.write(
+        observe::event::request_refused, job,
+        {{"reason", why.message}, {"status", std::to_string(http_status(why.code))}});
     net::http_response response = m_context.wire.encode_error(why);
     co_await caller.respond(std::move(response));
 }
@@ -154,8 +153,7 @@
 
 net::task<jobs::job_reply> job_front::read_from_store(jobs::job_call call) {
     jobs::job_reply reply;
-    const result<std::optional<jobs::versioned_state>> known =
-        co_await m_repository.read(call.job);
+    const result<std::optional<jobs::versioned_state>> known = co_await m_repository.read(call.job);
     if (!known) {
         co_return reply;
     }
@@ -192,8 +190,8 @@
     query.job = call.job;
     query.customer = std::move(customer);
     query.after = call.after;
-    query.wait_ms = static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(call.wait).count());
+    query.wait_ms =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(call.wait).count());
     jobs::job_reply reply = co_await ask(query, call.wait + call_timeout);
     if (reply.status == jobs::reply_status::unavailable ||
         reply.status == jobs::reply_status::unknown) {
@@ -242,8 +240,7 @@
         const result<bool> ended =
             co_await m_repository.end(call.job, query.customer, m_context.clock() + store_timeout);
         if (ended) {
-            reply.status =
-                ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
+            reply.status = ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
         }
     }
     if (reply.status == jobs::reply_status::ok) {
--- a/src/entry/online_service.cpp
+++ b/src/entry/online_service.cpp
@@ -115,12 +115,11 @@
                            .customer = run.customer,
                            .time_left = run.deadline - m_context.clock(),
                            .resume_after = run.last_event};
-    m_context.log.write(run.begun ? observe::event::stream_resumed : observe::event::target_chosen,
-                        run.request.id,
-                        {{"target", target.id},
-                         {"online", std::to_string(
-                                        m_context.loads.total(target.id, m_context.clock()).online)},
-                         {"left_ms", to_ms(*call.time_left)}});
+    m_context.log.write(
+        run.begun ? observe::event::stream_resumed : observe::event::target_chosen, run.request.id,
+        {{"target", target.id},
+         {"online", std::to_string(m_context.loads.total(target.id, m_context.clock()).online)},
+         {"left_ms", to_ms(*call.time_left)}});
     run.active = std::make_shared<target_exchange>(m_context, target, work_kind::online);
     const std::shared_ptr<target_exchange> exchange = run.active;
     net::http_request message = m_context.wire.encode_call(run.request, call);
@@ -247,8 +246,7 @@
     co_return step::done;
 }
 
-net::task<online_service::step> online_service::after_failure(running_request& run,
-                                                              error failure) {
+net::task<online_service::step> online_service::after_failure(running_request& run, error failure) {
     const std::string target = run.active ? run.active->target().id : std::string();
     run.active.reset();
     const bool not_run = failure.run == run_state::not_run;
@@ -260,8 +258,9 @@
                          {"events", std::to_string(run.events)}});
     m_context.numbers.count("target_failures_total");
     const bool time_left = run.deadline - m_context.clock() >= least_time;
-    const bool again = not_run ? run.refusals < max_refusals && (run.runs == 0 || may_run_again(run))
-                               : may_run_again(run) && (!run.begun || run.route.resumable);
+    const bool again = not_run
+                           ? run.refusals < max_refusals && (run.runs == 0 || may_run_again(run))
+                           : may_run_again(run) && (!run.begun || run.route.resumable);
     if (again && time_left) {
         co_return step::try_another;
     }
@@ -300,8 +299,8 @@
                          {"events", std::to_string(run.events)},
                          {"first_ms", to_ms(run.first_event_after)},
                          {"whole_ms", to_ms(whole)}});
-    m_context.numbers.count(str_cat("requests_total{outcome=\"",
-                                    outcome == "answered" ? "answered" : "other", "\"}"));
+    m_context.numbers.count(
+        str_cat("requests_total{outcome=\"", outcome == "answered" ? "answered" : "other", "\"}"));
     if (run.events > 0) {
         m_context.numbers.observe("first_event_seconds", to_seconds(run.first_event_after));
     }
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -57,7 +57,10 @@
         return m_members;
     }
     /// Tells the others soon that something in the digest has changed.
-    void note_change() { m_changed = true; m_wake.notify(); }
+    void note_change() {
+        m_changed = true;
+        m_wake.notify();
+    }
 
     /// Takes a token of the customer's rate, if need be from other daemons.
     net::task<bool> take_token(std::string customer);
--- a/src/fleet/target_roster.cpp
+++ b/src/fleet/target_roster.cpp
@@ -10,8 +10,8 @@
         next.emplace(target.id, target);
     }
     const bool away = contact.connected_since == time_point::max();
-    const bool just_back = !away && contact.outage > harmless_outage &&
-                           now - contact.connected_since < return_time;
+    const bool just_back =
+        !away && contact.outage > harmless_outage && now - contact.connected_since < return_time;
     if (away || just_back) {
         for (auto& [id, target] : m_used) {
             next.emplace(id, target);
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -86,8 +86,9 @@
                              std::size_t max_connections) {
         return std::make_unique<net::http_server>(
             m_context.executor,
-            net::http_server_options{
-                .endpoint = endpoint, .limits = std::move(limits), .max_connections = max_connections},
+            net::http_server_options{.endpoint = endpoint,
+                                     .limits = std::move(limits),
+                                     .max_connections = max_connections},
             std::move(handler));
     };
     const auto between_daemons = [] {
@@ -119,8 +120,8 @@
     }
     m_peer_server = make(
         m_settings.peer_endpoint,
-        [this](net::server_exchange& caller) { return m_peer_api.handle(caller); },
-        between_daemons, 512);
+        [this](net::server_exchange& caller) { return m_peer_api.handle(caller); }, between_daemons,
+        512);
 }
 
 result<void> fleet_host::start_servers() {
@@ -229,9 +230,9 @@
             m_rejected_entries.erase(key);
         } else if (m_rejected_entries[key] != item.revision) {
             m_rejected_entries[key] = item.revision;
-            m_log.write(observe::event::entry_rejected, key,
-                        {{"reason", target.error().message},
-                         {"revision", std::to_string(item.revision)}});
+            m_log.write(
+                observe::event::entry_rejected, key,
+                {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
         }
     }
     const std::vector<routing::fleet_target> used =
@@ -355,15 +356,17 @@
         const time_point now = m_clock();
         const bool idle = (!m_caller_server || m_caller_server->active_requests() == 0) &&
                           (!m_runner || m_runner->owns_nothing());
-        const bool out_of_rotation = !m_caller_server || now - begun >= leave_rotation_time;
-        if (now >= last || (idle && out_of_rotation)) {
+        const bool out_of_rotation = now - begun >= leave_rotation_time;
+        if (m_caller_server && out_of_rotation) {
+            // A zone without another host is sent callers all the same. What is read from now on
+            // could not be finished; a caller that is not let in turns to another host at once.
+            m_caller_server->stop();
+        }
+        if (now >= last || (idle && (out_of_rotation || !m_caller_server))) {
             break;
         }
         co_await net::sleep_for(milliseconds(50));
     }
-    if (m_caller_server) {
-        m_caller_server->stop();
-    }
     co_await m_registration.end();
     m_log.write(observe::event::daemon_stopped, m_settings.host);
     m_log.flush();
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -79,14 +79,14 @@
         net::http_request request;
         request.method = "GET";
         request.target = str_cat(mirror_path, "?prefix=", prefix);
-        const result<net::http_response> response = co_await m_client.call(
-            endpoint, std::move(request), m_context.clock() + pull_timeout);
+        const result<net::http_response> response =
+            co_await m_client.call(endpoint, std::move(request), m_context.clock() + pull_timeout);
         if (response) {
             if (const auto snapshot = peer::decode<store::mirror_snapshot>(response.value().body)) {
                 m_mirror.apply_snapshot(*snapshot);
-                m_context.log.write(observe::event::mirror_pulled, prefix,
-                                    {{"from", endpoint},
-                                     {"revision", std::to_string(snapshot->revision)}});
+                m_context.log.write(
+                    observe::event::mirror_pulled, prefix,
+                    {{"from", endpoint}, {"revision", std::to_string(snapshot->revision)}});
             }
         }
     }
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -46,9 +46,10 @@
         if (m_clock() + repeat_pause >= deadline) {
             error failure = outcome.error();
             failure.run = may_be_done ? run_state::unknown : run_state::not_run;
-            m_log.write(observe::event::commit_failed,
-                        change.writes.empty() ? "" : change.writes.front().key,
-                        {{"reason", failure.message}, {"run", std::string(to_string(failure.run))}});
+            m_log.write(
+                observe::event::commit_failed,
+                change.writes.empty() ? "" : change.writes.front().key,
+                {{"reason", failure.message}, {"run", std::string(to_string(failure.run))}});
             co_return failure;
         }
         co_await net::sleep_for(repeat_pause);
@@ -97,8 +98,8 @@
     std::vector<serving::submitted_item> items;
     std::string after;
     for (;;) {
-        result<store::kv_page> page = co_await m_store.list(
-            str_cat(items_prefix, job, "/"), after, store::consistency::linearizable);
+        result<store::kv_page> page = co_await m_store.list(str_cat(items_prefix, job, "/"), after,
+                                                            store::consistency::linearizable);
         if (!page) {
             co_return page.error();
         }
@@ -140,13 +141,11 @@
     }
 }
 
-net::task<result<std::vector<versioned_state>>>
-job_repository::read_all(store::consistency how) {
+net::task<result<std::vector<versioned_state>>> job_repository::read_all(store::consistency how) {
     std::vector<versioned_state> all;
     std::string after;
     for (;;) {
-        result<store::kv_page> page =
-            co_await m_store.list(std::string(state_prefix), after, how);
+        result<store::kv_page> page = co_await m_store.list(std::string(state_prefix), after, how);
         if (!page) {
             co_return page.error();
         }
@@ -189,9 +188,8 @@
     co_return change_outcome::done;
 }
 
-net::task<result<change_outcome>> job_repository::replace(const job_state& next,
-                                                          std::uint64_t& revision,
-                                                          time_point deadline) {
+net::task<result<change_outcome>>
+job_repository::replace(const job_state& next, std::uint64_t& revision, time_point deadline) {
     store::kv_transaction change;
     change.conditions.push_back({state_key(next.job), revision});
     change.writes.push_back({state_key(next.job), encode(next)});
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -186,8 +186,8 @@
     const duration target = route != nullptr ? route->jobs.completion_target : seconds(0);
     const milliseconds age(m_options.wall_clock() - record.state.submitted_at);
     const std::string id = record.state.job;
-    m_jobs[id] = std::make_shared<owned_job>(std::move(record), std::move(items),
-                                             std::move(listed), m_context.clock() + target - age);
+    m_jobs[id] = std::make_shared<owned_job>(std::move(record), std::move(items), std::move(listed),
+                                             m_context.clock() + target - age);
     m_forget_at.erase(id);
     m_context.link.note_change();
     m_dispatch_wake.notify();
@@ -301,8 +301,8 @@
 }
 
 net::task<job_reply> job_runner::end(job_call call) {
-    const result<bool> ended = co_await m_repository.end(call.job, call.customer,
-                                                         m_context.clock() + create_timeout);
+    const result<bool> ended =
+        co_await m_repository.end(call.job, call.customer, m_context.clock() + create_timeout);
     if (!ended) {
         co_return reply_of(reply_status::unknown);
     }
@@ -370,8 +370,7 @@
     std::vector<batch::ready_job> ready;
     std::vector<std::pair<job_ptr, std::string>> candidates;
     for (const auto& [id, job] : m_jobs) {
-        const config::serving_route* route =
-            m_context.plan->find_route(job->record().state.route);
+        const config::serving_route* route = m_context.plan->find_route(job->record().state.route);
         if (route == nullptr || route->services.empty() || !job->next()) {
             continue;
         }
@@ -401,8 +400,8 @@
     running->job = job;
     running->index = index;
     running->started_at = m_context.clock();
-    running->exchange = std::make_shared<serving::target_exchange>(m_context, *target,
-                                                                   serving::work_kind::batch);
+    running->exchange =
+        std::make_shared<serving::target_exchange>(m_context, *target, serving::work_kind::batch);
     job->note_started(index);
     m_running.push_back(running);
     net::asio::co_spawn(m_context.executor, run_item(running, *target), net::asio::detached);
@@ -486,8 +485,7 @@
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::event_splitter splitter;
     for (;;) {
-        const result<bool> more =
-            co_await exchange->read_body(m_context.clock() + silence_timeout);
+        const result<bool> more = co_await exchange->read_body(m_context.clock() + silence_timeout);
         if (running.stopped) {
             co_return item_outcome::interrupted;
         }
@@ -540,8 +538,7 @@
         if (job->finished()) {
             continue;
         }
-        const config::serving_route* route =
-            m_context.plan->find_route(job->record().state.route);
+        const config::serving_route* route = m_context.plan->find_route(job->record().state.route);
         const std::int64_t age = m_options.wall_clock() - job->record().state.submitted_at;
         const bool late = route != nullptr && route->jobs.item_lifetime > duration::zero() &&
                           age > to_ms(route->jobs.item_lifetime) + clock_margin_ms;
@@ -727,9 +724,8 @@
 }
 
 bool job_runner::owns_nothing() const {
-    return std::all_of(m_jobs.begin(), m_jobs.end(), [](const auto& entry) {
-        return entry.second->record().state.finished();
-    });
+    return std::all_of(m_jobs.begin(), m_jobs.end(),
+                       [](const auto& entry) { return entry.second->record().state.finished(); });
 }
 
 // Ownership.
@@ -778,8 +774,7 @@
 }
 
 net::task<bool> job_runner::adopt_orphans() {
-    std::erase_if(m_unclear,
-                  [&](const auto& entry) { return entry.second <= m_context.clock(); });
+    std::erase_if(m_unclear, [&](const auto& entry) { return entry.second <= m_context.clock(); });
     if (m_releasing || !m_options.registration_valid()) {
         co_return true;
     }
--- a/src/jobs/job_runner.hpp
+++ b/src/jobs/job_runner.hpp
@@ -91,7 +91,8 @@
     net::task<> load(versioned_state record);
     [[nodiscard]] bool is_orphan(const job_state& state) const;
     [[nodiscard]] bool should_adopt(const job_state& state) const;
-    [[nodiscard]] std::string preferred_owner(std::string_view job, std::string_view not_this) const;
+    [[nodiscard]] std::string preferred_owner(std::string_view job,
+                                              std::string_view not_this) const;
 
     void own(versioned_state record, std::vector<serving::submitted_item> items,
              std::vector<serving::listed_result> listed);
--- a/src/limits/customer_shares.cpp
+++ b/src/limits/customer_shares.cpp
@@ -34,11 +34,9 @@
         }
         // A customer that is new to a running daemon is new to the fleet.
         const bool full = m_begins_full || m_configured;
-        m_shares.emplace(customer, share{limit, token_part(wanted, full ? wanted.capacity : 0, now),
-                                         0,
-                                         {},
-                                         0,
-                                         {}});
+        m_shares.emplace(
+            customer,
+            share{limit, token_part(wanted, full ? wanted.capacity : 0, now), 0, {}, 0, {}});
     }
     m_configured = true;
     m_daemons = daemons;
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -3,10 +3,10 @@
 #pragma once
 
 // Boost 1.74's awaitable uses std::exchange without including its header.
-#include <utility>
-
 #include <boost/asio.hpp>
 
+#include <utility>
+
 namespace eelgrassdoor::net {
 
 namespace asio = boost::asio;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -15,8 +15,8 @@
     connection->set_deadline(deadline);
     const io_error ec = co_await connection->connect(peer.value());
     if (ec) {
-        const auto code = connection->timed_out() ? error_code::deadline_exceeded
-                                                  : error_code::target_failed;
+        const auto code =
+            connection->timed_out() ? error_code::deadline_exceeded : error_code::target_failed;
         const std::string reason = connection->timed_out() ? "timeout" : ec.message();
         connection->close();
         co_return error{code, str_cat("connecting to ", endpoint, ": ", reason),
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 8> hop_by_hop_fields = {
-    "Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding",
-    "Upgrade",    "Proxy-Authenticate", "TE",              "Trailer"};
+    "Connection",         "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Upgrade",
+    "Proxy-Authenticate", "TE",         "Trailer"};
 
 void append_fields(std::string& out, const header_list& headers) {
     for (const http_header& field : headers.all()) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -81,8 +81,8 @@
 
 http_server::http_server(asio::any_io_executor executor, http_server_options options,
                          request_handler handler)
-    : m_executor(std::move(executor)), m_options(std::move(options)),
-      m_handler(std::move(handler)), m_acceptor(m_executor) {}
+    : m_executor(std::move(executor)), m_options(std::move(options)), m_handler(std::move(handler)),
+      m_acceptor(m_executor) {}
 
 result<void> http_server::start() {
     BOOST_OUTCOME_TRY(endpoint, parse_endpoint(m_options.endpoint));
@@ -104,6 +104,8 @@
 }
 
 void http_server::stop() {
+    m_stopped = true;
+    m_closing = true;
     io_error ignored;
     m_acceptor.close(ignored);
     const std::set<std::shared_ptr<tcp_connection>> idle = m_idle;
@@ -194,6 +196,10 @@
         co_return false;
     }
     connection->set_deadline(time_point::max());
+    if (m_stopped) {
+        co_await reject(connection, 503);
+        co_return false;
+    }
     if (parser.fault() != parse_fault::none) {
         co_await reject(connection, status_of(parser.fault()));
         co_return false;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -88,7 +88,8 @@
     result<void> start();
     /// From now on every response ends its connection.
     void close_connections_after_response() { m_closing = true; }
-    /// Stops listening and closes the connections that carry no request.
+    /// Stops listening and closes the connections that carry no request. Requests in hand go on;
+    /// one that is still being read is refused.
     void stop();
     /// Requests that were read completely and not answered yet.
     [[nodiscard]] std::size_t active_requests() const { return m_active; }
@@ -110,6 +111,7 @@
     std::set<std::shared_ptr<tcp_connection>> m_idle;
     std::size_t m_active = 0;
     bool m_closing = false;
+    bool m_stopped = false;
 };
 
 } // namespace eelgrassdoor::net
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -21,8 +21,7 @@
     m_socket.open(own.protocol(), ec);
     m_socket.bind(own, ec);
     if (ec) {
-        return error{error_code::unavailable,
-                     "binding the datagram port: " + ec.message()};
+        return error{error_code::unavailable, "binding the datagram port: " + ec.message()};
     }
     m_socket.non_blocking(true, ec);
     wait();
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -87,8 +87,7 @@
 void decision_log::flush() {
     note_dropped();
     while (!m_pending.empty()) {
-        const ssize_t written =
-            ::write(m_options.descriptor, m_pending.data(), m_pending.size());
+        const ssize_t written = ::write(m_options.descriptor, m_pending.data(), m_pending.size());
         if (written <= 0) {
             // The reader is slow: the lines wait, up to max_pending_bytes.
             return;
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -131,9 +131,8 @@
 }
 
 std::optional<fleet_target>
-fleet_load::pick_batch(std::string_view service,
-                       const std::set<std::string, std::less<>>& excluded, time_point now,
-                       random_source& random) const {
+fleet_load::pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
+                       time_point now, random_source& random) const {
     const fleet_target* best = nullptr;
     double best_free = 0;
     for (const auto& [id, target] : m_targets) {
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -46,9 +46,8 @@
     }
 }
 
-net::task<result<target_answer>> target_exchange::open(net::http_request request,
-                                                       std::string request_id,
-                                                       time_point answer_by) {
+net::task<result<target_answer>>
+target_exchange::open(net::http_request request, std::string request_id, time_point answer_by) {
     const time_point connect_by = std::min(answer_by, m_context.clock() + connect_timeout);
     result<std::shared_ptr<net::tcp_connection>> opened =
         co_await net::http_client::connect(m_context.executor, target().endpoint, connect_by);
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -35,8 +35,7 @@
 /// failure to open it proves that nothing was sent.
 class target_exchange {
 public:
-    target_exchange(host_context& context, const routing::fleet_target& target,
-                    work_kind kind)
+    target_exchange(host_context& context, const routing::fleet_target& target, work_kind kind)
         : m_context(context), m_place(context, target, kind) {}
 
     /// Connects, sends \p request and waits until \p answer_by for the head of its answer.
--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -47,9 +47,11 @@
         named.insert(item.key);
         changed = apply_event(*state, {item, false}) || changed;
     }
-    changed = std::erase_if(state->items, [&](const auto& entry) {
-                  return !named.contains(entry.first) && entry.second.revision <= snapshot.revision;
-              }) > 0 ||
+    changed = std::erase_if(state->items,
+                            [&](const auto& entry) {
+                                return !named.contains(entry.first) &&
+                                       entry.second.revision <= snapshot.revision;
+                            }) > 0 ||
               changed;
     state->revision = snapshot.revision;
     if (changed && m_on_change) {
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -14,8 +14,8 @@
 /// Watches each prefix of a mirror; reads it anew when the store has dropped its history.
 class mirror_feed {
 public:
-    mirror_feed(net::asio::any_io_executor executor, kv_store& store, mirror& target, clock_fn clock,
-                observe::decision_log& log);
+    mirror_feed(net::asio::any_io_executor executor, kv_store& store, mirror& target,
+                clock_fn clock, observe::decision_log& log);
 
     void start();
 
