--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -2,10 +2,11 @@
 /// Includes Boost.Asio in the one way that compiles here, and names what the folder uses of it.
 #pragma once
 
-// Boost 1.74's awaitable uses std::exchange without including its header.
-#include <boost/asio.hpp>
-
+// Boost 1.74's awaitable uses std::exchange without including its header, so <utility> comes first.
+// clang-format off
 #include <utility>
+#include <boost/asio.hpp>
+// clang-format on
 
 namespace eelgrassdoor::net {
 
