--- a/src/store/mirror.cpp
+++ b/src/store/mirror.cpp
@@ -66,7 +66,10 @@
     }
     bool changed = false;
     for (const kv_event& event : changes.events) {
-        changed = apply_event(*state, event) || changed;
+        // An older event that arrives late could bring a deleted key back.
+        if (event.item.revision > state->revision) {
+            changed = apply_event(*state, event) || changed;
+        }
     }
     state->revision = std::max(state->revision, changes.store_revision);
     if (changed && m_on_change) {
--- /dev/null
+++ b/test/correctness/customer_shares.cpp
@@ -0,0 +1,89 @@
+/// \file
+/// Shares of customers' rates: together they never admit more than the rate and burst.
+#include "limits/customer_shares.hpp"
+
+#include "check.hpp"
+
+#include <vector>
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::limits;
+using eelgrassdoor::test::property;
+using eelgrassdoor::test::require;
+
+const customer_limits limits{{"c", {40, 40}}};
+
+std::vector<customer_shares> fleet(std::size_t daemons, bool first_start, time_point now) {
+    std::vector<customer_shares> shares(daemons, customer_shares(first_start));
+    for (customer_shares& each : shares) {
+        each.configure(limits, daemons, now);
+    }
+    return shares;
+}
+
+/// What a daemon does for one request: its own token, or those of the others.
+bool admit(std::vector<customer_shares>& shares, std::size_t at, time_point now) {
+    if (shares[at].try_take("c", now)) {
+        return true;
+    }
+    if (!shares[at].may_ask("c", now)) {
+        return false;
+    }
+    const double want = shares[at].tokens_to_ask("c");
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        if (i != at) {
+            shares[at].receive("c", shares[i].lend("c", want, now));
+        }
+    }
+    return shares[at].try_take("c", now);
+}
+
+void check_bound() {
+    property("no start admits more than rate * t + burst over all daemons", [] {
+        time_point now{};
+        auto shares = fleet(8, true, now);
+        int admitted = 0;
+        const int steps = *rc::gen::inRange(50, 600);
+        for (int i = 0; i < steps; ++i) {
+            const auto at = *rc::gen::inRange<std::size_t>(0, 8);
+            now += milliseconds(*rc::gen::inRange(0, 30));
+            admitted += admit(shares, at, now) ? 1 : 0;
+        }
+        RC_ASSERT(admitted <= 40 * to_seconds(now - time_point{}) + 40 + 1e-6);
+    });
+}
+
+void check_one_sided() {
+    time_point now{};
+    auto shares = fleet(8, true, now);
+    int refused = 0;
+    for (int i = 0; i < 360; ++i) {
+        now += milliseconds(28);
+        refused += admit(shares, 0, now) ? 0 : 1;
+    }
+    require(refused == 0,
+            "one daemon that gets 90% of the whole rate refuses nothing, it refused " +
+                std::to_string(refused));
+}
+
+void check_restart() {
+    time_point now{};
+    auto fresh = fleet(4, false, now);
+    require(!fresh[0].try_take("c", now), "a share begins empty when its tokens may be used");
+    now += seconds(1);
+    require(fresh[0].try_take("c", now), "and fills from then on");
+    fresh[0].configure({{"c", {40, 40}}, {"new", {8, 8}}}, 4, now);
+    require(fresh[0].try_take("new", now), "a customer that is new to the fleet begins full");
+    require(fresh[0].try_take("unlimited", now), "a customer without a limit is not bounded");
+}
+
+} // namespace
+
+int main() {
+    check_bound();
+    check_one_sided();
+    check_restart();
+    return eelgrassdoor::test::finish();
+}
--- /dev/null
+++ b/test/correctness/fleet_load.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// Which target gets a request, and which batch streams make room.
+#include "routing/fleet_load.hpp"
+
+#include "base/digest.hpp"
+#include "check.hpp"
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::routing;
+using eelgrassdoor::test::property;
+using eelgrassdoor::test::require;
+
+const std::set<std::string, std::less<>> none;
+
+fleet_target target(const std::string& id, const std::string& zone, int slots = 2) {
+    return {.id = id,
+            .service = "s",
+            .endpoint = "127.0.0.1:1",
+            .availability_zone = zone,
+            .slots = slots};
+}
+
+fleet_load two_targets() {
+    fleet_load loads({.own_zone = "a", .max_waiting_inside = 1, .batch_reserve = 1});
+    loads.set_targets({target("x", "a"), target("y", "b")});
+    return loads;
+}
+
+void check_online() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    require(loads.pick_online("s", none, now, random)->id == "x", "the own zone goes first");
+    loads.note_online_sent("x");
+    require(loads.pick_online("s", none, now, random)->id == "y",
+            "a target of another zone goes before one that is a request busier");
+    loads.note_peer("p", {{"y", {3, 0}}}, now);
+    require(loads.pick_online("s", none, now, random)->id == "x", "load of other daemons counts");
+    loads.note_peer("p", {{"y", {3, 0}}, {"x", {2, 0}}}, now);
+    require(!loads.pick_online("s", none, now, random), "full targets get nothing");
+    require(loads.pick_online("s", none, now + seconds(3), random).has_value(),
+            "what a silent daemon told is forgotten");
+    require(!loads.pick_online("other", none, now, random), "only targets of the service");
+}
+
+void check_failures() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    loads.note_failed("x", now);
+    require(loads.pick_online("s", none, now, random)->id == "y", "a failed target rests");
+    loads.note_failed("y", now);
+    require(!loads.pick_online("s", none, now, random), "also when it is the last one");
+    require(loads.pick_online("s", none, now + fleet_load::first_backoff, random).has_value(),
+            "it is tried again after its backoff");
+    const time_point later = now + fleet_load::first_backoff;
+    loads.note_failed("x", later);
+    loads.note_answered("y");
+    require(loads.pick_online("s", {"y"}, later + fleet_load::first_backoff, random) ==
+                std::nullopt,
+            "a second failure rests longer");
+    fleet_target restarted = target("x", "a");
+    restarted.started_at = 5;
+    loads.set_targets({restarted, target("y", "b")});
+    require(loads.pick_online("s", {"y"}, later, random).has_value(),
+            "a new start under the same id begins without failures");
+    restarted.leaving = true;
+    loads.set_targets({restarted});
+    require(!loads.pick_online("s", none, later, random), "a leaving target gets no new work");
+}
+
+void check_batch() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    require(loads.pick_batch("s", none, now, random).has_value(), "batch uses free slots");
+    loads.note_batch_sent("x");
+    loads.note_batch_sent("y");
+    require(!loads.pick_batch("s", none, now, random), "but leaves the reserve free");
+    require(loads.batch_to_stop("x", "me", now) == 0, "nothing stops while there is room");
+    loads.note_online_sent("x");
+    loads.note_online_sent("x");
+    require(loads.batch_to_stop("x", "me", now) == 1, "batch makes room for online requests");
+    loads.note_peer("p", {{"x", {0, 2}}}, now);
+    require(loads.batch_to_stop("x", "me", now) == 1,
+            "the daemon with more streams there makes room first");
+    loads.note_peer("p", {{"x", {0, 3}}}, now);
+    require(loads.batch_to_stop("x", "me", now) == 1, "and no more than there is");
+}
+
+/// Whatever daemons stop, together they free exactly what online requests lack.
+void check_stops_add_up() {
+    property("daemons that see the same load stop enough streams and no more", [] {
+        const int online = *rc::gen::inRange(0, 12);
+        std::map<std::string, int> batch;
+        for (const char* name : {"a", "b", "c"}) {
+            batch[name] = *rc::gen::inRange(0, 6);
+        }
+        int stopped = 0;
+        int held = 0;
+        for (const auto& [self, own] : batch) {
+            fleet_load loads({.own_zone = "z"});
+            loads.set_targets({target("x", "z", 8)});
+            for (int i = 0; i < own; ++i) {
+                loads.note_batch_sent("x");
+            }
+            loads.note_peer("front", {{"x", {online, 0}}}, {});
+            for (const auto& [peer, theirs] : batch) {
+                if (peer != self) {
+                    loads.note_peer(peer, {{"x", {0, theirs}}}, {});
+                }
+            }
+            stopped += loads.batch_to_stop("x", self, {});
+            held += own;
+        }
+        RC_ASSERT(stopped == std::clamp(online + held - 8, 0, held));
+    });
+}
+
+} // namespace
+
+int main() {
+    check_online();
+    check_failures();
+    check_batch();
+    check_stops_add_up();
+    return eelgrassdoor::test::finish();
+}
--- /dev/null
+++ b/test/correctness/mirrors.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// Replicas of the key-value service never go back, and lapsed targets are not taken as gone.
+#include "check.hpp"
+#include "fleet/target_roster.hpp"
+#include "store/mirror.hpp"
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::store;
+using eelgrassdoor::test::property;
+using eelgrassdoor::test::require;
+
+kv_event put(const std::string& key, std::uint64_t revision) {
+    return {{key, "v" + std::to_string(revision), revision}, false};
+}
+
+void check_order() {
+    property("news in any order, some of them twice, lead to the same keys", [] {
+        // One true history; each daemon hears its events in another order.
+        std::vector<kv_event> history;
+        std::map<std::string, std::uint64_t> truth;
+        const int steps = *rc::gen::inRange(1, 30);
+        for (int i = 1; i <= steps; ++i) {
+            const std::string key = "p/" + std::to_string(*rc::gen::inRange(0, 4));
+            const auto revision = static_cast<std::uint64_t>(i);
+            kv_event event = put(key, revision);
+            event.deleted = *rc::gen::inRange(0, 4) == 0;
+            event.deleted ? truth.erase(key) : (truth[key] = revision, 1);
+            history.push_back(event);
+        }
+        mirror replica({"p/"});
+        replica.apply_changes("p/", {history, static_cast<std::uint64_t>(steps)});
+        const auto cut = *rc::gen::inRange<std::size_t>(0, history.size());
+        replica.apply_changes("p/", {{history.begin(), history.begin() + cut}, cut});
+        RC_ASSERT(replica.items("p/").size() == truth.size());
+        for (const auto& [key, revision] : truth) {
+            RC_ASSERT(replica.find(key)->revision == revision);
+        }
+    });
+}
+
+void check_snapshots() {
+    mirror replica({"p/"});
+    int changes = 0;
+    replica.on_change([&](std::string_view) { ++changes; });
+    replica.apply_snapshot({"p/", 10, {{"p/a", "1", 4}, {"p/b", "1", 9}}});
+    require(changes == 1 && replica.revision("p/") == 10, "a snapshot is taken in");
+    replica.apply_snapshot({"p/", 8, {{"p/a", "1", 4}}});
+    require(replica.find("p/b") != nullptr, "an older snapshot deletes nothing");
+    replica.apply_changes("p/", {{put("p/c", 12)}, 12});
+    replica.apply_snapshot({"p/", 12, {{"p/a", "1", 4}, {"p/c", "v12", 12}}});
+    require(replica.find("p/b") == nullptr, "a key that a newer snapshot lacks was deleted");
+    require(replica.content_revision("p/") == 12, "the highest change is known");
+}
+
+void check_roster() {
+    fleet::target_roster roster;
+    const routing::fleet_target target{.id = "x", .service = "s"};
+    const time_point start{};
+    const time_point later = start + seconds(20);
+    const fleet::store_contact steady{start, {}};
+    require(roster.update({target}, steady, later).size() == 1, "a listed target is used");
+    require(roster.update({}, steady, later).empty(), "one that vanishes is gone");
+    roster.update({target}, steady, later);
+    require(roster.update({}, {time_point::max(), {}}, later).size() == 1,
+            "unless the store is away");
+    const fleet::store_contact back{later, seconds(5)};
+    require(roster.update({}, back, later + seconds(1)).size() == 1,
+            "or has just come back after an outage that ended entries");
+    require(roster.update({}, back, later + seconds(3)).empty(),
+            "an entry that is still missing then is gone");
+    roster.update({target}, steady, later);
+    require(roster.update({}, {later, milliseconds(300)}, later + seconds(1)).empty(),
+            "a short outage ends no entry");
+}
+
+} // namespace
+
+int main() {
+    check_order();
+    check_snapshots();
+    check_roster();
+    return eelgrassdoor::test::finish();
+}
--- /dev/null
+++ b/test/stand_in/memory_store.cpp
@@ -0,0 +1,143 @@
+#include "stand_in/memory_store.hpp"
+
+#include "net/notification.hpp"
+
+namespace eelgrassdoor::test {
+
+namespace {
+
+using namespace store;
+
+error refusal() {
+    return {error_code::unavailable, "refused", run_state::not_run};
+}
+
+/// How often a waiting watch looks for changes.
+constexpr duration watch_step = milliseconds(5);
+
+} // namespace
+
+void memory_store::erase(const std::string& key) {
+    m_items.erase(key);
+    m_history.push_back({{key, "", ++m_revision}, true});
+}
+
+commit_outcome memory_store::apply(const kv_transaction& change) {
+    kv_conflict conflict;
+    bool holds = true;
+    for (const kv_condition& each : change.conditions) {
+        const auto found = m_items.find(each.key);
+        const kv_item now = found == m_items.end() ? kv_item{each.key, "", 0} : found->second;
+        holds = holds && now.revision == each.revision;
+        conflict.current.push_back(now);
+    }
+    if (!holds) {
+        return conflict;
+    }
+    for (const kv_write& each : change.writes) {
+        if (each.lease != 0 && !m_leases.contains(each.lease)) {
+            return kv_lease_ended{};
+        }
+    }
+    ++m_revision;
+    ++m_commits;
+    for (const kv_write& each : change.writes) {
+        m_items[each.key] = {each.key, each.value, m_revision};
+        if (each.lease != 0) {
+            m_leases[each.lease].insert(each.key);
+        }
+    }
+    for (const std::string& key : change.deletes) {
+        m_items.erase(key);
+        m_history.push_back({{key, "", m_revision}, true});
+    }
+    return kv_committed{m_revision};
+}
+
+kv_store memory_store::make_store() {
+    kv_store out;
+    out.get = [this](std::string key, consistency) -> kv_store::reply<std::optional<kv_item>> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        const auto found = m_items.find(key);
+        if (found == m_items.end()) {
+            co_return std::optional<kv_item>();
+        }
+        co_return std::optional<kv_item>(found->second);
+    };
+    out.list = [this](std::string prefix, std::string after,
+                      consistency) -> kv_store::reply<kv_page> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        kv_page page;
+        page.store_revision = m_revision;
+        for (const auto& [key, item] : m_items) {
+            if (key.starts_with(prefix) && key > after) {
+                page.items.push_back(item);
+            }
+        }
+        co_return page;
+    };
+    out.watch = [this](std::string prefix, std::uint64_t revision,
+                       duration wait) -> kv_store::reply<watch_outcome> {
+        const time_point end = steady_clock()() + wait;
+        for (;;) {
+            if (refuse()) {
+                co_return refusal();
+            }
+            kv_changes changes;
+            changes.store_revision = m_revision;
+            for (const auto& [key, item] : m_items) {
+                if (key.starts_with(prefix) && item.revision > revision) {
+                    changes.events.push_back({item, false});
+                }
+            }
+            for (const kv_event& event : m_history) {
+                if (event.item.key.starts_with(prefix) && event.item.revision > revision) {
+                    changes.events.push_back(event);
+                }
+            }
+            if (!changes.events.empty() || steady_clock()() >= end) {
+                co_return watch_outcome(changes);
+            }
+            co_await net::sleep_for(watch_step);
+        }
+    };
+    out.commit = [this](kv_transaction change) -> kv_store::reply<commit_outcome> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        const commit_outcome outcome = apply(change);
+        if (lose_answer()) {
+            co_return error{error_code::unavailable, "answer lost", run_state::unknown};
+        }
+        co_return outcome;
+    };
+    out.grant_lease = [this](duration ttl) -> kv_store::reply<kv_lease> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        m_leases[m_next_lease];
+        co_return kv_lease{m_next_lease++, ttl};
+    };
+    out.renew_lease = [this](std::uint64_t lease) -> kv_store::reply<bool> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        co_return m_leases.contains(lease);
+    };
+    out.end_lease = [this](std::uint64_t lease) -> kv_store::reply<bool> {
+        if (refuse()) {
+            co_return refusal();
+        }
+        for (const std::string& key : m_leases[lease]) {
+            erase(key);
+        }
+        co_return m_leases.erase(lease) > 0;
+    };
+    return out;
+}
+
+} // namespace eelgrassdoor::test
