Let a target rest only when it is unreachable or breaks off twice in a row

Cause: the test of a cut stream that must not be repeated failed: after one cut at each of two engines both rested and the next request was refused as not run although both engines served. Change: an answer that breaks off counts, two in a row make a target rest; a target that cannot be connected to rests at once; resting targets are picked before none. In-process tests of daemons over the loopback: online and jobs.

--- a/src/entry/online_service.cpp
+++ b/src/entry/online_service.cpp
@@ -131,7 +131,7 @@
     }
     run.excluded.insert(target.id);
     if (!answer) {
-        m_context.loads.note_failed(target.id, m_context.clock());
+        m_context.loads.note_failed(target.id, failure_of(answer.error()), m_context.clock());
         error unreached = answer.error();
         co_return co_await after_failure(run, std::move(unreached));
     }
@@ -217,7 +217,8 @@
             co_return step::done;
         }
         if (!more) {
-            m_context.loads.note_failed(run.active->target().id, m_context.clock());
+            m_context.loads.note_failed(run.active->target().id, failure_of(more.error()),
+                                        m_context.clock());
             error broken = more.error();
             co_return co_await after_failure(run, std::move(broken));
         }
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -459,7 +459,8 @@
         co_return item_outcome::interrupted;
     }
     if (!answer) {
-        m_context.loads.note_failed(target.id, m_context.clock());
+        m_context.loads.note_failed(target.id, serving::failure_of(answer.error()),
+                                    m_context.clock());
         m_context.log.write(observe::event::target_failed, request.id,
                             {{"target", target.id}, {"reason", answer.error().message}});
         co_return item_outcome::interrupted;
@@ -490,7 +491,8 @@
             co_return item_outcome::interrupted;
         }
         if (!more) {
-            m_context.loads.note_failed(exchange->target().id, m_context.clock());
+            m_context.loads.note_failed(exchange->target().id, serving::failure_of(more.error()),
+                                        m_context.clock());
             co_return item_outcome::interrupted;
         }
         const std::vector<serving::stream_event> events =
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -62,9 +62,11 @@
     }
 }
 
-void fleet_load::note_failed(std::string_view id, time_point now) {
+void fleet_load::note_failed(std::string_view id, target_failure how, time_point now) {
     failure_state& state = m_failures[std::string(id)];
-    if (now < state.until) {
+    state.broken_answers += how == target_failure::broke_off ? 1 : 0;
+    const bool rests = how == target_failure::unreachable || state.broken_answers >= 2;
+    if (!rests || now < state.until) {
         return;
     }
     state.backoff = std::clamp(2 * state.backoff, first_backoff, longest_backoff);
@@ -96,13 +98,23 @@
     return sum;
 }
 
-bool fleet_load::usable(const fleet_target& target, std::string_view service,
-                        const std::set<std::string, std::less<>>& excluded, time_point now) const {
-    if (target.leaving || target.service != service || excluded.contains(target.id)) {
-        return false;
+bool fleet_load::is_resting(std::string_view id, time_point now) const {
+    const auto failed = m_failures.find(id);
+    return failed != m_failures.end() && now < failed->second.until;
+}
+
+std::vector<const fleet_target*>
+fleet_load::candidates(std::string_view service, const std::set<std::string, std::less<>>& excluded,
+                       time_point now) const {
+    std::vector<const fleet_target*> fit;
+    std::vector<const fleet_target*> resting;
+    for (const auto& [id, target] : m_targets) {
+        if (target.leaving || target.service != service || excluded.contains(id)) {
+            continue;
+        }
+        (is_resting(id, now) ? resting : fit).push_back(&target);
     }
-    const auto failed = m_failures.find(target.id);
-    return failed == m_failures.end() || failed->second.until <= now;
+    return fit.empty() ? resting : fit;
 }
 
 std::optional<fleet_target>
@@ -111,19 +123,16 @@
                         random_source& random) const {
     const fleet_target* best = nullptr;
     double best_cost = 0;
-    for (const auto& [id, target] : m_targets) {
-        if (!usable(target, service, excluded, now)) {
+    for (const fleet_target* target : candidates(service, excluded, now)) {
+        const target_share load = total(target->id, now);
+        if (load.online >= target->slots + m_options.max_waiting_inside) {
             continue;
         }
-        const target_share load = total(id, now);
-        if (load.online >= target.slots + m_options.max_waiting_inside) {
-            continue;
-        }
-        double cost = static_cast<double>(load.online) / target.slots + tie_spread * random.unit();
-        cost += target.availability_zone == m_options.own_zone ? 0 : other_zone_cost;
-        cost += load.online + load.batch >= target.slots ? stop_batch_cost : 0;
+        double cost = static_cast<double>(load.online) / target->slots + tie_spread * random.unit();
+        cost += target->availability_zone == m_options.own_zone ? 0 : other_zone_cost;
+        cost += load.online + load.batch >= target->slots ? stop_batch_cost : 0;
         if (best == nullptr || cost < best_cost) {
-            best = &target;
+            best = target;
             best_cost = cost;
         }
     }
@@ -135,18 +144,15 @@
                        time_point now, random_source& random) const {
     const fleet_target* best = nullptr;
     double best_free = 0;
-    for (const auto& [id, target] : m_targets) {
-        if (!usable(target, service, excluded, now)) {
-            continue;
-        }
-        const target_share load = total(id, now);
-        const int free = target.slots - m_options.batch_reserve - load.online - load.batch;
+    for (const fleet_target* target : candidates(service, excluded, now)) {
+        const target_share load = total(target->id, now);
+        const int free = target->slots - m_options.batch_reserve - load.online - load.batch;
         if (free <= 0) {
             continue;
         }
         const double worth = free + random.unit();
         if (best == nullptr || worth > best_free) {
-            best = &target;
+            best = target;
             best_free = worth;
         }
     }
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -43,6 +43,14 @@
 /// requests gives the whole load, without asking the targets.
 using load_by_target = std::map<std::string, target_share, std::less<>>;
 
+/// How a target failed.
+enum class target_failure {
+    /// It could not be connected to, so nothing was sent.
+    unreachable,
+    /// It broke an answer off, sent nonsense or fell silent.
+    broke_off,
+};
+
 struct placement_options {
     std::string own_zone;
     /// Online requests that may wait inside a target beyond its slots. With eight slots of 0.7 s a
@@ -80,12 +88,14 @@
     void note_batch_sent(std::string_view id) { ++m_own[std::string(id)].batch; }
     void note_batch_ended(std::string_view id) { release(id, &target_share::batch); }
 
-    /// The target could not be reached, broke off or did not answer.
-    void note_failed(std::string_view id, time_point now);
+    /// The target rests at once when it cannot be reached, and after a second answer in a row that
+    /// broke off: engines that break off a few answers serve all others.
+    void note_failed(std::string_view id, target_failure how, time_point now);
     void note_answered(std::string_view id);
 
-    /// Picks a target of \p service for an online request: none when each is gone, failing,
-    /// excluded or full. Batch streams make room and do not count as load.
+    /// Picks a target of \p service for an online request: none when each is gone, excluded or
+    /// full. Resting targets are picked only when no other one serves the request at all. Batch
+    /// streams make room and do not count as load.
     [[nodiscard]] std::optional<fleet_target>
     pick_online(std::string_view service, const std::set<std::string, std::less<>>& excluded,
                 time_point now, random_source& random) const;
@@ -109,14 +119,17 @@
         time_point heard_at;
     };
     struct failure_state {
+        int broken_answers = 0;
         duration backoff{};
         time_point until{};
     };
 
     void release(std::string_view id, int target_share::*kind);
-    [[nodiscard]] bool usable(const fleet_target& target, std::string_view service,
-                              const std::set<std::string, std::less<>>& excluded,
-                              time_point now) const;
+    /// The targets that may get a request, without the resting ones unless there are no others.
+    [[nodiscard]] std::vector<const fleet_target*>
+    candidates(std::string_view service, const std::set<std::string, std::less<>>& excluded,
+               time_point now) const;
+    [[nodiscard]] bool is_resting(std::string_view id, time_point now) const;
 
     placement_options m_options;
     std::map<std::string, fleet_target, std::less<>> m_targets;
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+routing::target_failure failure_of(const error& why) {
+    return why.run == run_state::not_run ? routing::target_failure::unreachable
+                                         : routing::target_failure::broke_off;
+}
+
 target_place::target_place(host_context& context, routing::fleet_target target, work_kind kind)
     : m_context(context), m_target(std::move(target)), m_kind(kind) {
     if (m_kind == work_kind::online) {
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -14,6 +14,9 @@
 /// Why a request is at a target; the two kinds of load are counted apart.
 enum class work_kind { online, batch };
 
+/// How a target failed, by the error of an exchange with it.
+routing::target_failure failure_of(const error& why);
+
 /// Holds a place at a target: counts as load there until it is destroyed.
 class target_place {
 public:
--- /dev/null
+++ b/test/platform/daemon_jobs.cpp
@@ -0,0 +1,186 @@
+/// \file
+/// Batch jobs through two entry hosts and two daemons that run jobs.
+#include "base/text.hpp"
+#include "platform/fixture/daemon_fixture.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::test;
+
+class job_checks {
+public:
+    job_checks()
+        : m_engine(m_fleet.add_engine("i-1")),
+          m_first(m_fleet.add_daemon("runner-1", false, true)) {
+        m_fleet.add_daemon("runner-2", false, true);
+        m_fleet.add_daemon("entry-1", true, false);
+        m_fleet.add_daemon("entry-2", true, false);
+        m_fleet.configure(1);
+    }
+
+    [[noreturn]] void run() {
+        m_fleet.run([this] { return all(); });
+    }
+
+private:
+    net::task<> all() {
+        co_await check_accepted();
+        co_await check_failing_items();
+        co_await check_waiting_tokens();
+        co_await check_end();
+        co_await check_lost_answers();
+        co_await check_handover();
+    }
+
+    static std::string job_body(int items, int tokens = 10) {
+        nlohmann::json list = nlohmann::json::array();
+        for (int i = 0; i < items; ++i) {
+            list.push_back({{"id", str_cat("item", i)},
+                            {"path", str_cat("/j/x/", i)},
+                            {"headers", {{"Model", "m"}}},
+                            {"body", to_base64(str_cat("body", i))},
+                            {"tokens", tokens}});
+        }
+        return nlohmann::json{{"items", list}}.dump();
+    }
+    net::task<daemon_fixture::answer> submit(const std::string& at, const std::string& job,
+                                             std::string body) {
+        net::http_request request = daemon_fixture::request(job, "/j/x");
+        request.body = std::move(body);
+        return m_fleet.call(m_fleet.caller_endpoint(at), request);
+    }
+    net::task<daemon_fixture::answer> get(const std::string& at, const std::string& target,
+                                          const std::string& method = "GET") {
+        net::http_request request = daemon_fixture::request("read", target);
+        request.method = method;
+        request.body.clear();
+        request.headers.set("Wait-Ms", "1000");
+        return m_fleet.call(m_fleet.caller_endpoint(at), request);
+    }
+    /// Submits until the daemons know each other.
+    net::task<int> submit_until_accepted(const std::string& job, std::string body) {
+        int status = 0;
+        for (int i = 0; i < 300 && status != 202; ++i) {
+            const auto got = co_await submit("entry-1", job, body);
+            status = got.status;
+        }
+        co_return status;
+    }
+    /// Reads until \p count results are listed.
+    net::task<nlohmann::json> results(const std::string& at, const std::string& job, int count) {
+        nlohmann::json all = nlohmann::json::array();
+        for (int i = 0; i < 60 && static_cast<int>(all.size()) < count; ++i) {
+            const std::string target =
+                str_cat("/eelgrassdoor/lots/", job, "?after=", std::to_string(all.size()));
+            const auto got = co_await get(at, target);
+            const auto page = nlohmann::json::parse(got.body, nullptr, false);
+            if (got.status == 200 && page.contains("results")) {
+                all.insert(all.end(), page["results"].begin(), page["results"].end());
+            }
+        }
+        co_return all;
+    }
+
+    net::task<> check_accepted() {
+        const int status = co_await submit_until_accepted("job1", job_body(3));
+        require(status == 202, "a job is accepted");
+        const auto again = co_await submit("entry-2", "job1", job_body(3));
+        require(again.status == 202, "a repeat is accepted again");
+        const auto item = co_await get("entry-2", "/eelgrassdoor/items/job1?id=item1");
+        require(item.status == 200 && item.body == "body1", "an item's body is readable");
+        const nlohmann::json listed = co_await results("entry-1", "job1", 3);
+        require(listed.size() == 3, "every item has a result");
+        std::set<std::string> named;
+        for (const auto& each : listed) {
+            named.insert(each["id"].get<std::string>());
+            require(each["state"] == "complete" && each["output"] == "e1\ne2\ne3\ne4\ne5",
+                    "with its whole output");
+        }
+        require(named.size() == 3, "and no item has two");
+        const nlohmann::json elsewhere = co_await results("entry-2", "job1", 3);
+        require(elsewhere == listed, "positions and contents are the same at every host");
+        const auto unknown = co_await get("entry-2", "/eelgrassdoor/lots/none?after=0");
+        require(unknown.status == 404, "an unknown job is not found");
+    }
+
+    net::task<> check_failing_items() {
+        // One item in each run: the first two attempts fail, which is what the route allows.
+        m_engine.then(engine_act::fail);
+        m_engine.then(engine_act::fail);
+        (void)co_await submit("entry-1", "job2", job_body(1));
+        const nlohmann::json given_up = co_await results("entry-1", "job2", 1);
+        require(given_up.size() == 1 && given_up[0]["state"] == "dead_letter",
+                "an item that fails at every attempt is given up");
+        m_engine.then(engine_act::impossible);
+        (void)co_await submit("entry-1", "job3", job_body(1));
+        const nlohmann::json impossible = co_await results("entry-1", "job3", 1);
+        require(impossible.size() == 1 && impossible[0]["state"] == "dead_letter",
+                "an impossible item is given up at once");
+        m_engine.then(engine_act::cut);
+        (void)co_await submit("entry-1", "job4", job_body(1));
+        const nlohmann::json resumed = co_await results("entry-1", "job4", 1);
+        require(resumed.size() == 1 && resumed[0]["output"] == "e1\ne2\ne3\ne4\ne5",
+                "a cut run goes on behind its last whole event");
+    }
+
+    net::task<> check_waiting_tokens() {
+        const auto large = co_await submit("entry-1", "job5", job_body(2, 600));
+        require(large.status == 429, "a job beyond the customer's waiting tokens is refused");
+        const auto gone = co_await get("entry-1", "/eelgrassdoor/lots/job5?after=0");
+        require(gone.status == 404, "and is not kept");
+    }
+
+    net::task<> check_end() {
+        for (int i = 0; i < 8; ++i) {
+            m_engine.then(engine_act::hang);
+        }
+        (void)co_await submit("entry-1", "job6", job_body(2));
+        co_await m_fleet.eventually("the items run", [&] { return m_engine.running() >= 2; });
+        const auto ended = co_await get("entry-2", "/eelgrassdoor/lots/job6", "DELETE");
+        require(ended.status == 200, "a job is ended at any host");
+        co_await m_fleet.eventually("its items stop", [&] { return m_engine.running() == 0; });
+        const auto repeated = co_await get("entry-1", "/eelgrassdoor/lots/job6", "DELETE");
+        require(repeated.status == 200, "an end may be repeated");
+    }
+
+    net::task<> check_lost_answers() {
+        int commits = 0;
+        m_fleet.memory.lose_answer = [&commits] { return ++commits % 2 == 1; };
+        int status = 0;
+        for (int i = 0; i < 10 && status != 202; ++i) {
+            const auto got = co_await submit("entry-1", "job7", job_body(2));
+            status = got.status;
+            require(status != 503 && status != 429,
+                    "a job that may have been created is never refused as not run");
+        }
+        require(status == 202, "it is accepted in the end");
+        const nlohmann::json listed = co_await results("entry-2", "job7", 2);
+        m_fleet.memory.lose_answer = [] { return false; };
+        require(listed.size() == 2, "and every item has one result");
+    }
+
+    net::task<> check_handover() {
+        m_engine.set_pace(milliseconds(150));
+        for (int i = 0; i < 4; ++i) {
+            (void)co_await submit("entry-1", str_cat("hand", i), job_body(2));
+        }
+        m_first.begin_shutdown();
+        for (int i = 0; i < 4; ++i) {
+            const nlohmann::json listed = co_await results("entry-2", str_cat("hand", i), 2);
+            require(listed.size() == 2, "jobs of a leaving daemon are finished by another one");
+        }
+    }
+
+    daemon_fixture m_fleet;
+    scripted_engine& m_engine;
+    host::fleet_host& m_first;
+};
+
+} // namespace
+
+int main() {
+    job_checks().run();
+}
--- /dev/null
+++ b/test/platform/daemon_online.cpp
@@ -0,0 +1,202 @@
+/// \file
+/// Online requests through a daemon: what callers and engines see.
+#include "platform/fixture/daemon_fixture.hpp"
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::test;
+
+constexpr std::string_view five_events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+                                         "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
+
+/// Runs the checks one after the other against one fleet of two engines and an entry host.
+class online_checks {
+public:
+    online_checks()
+        : m_one(m_fleet.add_engine("i-1")), m_two(m_fleet.add_engine("i-2")),
+          m_daemon(m_fleet.add_daemon("entry", true, false)) {}
+
+    [[noreturn]] void run() {
+        m_fleet.run([this] { return all(); });
+    }
+
+private:
+    net::task<> all() {
+        co_await check_no_configuration();
+        co_await check_stream();
+        co_await check_refused_requests();
+        co_await check_not_run();
+        co_await check_cut();
+        co_await check_at_most_once();
+        co_await check_foreign_answer();
+        co_await check_caller_leaves();
+        co_await check_withdrawn_key();
+        co_await check_shutdown();
+    }
+
+    /// Both engines do the same with their next request, and serve afterwards.
+    void both(engine_act act) {
+        m_one.forget_script();
+        m_two.forget_script();
+        m_one.then(act);
+        m_two.then(act);
+    }
+    net::task<daemon_fixture::answer> call(const std::string& id, const std::string& path) {
+        return m_fleet.call(m_fleet.caller_endpoint("entry"), daemon_fixture::request(id, path));
+    }
+    net::task<int> readiness() {
+        net::http_request question;
+        question.method = "GET";
+        question.target = "/eelgrassdoor/ready";
+        const auto got = co_await m_fleet.call(m_fleet.readiness_endpoint("entry"), question);
+        co_return got.status;
+    }
+    [[nodiscard]] std::size_t arrivals() const {
+        return m_one.arrived().size() + m_two.arrived().size();
+    }
+
+    net::task<> check_no_configuration() {
+        const auto early = co_await call("early", "/p/x");
+        require(early.status == 503, "without a configuration a request is refused as not run");
+        const int not_ready = co_await readiness();
+        require(not_ready == 503, "and the daemon is not ready");
+        m_fleet.configure(1);
+        int ready = 0;
+        for (int i = 0; i < 500 && ready != 200; ++i) {
+            ready = co_await readiness();
+        }
+        require(ready == 200, "it is ready when the configuration has come");
+    }
+
+    net::task<> check_stream() {
+        const auto got = co_await call("a", "/p/x");
+        require(got.status == 200 && got.complete && got.body == five_events,
+                "a stream comes whole: " + got.body);
+        require(got.headers.get("Server-Seal").starts_with("seal-") &&
+                    got.headers.get("Attempt-Id") == "a",
+                "with the engine's own fields");
+        const scripted_engine& engine = m_one.arrived().empty() ? m_two : m_one;
+        const net::header_list& seen = engine.arrived().back().headers;
+        require(seen.find("Credential") == nullptr && seen.get("Tenant") == "c",
+                "the engine sees the customer and not the key");
+        require(seen.get("Expect-Instance").starts_with("i-"), "and which engine is meant");
+    }
+
+    net::task<> check_refused_requests() {
+        const std::size_t before = arrivals();
+        const auto unknown_path = co_await call("b", "/none/x");
+        require(unknown_path.status == 404, "an unknown path has no route");
+        net::http_request foreign = daemon_fixture::request("c");
+        foreign.headers.set("Credential", "key-2");
+        const auto unknown_key = co_await m_fleet.call(m_fleet.caller_endpoint("entry"), foreign);
+        require(unknown_key.status == 401, "an unknown key is refused");
+        net::http_request nameless = daemon_fixture::request("d");
+        nameless.headers.remove("Attempt-Id");
+        const auto without_id = co_await m_fleet.call(m_fleet.caller_endpoint("entry"), nameless);
+        require(without_id.status == 400, "a request without an id is malformed");
+        require(arrivals() == before, "none of them reached an engine");
+    }
+
+    net::task<> check_not_run() {
+        both(engine_act::refuse);
+        const auto refused = co_await call("e", "/o/x");
+        require(refused.status == 503 && !refused.headers.get("Retry-After").empty(),
+                "a request that no engine runs is refused as not run, with a time to come back");
+        both(engine_act::serve);
+        m_one.forget_script();
+        m_one.then(engine_act::refuse);
+        const auto served = co_await call("f", "/o/x");
+        require(served.status == 200 && served.complete, "another engine runs what one refuses");
+    }
+
+    net::task<> check_cut() {
+        both(engine_act::cut);
+        const auto resumed = co_await call("g", "/p/x");
+        require(resumed.status == 200 && resumed.body.starts_with(five_events.substr(0, 30)),
+                "a stream that breaks goes on at another engine");
+        const bool whole = resumed.complete && resumed.body == five_events;
+        const bool broken = !resumed.complete;
+        require(whole || broken, "a stream never looks complete unless it is");
+    }
+
+    net::task<> check_at_most_once() {
+        const std::size_t before = arrivals();
+        both(engine_act::cut);
+        const auto cut = co_await call("h", "/o/x");
+        require(!cut.complete, "a cut stream that may not be repeated does not look complete");
+        require(arrivals() == before + 1, "and is sent once");
+    }
+
+    net::task<> check_foreign_answer() {
+        both(engine_act::answer_other_first);
+        const auto got = co_await call("i", "/p/x");
+        require(got.status == 200 && got.body.find("not for") == std::string::npos,
+                "an answer to another request never reaches a caller");
+    }
+
+    net::task<> check_caller_leaves() {
+        both(engine_act::hang);
+        const time_point deadline = steady_clock()() + seconds(5);
+        auto opened = co_await net::http_client::connect(
+            m_fleet.loop.get_executor(), m_fleet.caller_endpoint("entry"), deadline);
+        net::http_exchange exchange(opened.value());
+        exchange.send(daemon_fixture::request("j", "/o/x"));
+        co_await m_fleet.eventually("the engine has the request",
+                                    [&] { return m_one.running() + m_two.running() == 1; });
+        const int before = m_one.dropped() + m_two.dropped();
+        opened.value()->close();
+        // The platform allows half a second.
+        co_await m_fleet.eventually(
+            "the engine learns that the caller has gone",
+            [&] { return m_one.dropped() + m_two.dropped() == before + 1; }, milliseconds(500));
+    }
+
+    net::task<> check_withdrawn_key() {
+        m_one.forget_script();
+        m_two.forget_script();
+        m_fleet.configure(2, R"("key-3")");
+        int status = 200;
+        for (int i = 0; i < 500 && status != 401; ++i) {
+            const auto got = co_await call("k" + std::to_string(i), "/p/x");
+            status = got.status;
+        }
+        require(status == 401, "a withdrawn key stops working");
+        m_fleet.configure(1);
+        const auto again = co_await call("l", "/p/x");
+        require(again.status == 401, "an older version never comes back into force");
+        m_fleet.configure(3);
+        for (int i = 0; i < 500 && status != 200; ++i) {
+            const auto got = co_await call("m" + std::to_string(i), "/p/x");
+            status = got.status;
+        }
+        require(status == 200, "a newer one does");
+    }
+
+    net::task<> check_shutdown() {
+        m_one.set_pace(milliseconds(300));
+        m_two.set_pace(milliseconds(300));
+        daemon_fixture::answer slow;
+        net::asio::co_spawn(
+            m_fleet.loop, [&]() -> net::task<> { slow = co_await call("slow", "/o/x"); },
+            net::asio::detached);
+        co_await m_fleet.eventually("the request runs",
+                                    [&] { return m_one.running() + m_two.running() == 1; });
+        m_daemon.begin_shutdown();
+        const int leaving = co_await readiness();
+        require(leaving == 503, "a leaving daemon is not ready");
+        co_await m_fleet.eventually("a request in hand is finished", [&] { return slow.complete; });
+        require(slow.body == five_events, "and whole");
+    }
+
+    daemon_fixture m_fleet;
+    scripted_engine& m_one;
+    scripted_engine& m_two;
+    host::fleet_host& m_daemon;
+};
+
+} // namespace
+
+int main() {
+    online_checks().run();
+}
