Keep telling load around cuts and to daemons whose registration has ended

Ruled out: slow engines, and too long a wait inside engines. Change: a directory that keeps lapsed daemons for 15 s, digests relayed on request around cuts, zones that rest as a whole, connects given up after 75 ms, a last digest that says goodbye.

--- /dev/null
+++ b/src/fleet/directory.cpp
@@ -0,0 +1,50 @@
+#include "fleet/directory.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::fleet {
+
+void directory::set_registered(const std::vector<member>& members, time_point now) {
+    member_map next;
+    for (const member& each : members) {
+        next[each.host] = each;
+        m_lapsed.erase(each.host);
+    }
+    for (const auto& [host, record] : m_registered) {
+        if (!next.contains(host)) {
+            m_lapsed[host] = {record, now + lapsed_time};
+        }
+    }
+    std::erase_if(m_lapsed, [&](const auto& entry) { return entry.second.until <= now; });
+    m_registered = std::move(next);
+}
+
+void directory::note_heard(std::string_view host, time_point now) {
+    const auto found = m_lapsed.find(host);
+    if (found != m_lapsed.end()) {
+        found->second.until = std::max(found->second.until, now + lapsed_time);
+    }
+}
+
+member_map directory::reachable(time_point now) const {
+    member_map out = m_registered;
+    for (const auto& [host, lapsed] : m_lapsed) {
+        if (lapsed.until > now) {
+            out.emplace(host, lapsed.record);
+        }
+    }
+    return out;
+}
+
+bool directory::knows(std::string_view host, time_point now) const {
+    const auto lapsed = m_lapsed.find(host);
+    return m_registered.contains(host) || (lapsed != m_lapsed.end() && lapsed->second.until > now);
+}
+
+std::size_t directory::fronts(time_point now) const {
+    const member_map all = reachable(now);
+    return static_cast<std::size_t>(std::count_if(
+        all.begin(), all.end(), [](const auto& entry) { return entry.second.serves_callers; }));
+}
+
+} // namespace eelgrassdoor::fleet
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -14,6 +14,17 @@
 /// below a quarter of the shortest latency objective, within which a refusal helps the caller.
 constexpr duration token_wait = milliseconds(25);
 
+/// A member that was not heard for this long is asked for at other daemons: twice the interval in
+/// which unchanged digests are repeated.
+constexpr duration silence_before_relay = milliseconds(1000);
+/// How often others are asked, and for how long they relay afterwards.
+constexpr duration relay_ask_interval = milliseconds(700);
+constexpr duration relay_time = milliseconds(1600);
+/// Daemons that are asked for the digests of one that is not heard.
+constexpr std::size_t relay_helpers = 2;
+/// Daemons that one digest is relayed to.
+constexpr std::size_t max_relay_targets = 16;
+
 net::udp::endpoint to_udp(const net::tcp::endpoint& endpoint) {
     return {endpoint.address(), endpoint.port()};
 }
@@ -53,25 +64,29 @@
 
 void link::stop() {
     m_stopped = true;
+    send_digest();
     m_wake.notify();
     m_socket.close();
 }
 
 void link::set_members(const std::vector<member>& members) {
-    m_members.clear();
+    m_directory.set_registered(members, m_clock());
+}
+
+std::vector<net::udp::endpoint> link::peer_endpoints() const {
     std::vector<std::string> endpoints;
-    for (const member& each : members) {
-        m_members[each.host] = each;
-        if (each.host != m_options.self.host) {
+    for (const auto& [host, each] : m_directory.reachable(m_clock())) {
+        if (host != m_options.self.host) {
             endpoints.push_back(each.endpoint);
         }
     }
-    m_endpoints = to_endpoints(endpoints);
+    return to_endpoints(endpoints);
 }
 
 net::task<> link::run() {
     while (!m_stopped) {
         send_digest();
+        ask_for_relays();
         // A change waits until the last digest is change_interval old.
         co_await net::sleep_for(m_options.change_interval);
         if (!m_changed) {
@@ -92,6 +107,7 @@
         digest.targets.push_back({stable_hash(id), static_cast<std::uint16_t>(share.online),
                                   static_cast<std::uint16_t>(share.batch)});
     }
+    digest.ends = m_stopped;
     digest.reaches_store = reaches_store && reaches_store();
     if (own_waiting) {
         digest.waiting = own_waiting();
@@ -102,10 +118,11 @@
 void link::send_digest() {
     m_changed = false;
     const std::string bytes = own_digest();
-    for (const net::udp::endpoint& endpoint : m_endpoints) {
+    const std::vector<net::udp::endpoint> peers = peer_endpoints();
+    for (const net::udp::endpoint& endpoint : peers) {
         m_socket.send(bytes, endpoint);
     }
-    if (m_endpoints.empty()) {
+    if (peers.empty()) {
         for (const net::udp::endpoint& endpoint : m_seed_endpoints) {
             m_socket.send(bytes, endpoint);
         }
@@ -120,7 +137,7 @@
     const std::string_view body = bytes.substr(2);
     switch (static_cast<std::uint8_t>(bytes[1])) {
     case load_digest::kind:
-        receive_digest(body, from);
+        receive_digest(bytes, from);
         break;
     case token_request::kind:
         receive_token_request(body, from);
@@ -128,6 +145,9 @@
     case token_transfer::kind:
         receive_transfer(body);
         break;
+    case relay_request::kind:
+        receive_relay_request(body, from);
+        break;
     default:
         m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
     }
@@ -143,8 +163,8 @@
     return out;
 }
 
-void link::receive_digest(std::string_view body, const net::udp::endpoint& from) {
-    const auto digest = peer::decode<load_digest>(body);
+void link::receive_digest(std::string_view bytes, const net::udp::endpoint& from) {
+    const auto digest = peer::decode<load_digest>(bytes.substr(2));
     if (!digest || digest->host == m_options.self.host) {
         return;
     }
@@ -155,6 +175,13 @@
     if (older) {
         return;
     }
+    relay(digest->host, bytes);
+    if (digest->ends) {
+        m_loads.forget_peer(digest->host);
+        m_directory.forget(digest->host);
+        return;
+    }
+    m_directory.note_heard(digest->host, m_clock());
     known = {digest->incarnation, digest->sequence, m_clock(), digest->reaches_store,
              digest->waiting};
     m_loads.note_peer(digest->host, named(digest->targets), m_clock());
@@ -169,11 +196,66 @@
     }
     // A daemon that is not registered, because it cannot reach the key-value service, learns from
     // an answer who can tell it the configuration.
-    if (!m_members.contains(digest->host)) {
+    if (!m_directory.knows(digest->host, m_clock())) {
         m_socket.send(own_digest(), from);
     }
 }
 
+void link::receive_relay_request(std::string_view body, const net::udp::endpoint& from) {
+    const auto request = peer::decode<relay_request>(body);
+    if (!request || !m_directory.knows(request->host, m_clock())) {
+        return;
+    }
+    std::vector<relay_target>& targets = m_relays[request->host];
+    const time_point now = m_clock();
+    std::erase_if(targets, [&](const relay_target& each) {
+        return each.until <= now || each.endpoint == from;
+    });
+    if (targets.size() < max_relay_targets) {
+        targets.push_back({from, now + relay_time});
+    }
+}
+
+void link::relay(const std::string& host, std::string_view bytes) {
+    const auto found = m_relays.find(host);
+    if (found == m_relays.end()) {
+        return;
+    }
+    for (const relay_target& target : found->second) {
+        if (target.until > m_clock()) {
+            m_socket.send(bytes, target.endpoint);
+        }
+    }
+}
+
+void link::ask_for_relays() {
+    const time_point now = m_clock();
+    if (now - m_asked_for_relays < relay_ask_interval) {
+        return;
+    }
+    m_asked_for_relays = now;
+    const member_map all = m_directory.reachable(now);
+    std::vector<const member*> heard;
+    for (const auto& [host, each] : all) {
+        if (heard_within(host, silence_before_relay)) {
+            heard.push_back(&each);
+        }
+    }
+    for (const auto& [host, each] : all) {
+        if (host == m_options.self.host || heard_within(host, silence_before_relay)) {
+            continue;
+        }
+        const std::string request = to_datagram(relay_request{host});
+        // Another helper each time: one may be cut off from the member as well.
+        for (std::size_t i = 0; i < std::min(relay_helpers, heard.size()); ++i) {
+            const member& helper = *heard[m_next_helper++ % heard.size()];
+            if (const auto endpoint = net::parse_endpoint(helper.endpoint)) {
+                m_socket.send(request, to_udp(endpoint.value()));
+            }
+        }
+    }
+}
+
 void link::receive_token_request(std::string_view body, const net::udp::endpoint& from) {
     const auto request = peer::decode<token_request>(body);
     if (!request) {
@@ -207,7 +289,7 @@
     if (m_shares.may_ask(customer, m_clock())) {
         const std::string request =
             to_datagram(token_request{customer, m_shares.tokens_to_ask(customer)});
-        for (const auto& [host, each] : m_members) {
+        for (const auto& [host, each] : m_directory.reachable(m_clock())) {
             const result<net::tcp::endpoint> endpoint = net::parse_endpoint(each.endpoint);
             if (each.serves_callers && host != m_options.self.host && endpoint) {
                 m_socket.send(request, to_udp(endpoint.value()));
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "base/clock.hpp"
-#include "fleet/member.hpp"
+#include "fleet/directory.hpp"
 #include "fleet/message.hpp"
 #include "limits/customer_shares.hpp"
 #include "net/notification.hpp"
@@ -39,6 +39,7 @@
          limits::customer_shares& shares);
 
     result<void> start();
+    /// Says goodbye and closes the socket.
     void stop();
 
     /// Another daemon knows a newer revision of a prefix: `endpoint`, `prefix`, its revision.
@@ -53,9 +54,10 @@
 
     /// Takes in all daemons, from the mirrored registrations.
     void set_members(const std::vector<member>& members);
-    [[nodiscard]] const std::map<std::string, member, std::less<>>& members() const {
-        return m_members;
-    }
+    /// The registered daemons: those that may own jobs.
+    [[nodiscard]] const member_map& members() const { return m_directory.registered(); }
+    /// Daemons that may admit callers' requests, also when their registration has just ended.
+    [[nodiscard]] std::size_t fronts() const { return m_directory.fronts(m_clock()); }
     /// Tells the others soon that something in the digest has changed.
     void note_change() {
         m_changed = true;
@@ -77,6 +79,11 @@
     [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
 
 private:
+    /// A daemon that gets copies of another one's digests for a while.
+    struct relay_target {
+        net::udp::endpoint endpoint;
+        time_point until{};
+    };
     struct peer_state {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
@@ -87,11 +94,17 @@
 
     net::task<> run();
     void receive(std::string_view bytes, const net::udp::endpoint& from);
-    void receive_digest(std::string_view body, const net::udp::endpoint& from);
+    void receive_digest(std::string_view bytes, const net::udp::endpoint& from);
     void receive_token_request(std::string_view body, const net::udp::endpoint& from);
     void receive_transfer(std::string_view body);
+    void receive_relay_request(std::string_view body, const net::udp::endpoint& from);
+    /// Passes a digest on to the daemons that asked for it.
+    void relay(const std::string& host, std::string_view bytes);
+    /// Asks others for the digests of members that are not heard.
+    void ask_for_relays();
     [[nodiscard]] std::string own_digest();
     void send_digest();
+    [[nodiscard]] std::vector<net::udp::endpoint> peer_endpoints() const;
     [[nodiscard]] routing::load_by_target named(const std::vector<target_count>& counts) const;
 
     net::asio::any_io_executor m_executor;
@@ -106,10 +119,12 @@
     bool m_changed = false;
     bool m_stopped = false;
     std::uint64_t m_sequence = 0;
-    std::map<std::string, member, std::less<>> m_members;
-    std::vector<net::udp::endpoint> m_endpoints;
+    directory m_directory;
     std::vector<net::udp::endpoint> m_seed_endpoints;
     std::map<std::string, peer_state, std::less<>> m_peers;
+    std::map<std::string, std::vector<relay_target>, std::less<>> m_relays;
+    time_point m_asked_for_relays{};
+    std::size_t m_next_helper = 0;
     /// Requests that wait for tokens of a customer.
     std::map<std::string, std::vector<std::shared_ptr<net::notification>>, std::less<>> m_waiters;
 };
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -37,6 +37,8 @@
     std::uint64_t sequence = 0;
     /// Whether the key-value service answers the sender.
     bool reaches_store = false;
+    /// Whether this is the sender's last digest.
+    bool ends = false;
     /// The highest revision of any key that the sender knows, for each mirrored prefix in order.
     std::vector<std::uint64_t> known_revisions;
     std::vector<target_count> targets;
@@ -44,7 +46,7 @@
 
     template <typename Archive> void serialize(Archive& ar) {
         peer::text(ar, host);
-        ar(incarnation, sequence, reaches_store);
+        ar(incarnation, sequence, reaches_store, ends);
         const auto number = [](Archive& a, std::uint64_t& value) { a(value); };
         const auto whole = [](Archive& a, auto& value) { a(value); };
         peer::list(ar, known_revisions, number);
@@ -77,6 +79,14 @@
     }
 };
 
+/// Asks for copies of another daemon's digests, because its own do not arrive here.
+struct relay_request {
+    static constexpr std::uint8_t kind = 4;
+    std::string host;
+
+    template <typename Archive> void serialize(Archive& ar) { peer::text(ar, host); }
+};
+
 /// The bytes of a datagram: protocol version, kind, message.
 inline constexpr char protocol_version = 1;
 
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -214,11 +214,7 @@
     for (const auto& [name, customer] : m_context.plan->customers) {
         limits[name] = {customer.rate_per_second, customer.burst};
     }
-    const auto& members = m_link.members();
-    const auto fronts = std::count_if(members.begin(), members.end(), [](const auto& entry) {
-        return entry.second.serves_callers;
-    });
-    m_shares.configure(limits, static_cast<std::size_t>(fronts), m_clock());
+    m_shares.configure(limits, m_link.fronts(), m_clock());
 }
 
 void fleet_host::apply_targets() {
@@ -308,6 +304,8 @@
     for (int tick = 0;; ++tick) {
         // Targets that were kept for a while after an outage may have to go now.
         apply_targets();
+        // Daemons whose registration has ended stop counting after a while.
+        apply_limits();
         if (tick % reload_ticks == 0 && m_adapter.reload) {
             m_adapter.reload();
         }
@@ -368,6 +366,7 @@
         co_await net::sleep_for(milliseconds(50));
     }
     co_await m_registration.end();
+    m_link.stop();
     m_log.write(observe::event::daemon_stopped, m_settings.host);
     m_log.flush();
     m_loop.stop();
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -62,15 +62,36 @@
     }
 }
 
+void fleet_load::rest::begin(time_point now) {
+    if (now < until) {
+        return;
+    }
+    backoff = std::clamp(2 * backoff, first_backoff, longest_backoff);
+    until = now + backoff;
+}
+
 void fleet_load::note_failed(std::string_view id, target_failure how, time_point now) {
     failure_state& state = m_failures[std::string(id)];
     state.broken_answers += how == target_failure::broke_off ? 1 : 0;
-    const bool rests = how == target_failure::unreachable || state.broken_answers >= 2;
-    if (!rests || now < state.until) {
+    if (how == target_failure::unreachable || state.broken_answers >= 2) {
+        state.resting.begin(now);
+    }
+    const fleet_target* target = find(id);
+    if (how == target_failure::unreachable && target != nullptr) {
+        note_unreachable_zone(*target, now);
+    }
+}
+
+void fleet_load::note_unreachable_zone(const fleet_target& target, time_point now) {
+    // Targets of the own zone are reached by the same paths as callers reach this daemon.
+    if (target.availability_zone == m_options.own_zone) {
         return;
     }
-    state.backoff = std::clamp(2 * state.backoff, first_backoff, longest_backoff);
-    state.until = now + state.backoff;
+    zone_state& zone = m_zones[target.availability_zone];
+    zone.unreachable.insert(target.id);
+    if (zone.unreachable.size() >= 2) {
+        zone.resting.begin(now);
+    }
 }
 
 void fleet_load::note_answered(std::string_view id) {
@@ -78,6 +99,9 @@
     if (found != m_failures.end()) {
         m_failures.erase(found);
     }
+    if (const fleet_target* target = find(id)) {
+        m_zones.erase(target->availability_zone);
+    }
 }
 
 target_share fleet_load::total(std::string_view id, time_point now) const {
@@ -98,9 +122,13 @@
     return sum;
 }
 
-bool fleet_load::is_resting(std::string_view id, time_point now) const {
-    const auto failed = m_failures.find(id);
-    return failed != m_failures.end() && now < failed->second.until;
+bool fleet_load::is_resting(const fleet_target& target, time_point now) const {
+    const auto zone = m_zones.find(target.availability_zone);
+    if (zone != m_zones.end() && now < zone->second.resting.until) {
+        return true;
+    }
+    const auto failed = m_failures.find(target.id);
+    return failed != m_failures.end() && now < failed->second.resting.until;
 }
 
 std::vector<const fleet_target*>
@@ -112,7 +140,7 @@
         if (target.leaving || target.service != service || excluded.contains(id)) {
             continue;
         }
-        (is_resting(id, now) ? resting : fit).push_back(&target);
+        (is_resting(target, now) ? resting : fit).push_back(&target);
     }
     return fit.empty() ? resting : fit;
 }
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -90,6 +90,8 @@
 
     /// The target rests at once when it cannot be reached, and after a second answer in a row that
     /// broke off: engines that break off a few answers serve all others.
+    /// All targets of a zone rest when a second one there cannot be reached and none has answered
+    /// since: the zone is likely to be cut off.
     void note_failed(std::string_view id, target_failure how, time_point now);
     void note_answered(std::string_view id);
 
@@ -118,10 +120,20 @@
         load_by_target loads;
         time_point heard_at;
     };
-    struct failure_state {
-        int broken_answers = 0;
+    struct rest {
         duration backoff{};
         time_point until{};
+        /// Begins a rest, longer than the one before.
+        void begin(time_point now);
+    };
+    struct failure_state {
+        int broken_answers = 0;
+        rest resting;
+    };
+    struct zone_state {
+        /// Targets that could not be reached since one there has answered.
+        std::set<std::string, std::less<>> unreachable;
+        rest resting;
     };
 
     void release(std::string_view id, int target_share::*kind);
@@ -129,7 +141,8 @@
     [[nodiscard]] std::vector<const fleet_target*>
     candidates(std::string_view service, const std::set<std::string, std::less<>>& excluded,
                time_point now) const;
-    [[nodiscard]] bool is_resting(std::string_view id, time_point now) const;
+    [[nodiscard]] bool is_resting(const fleet_target& target, time_point now) const;
+    void note_unreachable_zone(const fleet_target& target, time_point now);
 
     placement_options m_options;
     std::map<std::string, fleet_target, std::less<>> m_targets;
@@ -137,6 +150,7 @@
     std::map<std::string, peer_load, std::less<>> m_peers;
     load_by_target m_own;
     std::map<std::string, failure_state, std::less<>> m_failures;
+    std::map<std::string, zone_state, std::less<>> m_zones;
 };
 
 } // namespace eelgrassdoor::routing
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 /// How long a target may take to accept a connection. Zones are a few milliseconds apart and the
-/// kernel accepts for a busy target; a target that is gone without a reset never does.
-constexpr duration connect_timeout = milliseconds(150);
+/// kernel accepts for a busy target; a target that is gone without a reset never does. Two such
+/// waits leave half of the shortest latency objective.
+constexpr duration connect_timeout = milliseconds(75);
 /// Answers to earlier requests that are passed over before the wanted one.
 constexpr int max_foreign_answers = 3;
 /// An answer that is kept in memory as a whole.
--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -76,6 +76,34 @@
     require(!loads.pick_online("s", none, later, random), "a leaving target gets no new work");
 }
 
+void check_zones() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads({.own_zone = "a"});
+    loads.set_targets(
+        {target("own", "a"), target("b1", "b"), target("b2", "b"), target("b3", "b")});
+    for (int i = 0; i < 2; ++i) {
+        loads.note_online_sent("own");
+    }
+    loads.note_failed("b1", target_failure::unreachable, now);
+    require(loads.pick_online("s", none, now, random)->availability_zone == "b",
+            "one target that cannot be reached says nothing of its zone");
+    loads.note_failed("b2", target_failure::unreachable, now);
+    require(loads.pick_online("s", none, now, random)->id == "own",
+            "a second one makes all of the zone rest");
+    require(
+        loads.pick_online("s", none, now + fleet_load::first_backoff, random)->availability_zone ==
+            "b",
+        "the zone is tried again after the rest");
+    loads.note_failed("b3", target_failure::unreachable, now + fleet_load::first_backoff);
+    require(loads.pick_online("s", none, now + 2 * fleet_load::first_backoff, random)->id == "own",
+            "each failure makes the zone rest longer");
+    loads.note_answered("b3");
+    require(loads.pick_online("s", none, now + 2 * fleet_load::first_backoff, random)
+                    ->availability_zone == "b",
+            "an answer ends the rest of the zone");
+}
+
 void check_batch() {
     const time_point now{};
     random_source random(1);
@@ -129,6 +157,7 @@
 int main() {
     check_online();
     check_failures();
+    check_zones();
     check_batch();
     check_stops_add_up();
     return eelgrassdoor::test::finish();
