--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -191,7 +191,11 @@
     const std::vector<std::string>& prefixes = m_mirrors.prefixes();
     for (std::size_t i = 0; i < std::min(prefixes.size(), digest->known_revisions.size()); ++i) {
         if (digest->known_revisions[i] > m_mirrors.revision(prefixes[i]) && on_newer_revision) {
-            on_newer_revision(to_text(from), prefixes[i], digest->known_revisions[i]);
+            const member_map& members = m_directory.registered();
+            const auto sender = members.find(digest->host);
+            const bool same_zone = sender != members.end() && sender->second.availability_zone ==
+                                                                  m_options.self.availability_zone;
+            on_newer_revision({to_text(from), prefixes[i], digest->known_revisions[i], same_zone});
         }
     }
     // A daemon that is not registered, because it cannot reach the key-value service, learns from
@@ -326,6 +330,12 @@
     });
 }
 
+bool link::hears_with_store(std::string_view host, duration age) const {
+    const auto found = m_peers.find(host);
+    return found != m_peers.end() && found->second.reaches_store &&
+           m_clock() - found->second.heard_at <= age;
+}
+
 bool link::heard_within(std::string_view host, duration age) const {
     const auto found = m_peers.find(host);
     return found != m_peers.end() && m_clock() - found->second.heard_at <= age;
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -31,6 +31,15 @@
     duration repeat_interval = milliseconds(500);
 };
 
+/// What another daemon knows that this one does not.
+struct newer_revision {
+    /// The daemon's endpoint.
+    std::string endpoint;
+    std::string prefix;
+    std::uint64_t revision = 0;
+    bool same_zone = false;
+};
+
 /// Sends and receives datagrams: load, revisions of mirrors, tokens of customers' rates.
 class link {
 public:
@@ -42,8 +51,8 @@
     /// Says goodbye and closes the socket.
     void stop();
 
-    /// Another daemon knows a newer revision of a prefix: `endpoint`, `prefix`, its revision.
-    std::function<void(const std::string&, const std::string&, std::uint64_t)> on_newer_revision;
+    /// Another daemon knows a newer revision of a prefix.
+    std::function<void(const newer_revision&)> on_newer_revision;
     /// The load at a target, as it was told by another daemon, has changed.
     std::function<void()> on_peer_load;
     /// Tokens that wait here, for the digest.
@@ -75,6 +84,8 @@
     [[nodiscard]] std::uint64_t waiting_elsewhere(std::uint64_t customer_and_route) const;
     /// Whether a daemon that was heard lately is answered by the key-value service.
     [[nodiscard]] bool any_peer_has_store() const;
+    /// Whether a daemon was heard within \p age and said that it reaches the key-value service.
+    [[nodiscard]] bool hears_with_store(std::string_view host, duration age) const;
     /// Whether a daemon was heard within \p age.
     [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
 
--- a/src/fleet/registration.cpp
+++ b/src/fleet/registration.cpp
@@ -51,6 +51,7 @@
 net::task<bool> registration::renew() {
     const time_point asked_at = m_lease_clock();
     const result<bool> renewed = co_await m_store.renew_lease(m_lease);
+    on_contact(renewed.has_value(), renewed ? "" : "the lease could not be renewed");
     if (!renewed) {
         co_return false;
     }
--- a/src/fleet/registration.hpp
+++ b/src/fleet/registration.hpp
@@ -28,6 +28,8 @@
                  clock_fn lease_clock, observe::decision_log& log);
 
     void start();
+    /// Told after each call to the store: whether it was answered, and why not.
+    std::function<void(bool, std::string_view)> on_contact = [](bool, std::string_view) {};
     /// Whether the lease cannot have ended yet, whatever the store has heard of this daemon.
     [[nodiscard]] bool valid() const { return m_lease_clock() < m_valid_until; }
     /// Removes the registration.
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -16,6 +16,14 @@
 constexpr duration leave_rotation_time = milliseconds(3500);
 /// What is left of the grace period for the last steps.
 constexpr duration shutdown_margin = milliseconds(700);
+/// A delegate that was not heard for this long is not relied on: three lost digests in a row, and
+/// within the time in which changes must be in force.
+constexpr duration delegate_silence = milliseconds(1300);
+/// Registrations that come one after the other are fetched together.
+constexpr duration member_gather_time = milliseconds(500);
+/// Entry hosts own nothing that another daemon would take over, so they renew seldom.
+constexpr duration entry_ttl = seconds(8);
+constexpr duration entry_renew_interval = milliseconds(2500);
 /// A daemon that cannot learn of the targets for this long is ready without any.
 constexpr std::size_t reserved_descriptors = 300;
 /// What one caller may need besides its own connection: one to a target.
@@ -41,7 +49,7 @@
       m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
       m_link(loop.get_executor(), {.self = self(), .seeds = m_settings.seeds}, m_clock, log,
              m_loads, m_mirror, m_shares),
-      m_registration(loop.get_executor(), adapter.store, m_mirror, {.self = self()}, m_clock,
+      m_registration(loop.get_executor(), adapter.store, m_mirror, registration_settings(), m_clock,
                      boot_clock(), log),
       m_context{.executor = loop.get_executor(),
                 .clock = m_clock,
@@ -67,6 +75,15 @@
 
 fleet_host::~fleet_host() = default;
 
+fleet::registration_options fleet_host::registration_settings() const {
+    fleet::registration_options options{.self = self()};
+    if (!m_settings.runs_jobs) {
+        options.ttl = entry_ttl;
+        options.renew_interval = entry_renew_interval;
+    }
+    return options;
+}
+
 fleet::member fleet_host::self() const {
     return {.host = m_settings.host,
             .availability_zone = m_settings.availability_zone,
@@ -143,11 +160,12 @@
                  {"callers", m_settings.serves_callers ? "yes" : "no"},
                  {"jobs", m_settings.runs_jobs ? "yes" : "no"}});
     m_mirror.on_change([this](std::string_view prefix) { on_mirror_change(prefix); });
-    m_link.on_newer_revision = [this](const std::string& endpoint, const std::string& prefix,
-                                      std::uint64_t revision) {
-        m_peer_api.pull(endpoint, prefix, revision);
-    };
+    m_link.on_newer_revision = [this](const fleet::newer_revision& news) { m_peer_api.pull(news); };
     m_link.reaches_store = [this] { return m_feed.connected_since() != time_point::max(); };
+    m_registration.on_contact = [this](bool answered, std::string_view reason) {
+        m_feed.note_contact(answered, reason);
+    };
+    follow_prefixes();
     if (m_runner) {
         m_link.on_peer_load = [this] { m_runner->note_load(); };
         m_link.own_waiting = [this] { return m_runner->waiting(); };
@@ -163,7 +181,20 @@
     return success();
 }
 
+void fleet_host::follow_prefixes() {
+    m_feed.must_watch = [this] {
+        return fleet::must_watch(m_link.members(), self(), [this](std::string_view host) {
+            return m_link.hears_with_store(host, delegate_silence);
+        });
+    };
+    // Daemons that run jobs must know who else does; they are few.
+    m_feed.set_options(fleet::member_prefix,
+                       {.gather_time = member_gather_time, .always_watched = m_settings.runs_jobs});
+    m_feed.set_options(jobs::ended_prefix, {.always_watched = true});
+}
+
 void fleet_host::on_mirror_change(std::string_view prefix) {
+    m_link.note_change();
     if (prefix == m_adapter.operator_prefix) {
         apply_plan();
         check_evacuation();
@@ -231,8 +262,11 @@
                 {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
         }
     }
+    const bool reached =
+        m_feed.connected_since() != time_point::max() || m_link.any_peer_has_store();
+    m_store_presence.update(reached, m_clock());
     const std::vector<routing::fleet_target> used =
-        m_roster.update(listed, {m_feed.connected_since(), m_feed.last_outage()}, m_clock());
+        m_roster.update(listed, m_store_presence.contact(), m_clock());
     std::set<std::string> known;
     for (const routing::fleet_target& target : used) {
         if (target.leaving) {
--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -6,13 +6,16 @@
 #include "entry/job_front.hpp"
 #include "fleet/link.hpp"
 #include "fleet/registration.hpp"
+#include "fleet/store_presence.hpp"
 #include "fleet/target_roster.hpp"
+#include "fleet/watch_duty.hpp"
 #include "host/host_adapter.hpp"
 #include "host/host_settings.hpp"
 #include "host/peer_api.hpp"
 #include "jobs/job_runner.hpp"
 #include "store/mirror_feed.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -33,6 +36,8 @@
 
 private:
     [[nodiscard]] fleet::member self() const;
+    [[nodiscard]] fleet::registration_options registration_settings() const;
+    void follow_prefixes();
     [[nodiscard]] bool ready() const;
     void open_servers();
     result<void> start_servers();
@@ -66,6 +71,7 @@
     fleet::link m_link;
     fleet::registration m_registration;
     fleet::target_roster m_roster;
+    fleet::store_presence m_store_presence;
     serving::host_context m_context;
     jobs::job_repository m_repository;
     std::unique_ptr<jobs::job_runner> m_runner;
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -24,8 +24,10 @@
 namespace {
 
 constexpr std::string_view mirror_path = "/mirror";
-/// News from the key-value service are usually there by then; a pull would repeat them.
-constexpr duration pull_delay = milliseconds(250);
+/// Several changes in a row are fetched together.
+constexpr duration same_zone_pull_delay = milliseconds(15);
+/// A daemon of the own zone or the key-value service has usually told the news by then.
+constexpr duration other_zone_pull_delay = milliseconds(250);
 constexpr duration pull_timeout = milliseconds(1000);
 
 } // namespace
@@ -63,34 +65,41 @@
     co_await caller.respond(std::move(response));
 }
 
-void peer_api::pull(std::string endpoint, std::string prefix, std::uint64_t revision) {
-    if (m_pulling.insert(prefix).second) {
-        net::asio::co_spawn(m_context.executor,
-                            run_pull(std::move(endpoint), std::move(prefix), revision),
-                            net::asio::detached);
+void peer_api::pull(const fleet::newer_revision& news) {
+    if (m_pulling.insert(news.prefix).second) {
+        net::asio::co_spawn(m_context.executor, run_pull(news), net::asio::detached);
     }
 }
 
-net::task<> peer_api::run_pull(std::string endpoint, std::string prefix, std::uint64_t revision) {
-    if (m_mirror.revision(prefix) != 0) {
-        co_await net::sleep_for(pull_delay);
+net::task<> peer_api::run_pull(fleet::newer_revision news) {
+    if (m_mirror.revision(news.prefix) != 0) {
+        const duration delay = news.same_zone ? same_zone_pull_delay : other_zone_pull_delay;
+        co_await net::sleep_for(delay);
     }
-    if (m_mirror.revision(prefix) < revision) {
+    if (m_mirror.revision(news.prefix) < news.revision) {
         net::http_request request;
         request.method = "GET";
-        request.target = str_cat(mirror_path, "?prefix=", prefix);
-        const result<net::http_response> response =
-            co_await m_client.call(endpoint, std::move(request), m_context.clock() + pull_timeout);
+        request.target = str_cat(mirror_path, "?prefix=", news.prefix);
+        const result<net::http_response> response = co_await m_client.call(
+            news.endpoint, std::move(request), m_context.clock() + pull_timeout);
         if (response) {
-            if (const auto snapshot = peer::decode<store::mirror_snapshot>(response.value().body)) {
-                m_mirror.apply_snapshot(*snapshot);
-                m_context.log.write(
-                    observe::event::mirror_pulled, prefix,
-                    {{"from", endpoint}, {"revision", std::to_string(snapshot->revision)}});
-            }
+            take_in(news, response.value().body);
         }
     }
-    m_pulling.erase(prefix);
+    m_pulling.erase(news.prefix);
+}
+
+void peer_api::take_in(const fleet::newer_revision& news, std::string_view body) {
+    const auto snapshot = peer::decode<store::mirror_snapshot>(body);
+    if (!snapshot) {
+        m_context.log.write(observe::event::message_dropped, news.prefix,
+                            {{"from", news.endpoint}});
+        return;
+    }
+    m_mirror.apply_snapshot(*snapshot);
+    m_context.log.write(
+        observe::event::mirror_pulled, news.prefix,
+        {{"from", news.endpoint}, {"revision", std::to_string(snapshot->revision)}});
 }
 
 } // namespace eelgrassdoor::host
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -2,6 +2,7 @@
 /// Defines the calls between daemons: mirrors and jobs.
 #pragma once
 
+#include "fleet/link.hpp"
 #include "jobs/job_runner.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -22,12 +23,13 @@
 
     net::task<> handle(net::server_exchange& caller);
 
-    /// Fetches a prefix from another daemon that knows a newer revision, unless the key-value
-    /// service tells it first.
-    void pull(std::string endpoint, std::string prefix, std::uint64_t revision);
+    /// Fetches a prefix from another daemon that knows a newer revision; from another zone only
+    /// when neither the key-value service nor a daemon of the own zone tells it first.
+    void pull(const fleet::newer_revision& news);
 
 private:
-    net::task<> run_pull(std::string endpoint, std::string prefix, std::uint64_t revision);
+    net::task<> run_pull(fleet::newer_revision news);
+    void take_in(const fleet::newer_revision& news, std::string_view body);
     net::task<> answer_mirror(net::server_exchange& caller);
     net::task<> answer_jobs(net::server_exchange& caller);
 
--- a/src/store/mirror_feed.cpp
+++ b/src/store/mirror_feed.cpp
@@ -11,6 +11,10 @@
 /// How long one watch may wait. The store counts a waiting watch as one call, so a longer wait is
 /// cheaper; a watch that has gone silent is found by the connection's keep-alive probes.
 constexpr duration watch_wait = seconds(10);
+/// How often a daemon that does not watch looks whether it has to.
+constexpr duration duty_interval = milliseconds(300);
+/// How often it reads a prefix all the same, in case that nobody told it of a change.
+constexpr duration look_interval = seconds(6);
 /// First and longest pause after a call that failed.
 constexpr duration first_pause = milliseconds(100);
 constexpr duration longest_pause = milliseconds(800);
@@ -46,11 +50,11 @@
                 {{"reason", std::string(reason)}});
 }
 
-net::task<result<std::uint64_t>> mirror_feed::read_all(const std::string& prefix) {
+net::task<result<std::uint64_t>> mirror_feed::read_all(std::string prefix, consistency how) {
     mirror_snapshot snapshot{prefix, 0, {}};
     std::string after;
     for (;;) {
-        result<kv_page> page = co_await m_store.list(prefix, after, consistency::linearizable);
+        result<kv_page> page = co_await m_store.list(prefix, after, how);
         if (!page) {
             co_return page.error();
         }
@@ -70,34 +74,69 @@
     co_return snapshot.revision;
 }
 
+feed_options mirror_feed::options_of(const std::string& prefix) const {
+    const auto found = m_options.find(prefix);
+    return found == m_options.end() ? feed_options() : found->second;
+}
+
+net::task<std::string> mirror_feed::follow_once(const std::string& prefix, bool& must_read,
+                                                std::uint64_t& revision) {
+    if (must_read) {
+        const result<std::uint64_t> read = co_await read_all(prefix, consistency::linearizable);
+        if (!read) {
+            co_return read.error().message;
+        }
+        must_read = false;
+        revision = read.value();
+        co_return std::string();
+    }
+    const result<watch_outcome> seen = co_await m_store.watch(prefix, revision, watch_wait);
+    if (!seen) {
+        co_return seen.error().message;
+    }
+    const auto* changes = std::get_if<kv_changes>(&seen.value());
+    must_read = changes == nullptr;
+    if (changes != nullptr) {
+        m_mirror.apply_changes(prefix, *changes);
+        revision = std::max(revision, changes->store_revision);
+    }
+    co_return std::string();
+}
+
+net::task<std::string> mirror_feed::look_now_and_then(const std::string& prefix) {
+    const time_point until = m_clock() + look_interval;
+    while (!must_watch() && m_clock() < until) {
+        co_await net::sleep_for(duty_interval);
+    }
+    if (must_watch()) {
+        co_return std::string();
+    }
+    // A stale read may lag behind what others have told: the mirror never goes back.
+    const result<std::uint64_t> read = co_await read_all(prefix, consistency::stale);
+    co_return read ? std::string() : read.error().message;
+}
+
 net::task<> mirror_feed::follow(std::string prefix) {
     duration pause = first_pause;
     bool must_read = true;
     std::uint64_t revision = 0;
     for (;;) {
+        const feed_options options = options_of(prefix);
+        const bool watches = must_read || options.always_watched || must_watch();
         std::string failure;
-        if (must_read) {
-            const result<std::uint64_t> read = co_await read_all(prefix);
-            if (read) {
-                must_read = false;
-                revision = read.value();
-            } else {
-                failure = read.error().message;
-            }
+        if (watches) {
+            failure = co_await follow_once(prefix, must_read, revision);
         } else {
-            const result<watch_outcome> seen = co_await m_store.watch(prefix, revision, watch_wait);
-            if (!seen) {
-                failure = seen.error().message;
-            } else if (const auto* changes = std::get_if<kv_changes>(&seen.value())) {
-                m_mirror.apply_changes(prefix, *changes);
-                revision = std::max(revision, changes->store_revision);
-            } else {
-                must_read = true;
-            }
+            failure = co_await look_now_and_then(prefix);
+            // What happened meanwhile was not seen in order.
+            must_read = must_watch();
         }
         note_answer(failure.empty(), failure);
         if (failure.empty()) {
             pause = first_pause;
+            if (options.gather_time > duration::zero()) {
+                co_await net::sleep_for(options.gather_time);
+            }
             continue;
         }
         co_await net::sleep_for(pause);
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -11,12 +11,30 @@
 
 namespace eelgrassdoor::store {
 
-/// Watches each prefix of a mirror; reads it anew when the store has dropped its history.
+/// How one prefix is followed.
+struct feed_options {
+    /// Changes that come within this time after others are fetched together; a change that nobody
+    /// waits for may come later and cost fewer calls.
+    duration gather_time{};
+    /// Whether every daemon watches the prefix, whatever must_watch says.
+    bool always_watched = false;
+};
+
+/// Watches prefixes of a mirror, and reads one anew when the store has dropped its history. While
+/// other daemons watch in its place, it only looks now and then by cheap stale reads.
 class mirror_feed {
 public:
     mirror_feed(net::asio::any_io_executor executor, kv_store& store, mirror& target,
                 clock_fn clock, observe::decision_log& log);
 
+    /// Whether this daemon has to watch by itself.
+    std::function<bool()> must_watch = [] { return true; };
+    void set_options(std::string_view prefix, feed_options options) {
+        m_options[std::string(prefix)] = options;
+    }
+    /// Another call of this daemon to the store was answered or failed.
+    void note_contact(bool answered, std::string_view reason) { note_answer(answered, reason); }
+
     void start();
 
     /// Since when the store answers without a gap; time_point::max() while it does not.
@@ -26,12 +44,18 @@
 
 private:
     net::task<> follow(std::string prefix);
-    net::task<result<std::uint64_t>> read_all(const std::string& prefix);
+    /// Takes one step for a prefix; returns why it failed, or an empty text.
+    net::task<std::string> follow_once(const std::string& prefix, bool& must_read,
+                                       std::uint64_t& revision);
+    net::task<std::string> look_now_and_then(const std::string& prefix);
+    net::task<result<std::uint64_t>> read_all(std::string prefix, consistency how);
+    [[nodiscard]] feed_options options_of(const std::string& prefix) const;
     void note_answer(bool answered, std::string_view reason);
 
     net::asio::any_io_executor m_executor;
     kv_store& m_store;
     mirror& m_mirror;
+    std::map<std::string, feed_options> m_options;
     clock_fn m_clock;
     observe::decision_log& m_log;
     time_point m_last_answer{};
--- a/test/correctness/mirrors.cpp
+++ b/test/correctness/mirrors.cpp
@@ -2,7 +2,9 @@
 /// Replicas of the key-value service never go back, and lapsed targets are not taken as gone.
 #include "check.hpp"
 #include "fleet/directory.hpp"
+#include "fleet/store_presence.hpp"
 #include "fleet/target_roster.hpp"
+#include "fleet/watch_duty.hpp"
 #include "store/mirror.hpp"
 
 namespace {
@@ -100,9 +102,45 @@
     require(known.fronts(now) == 0, "a daemon that said that it ends does not count");
 }
 
+void check_watch_duty() {
+    fleet::member_map fleet;
+    for (int i = 0; i < 12; ++i) {
+        const std::string host = "h" + std::to_string(i);
+        fleet[host] = {.host = host, .availability_zone = i % 2 == 0 ? "a" : "b"};
+    }
+    const auto all = [](std::string_view) { return true; };
+    const auto nobody = [](std::string_view) { return false; };
+    int watching = 0;
+    for (const auto& [host, self] : fleet) {
+        watching += fleet::must_watch(fleet, self, all) ? 1 : 0;
+        require(fleet::must_watch(fleet, self, nobody),
+                "a daemon that hears no delegate watches by itself");
+    }
+    require(watching == 2, "one daemon of each zone watches");
+    const std::string delegate = fleet::zone_delegate(fleet, "a");
+    fleet.erase(delegate);
+    require(fleet::zone_delegate(fleet, "a") != delegate, "another one takes over");
+    require(fleet::zone_delegate(fleet, "none").empty(), "an empty zone has none");
+    require(fleet::must_watch({}, {.host = "x"}, all), "who knows nobody watches");
+}
+
+void check_presence() {
+    fleet::store_presence presence;
+    const time_point start = time_point{} + seconds(100);
+    presence.update(true, start);
+    presence.update(false, start + seconds(5));
+    require(presence.contact().connected_since == time_point::max(), "an outage is noticed");
+    presence.update(true, start + seconds(9));
+    require(presence.contact().outage == seconds(4) &&
+                presence.contact().connected_since == start + seconds(9),
+            "and how long it was");
+}
+
 } // namespace
 
 int main() {
+    check_watch_duty();
+    check_presence();
     check_directory();
     check_order();
     check_snapshots();
