Split the job runner; send digests to a group as often as its size allows

Cause: job_runner.cpp had 790 lines with four concerns, and read only the first of a route's weighted services.

--- a/src/config/serving_plan.cpp
+++ b/src/config/serving_plan.cpp
@@ -25,4 +25,19 @@
     return nullptr;
 }
 
+std::string pick_service(const serving_route& route, random_source& random) {
+    double sum = 0;
+    for (const weighted_service& each : route.services) {
+        sum += each.weight;
+    }
+    double at = random.unit() * sum;
+    for (const weighted_service& each : route.services) {
+        at -= each.weight;
+        if (at < 0) {
+            return each.service;
+        }
+    }
+    return route.services.empty() ? std::string() : route.services.back().service;
+}
+
 } // namespace eelgrassdoor::config
--- a/src/config/serving_plan.hpp
+++ b/src/config/serving_plan.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "base/random_source.hpp"
 #include "net/http_server.hpp"
 
 #include <cstdint>
@@ -103,6 +104,9 @@
     [[nodiscard]] const serving_route* find_route(std::string_view name) const;
 };
 
+/// The service that gets the next request of a route, by the weights.
+std::string pick_service(const serving_route& route, random_source& random);
+
 using serving_plan_ptr = std::shared_ptr<const serving_plan>;
 
 } // namespace eelgrassdoor::config
--- a/src/entry/online_service.cpp
+++ b/src/entry/online_service.cpp
@@ -38,21 +38,6 @@
 
 } // namespace
 
-std::string online_service::pick_service(const config::serving_route& route) const {
-    double sum = 0;
-    for (const config::weighted_service& each : route.services) {
-        sum += each.weight;
-    }
-    double at = m_context.random.unit() * sum;
-    for (const config::weighted_service& each : route.services) {
-        at -= each.weight;
-        if (at < 0) {
-            return each.service;
-        }
-    }
-    return route.services.empty() ? std::string() : route.services.back().service;
-}
-
 net::task<> online_service::run(net::server_exchange& caller, caller_request request,
                                 const config::serving_route& route, std::string customer) {
     const duration wait = std::min(route.timeout, request.time_left.value_or(route.timeout));
@@ -60,7 +45,7 @@
                         .request = std::move(request),
                         .route = route,
                         .customer = std::move(customer),
-                        .service = pick_service(route),
+                        .service = config::pick_service(route, m_context.random),
                         .deadline = caller.received_at() + wait,
                         .excluded = {},
                         .last_event = {},
@@ -285,6 +270,11 @@
         failure.retry_after = seconds(1);
         failure.code = error_code::overloaded;
     }
+    m_context.log.write(observe::event::request_refused, run.request.id,
+                        {{"reason", failure.message},
+                         {"run", std::string(to_string(failure.run))},
+                         {"configuration", std::to_string(m_context.plan->version)},
+                         {"load", m_context.loads.describe(run.service, m_context.clock())}});
     net::http_response response = m_context.wire.encode_error(failure);
     co_await run.caller.respond(std::move(response));
     log_end(run, failure.message);
--- a/src/entry/online_service.hpp
+++ b/src/entry/online_service.hpp
@@ -64,7 +64,6 @@
     [[nodiscard]] bool may_run_again(const running_request& run) const;
     [[nodiscard]] time_point answer_by(const running_request& run) const;
     [[nodiscard]] error no_target(const running_request& run) const;
-    [[nodiscard]] std::string pick_service(const config::serving_route& route) const;
     void log_end(const running_request& run, std::string_view outcome) const;
 
     host_context& m_context;
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -64,7 +64,8 @@
 
 void link::stop() {
     m_stopped = true;
-    send_digest();
+    send_to(peer_endpoints(true));
+    send_to(peer_endpoints(false));
     m_wake.notify();
     m_socket.close();
 }
@@ -73,23 +74,62 @@
     m_directory.set_registered(members, m_clock());
 }
 
-std::vector<net::udp::endpoint> link::peer_endpoints() const {
+std::vector<net::udp::endpoint> link::peer_endpoints(bool own_zone) const {
     std::vector<std::string> endpoints;
     for (const auto& [host, each] : m_directory.reachable(m_clock())) {
-        if (host != m_options.self.host) {
+        const bool same_zone = each.availability_zone == m_options.self.availability_zone;
+        if (host != m_options.self.host && same_zone == own_zone) {
             endpoints.push_back(each.endpoint);
         }
     }
     return to_endpoints(endpoints);
 }
 
+void link::note_change() {
+    m_own_zone.changed = true;
+    m_other_zones.changed = true;
+    m_wake.notify();
+}
+
+duration link::interval_for(std::size_t peers) const {
+    const double groups =
+        static_cast<double>(peers) / static_cast<double>(m_options.peers_at_change_interval);
+    return from_seconds(to_seconds(m_options.change_interval) * std::max(1.0, groups));
+}
+
+void link::send_to(const std::vector<net::udp::endpoint>& peers) {
+    if (peers.empty()) {
+        return;
+    }
+    const std::string bytes = own_digest();
+    for (const net::udp::endpoint& endpoint : peers) {
+        m_socket.send(bytes, endpoint);
+    }
+}
+
+void link::send_when_due(peer_group& group, bool own_zone) {
+    const duration age = m_clock() - group.sent_at;
+    const std::vector<net::udp::endpoint> peers = peer_endpoints(own_zone);
+    const duration interval =
+        group.changed ? interval_for(peers.size()) : m_options.repeat_interval;
+    if (age < interval) {
+        return;
+    }
+    group = {false, m_clock()};
+    send_to(peers);
+}
+
 net::task<> link::run() {
     while (!m_stopped) {
-        send_digest();
+        if (m_directory.reachable(m_clock()).size() <= 1) {
+            send_to(m_seed_endpoints);
+        }
+        send_when_due(m_own_zone, true);
+        send_when_due(m_other_zones, false);
         ask_for_relays();
         // A change waits until the last digest is change_interval old.
         co_await net::sleep_for(m_options.change_interval);
-        if (!m_changed) {
+        if (!m_own_zone.changed && !m_other_zones.changed) {
             co_await m_wake.wait_until(m_clock() + m_options.repeat_interval);
         }
     }
@@ -115,20 +155,6 @@
     return to_datagram(digest);
 }
 
-void link::send_digest() {
-    m_changed = false;
-    const std::string bytes = own_digest();
-    const std::vector<net::udp::endpoint> peers = peer_endpoints();
-    for (const net::udp::endpoint& endpoint : peers) {
-        m_socket.send(bytes, endpoint);
-    }
-    if (peers.empty()) {
-        for (const net::udp::endpoint& endpoint : m_seed_endpoints) {
-            m_socket.send(bytes, endpoint);
-        }
-    }
-}
-
 void link::receive(std::string_view bytes, const net::udp::endpoint& from) {
     if (bytes.size() < 2 || bytes[0] != protocol_version) {
         m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -24,9 +24,11 @@
     member self;
     /// `IP:PORT` of daemons to tell of this one before any member is known.
     std::vector<std::string> seeds;
-    /// Changes of load are told at most this often. A third of the time in which a slot frees in
-    /// a full fleet of the first users' size.
+    /// Changes of load are told at most this often to a group of up to peers_at_change_interval
+    /// daemons, and less often to a larger one, so that what a daemon sends does not grow with the
+    /// fleet. A third of the time in which a slot frees in a full fleet of the first users' size.
     duration change_interval = milliseconds(30);
+    std::size_t peers_at_change_interval = 24;
     /// An unchanged digest is repeated this often.
     duration repeat_interval = milliseconds(500);
 };
@@ -68,10 +70,7 @@
     /// Daemons that may admit callers' requests, also when their registration has just ended.
     [[nodiscard]] std::size_t fronts() const { return m_directory.fronts(m_clock()); }
     /// Tells the others soon that something in the digest has changed.
-    void note_change() {
-        m_changed = true;
-        m_wake.notify();
-    }
+    void note_change();
 
     /// Takes a token of the customer's rate, if need be from other daemons.
     net::task<bool> take_token(std::string customer);
@@ -95,6 +94,11 @@
         net::udp::endpoint endpoint;
         time_point until{};
     };
+    /// Daemons that are told changes equally often: those of the own zone, and all others.
+    struct peer_group {
+        bool changed = true;
+        time_point sent_at{};
+    };
     struct peer_state {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
@@ -114,8 +118,11 @@
     /// Asks others for the digests of members that are not heard.
     void ask_for_relays();
     [[nodiscard]] std::string own_digest();
-    void send_digest();
-    [[nodiscard]] std::vector<net::udp::endpoint> peer_endpoints() const;
+    /// Sends a digest to a group when that is due.
+    void send_when_due(peer_group& group, bool own_zone);
+    void send_to(const std::vector<net::udp::endpoint>& peers);
+    [[nodiscard]] std::vector<net::udp::endpoint> peer_endpoints(bool own_zone) const;
+    [[nodiscard]] duration interval_for(std::size_t peers) const;
     [[nodiscard]] routing::load_by_target named(const std::vector<target_count>& counts) const;
 
     net::asio::any_io_executor m_executor;
@@ -127,7 +134,8 @@
     limits::customer_shares& m_shares;
     net::udp_socket m_socket;
     net::notification m_wake;
-    bool m_changed = false;
+    peer_group m_own_zone;
+    peer_group m_other_zones;
     bool m_stopped = false;
     std::uint64_t m_sequence = 0;
     directory m_directory;
--- /dev/null
+++ b/src/jobs/item_dispatcher.cpp
@@ -0,0 +1,155 @@
+#include "jobs/item_dispatcher.hpp"
+
+#include "jobs/item_run.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::jobs {
+
+namespace {
+
+/// Items are offered to targets at least this often.
+constexpr duration dispatch_interval = milliseconds(200);
+
+std::int64_t to_ms(duration d) {
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+} // namespace
+
+item_dispatcher::item_dispatcher(serving::host_context& context, const runner_options& options,
+                                 job_table& table)
+    : m_context(context), m_options(options), m_table(table) {}
+
+void item_dispatcher::start() {
+    net::asio::co_spawn(m_context.executor, dispatch_loop(), net::asio::detached);
+}
+
+bool item_dispatcher::may_dispatch() const {
+    if (m_options.registration_valid()) {
+        return true;
+    }
+    // Without a valid registration another daemon may own the jobs by now, unless no daemon
+    // reaches the store.
+    return !m_context.link.any_peer_has_store();
+}
+
+net::task<> item_dispatcher::dispatch_loop() {
+    for (;;) {
+        m_table.forget_old();
+        m_table.give_up_late_items();
+        stop_streams();
+        dispatch();
+        co_await m_table.dispatch_wake.wait_until(m_context.clock() + dispatch_interval);
+    }
+}
+
+void item_dispatcher::dispatch() {
+    if (!may_dispatch() || m_table.releasing || !m_context.plan) {
+        return;
+    }
+    std::set<std::string, std::less<>> full_services;
+    while (start_next(full_services)) {
+    }
+}
+
+bool item_dispatcher::start_next(std::set<std::string, std::less<>>& full_services) {
+    std::vector<batch::ready_job> ready;
+    std::vector<std::pair<job_ptr, std::string>> candidates;
+    for (const auto& [id, job] : m_table.all()) {
+        const config::serving_route* route = m_table.route_of(*job);
+        if (route == nullptr || route->services.empty() || !job->next()) {
+            continue;
+        }
+        const std::string service = config::pick_service(*route, m_context.random);
+        if (!full_services.contains(service)) {
+            ready.push_back({id, job->record().state.customer, 1, job->due()});
+            candidates.emplace_back(job, service);
+        }
+    }
+    const std::optional<std::size_t> picked = m_scheduler.pick(ready);
+    if (!picked) {
+        return false;
+    }
+    const auto& [job, service] = candidates[*picked];
+    const std::size_t index = *job->next();
+    std::set<std::string, std::less<>> excluded;
+    if (!job->item(index).last_failed_target.empty()) {
+        excluded.insert(job->item(index).last_failed_target);
+    }
+    std::optional<routing::fleet_target> target =
+        m_context.loads.pick_batch(service, excluded, m_context.clock(), m_context.random);
+    if (!target) {
+        target = m_context.loads.pick_batch(service, {}, m_context.clock(), m_context.random);
+    }
+    if (!target) {
+        full_services.insert(service);
+        return true;
+    }
+    auto running = std::make_shared<running_item>();
+    running->job = job;
+    running->index = index;
+    running->started_at = m_context.clock();
+    running->exchange =
+        std::make_shared<serving::target_exchange>(m_context, *target, serving::work_kind::batch);
+    job->note_started(index);
+    m_table.running.push_back(running);
+    net::asio::co_spawn(m_context.executor, run_item(running, *target), net::asio::detached);
+    return true;
+}
+
+net::task<> item_dispatcher::run_item(running_ptr running, routing::fleet_target target) {
+    const std::string job = running->job->record().state.job;
+    const std::string item = running->job->item(running->index).content.id;
+    m_context.log.write(observe::event::item_dispatched, item,
+                        {{"job", job}, {"target", target.id}});
+    item_outcome outcome = co_await run_item_at(m_context, *running, target);
+    if (running->stopped) {
+        outcome = item_outcome::interrupted;
+    } else if (outcome != item_outcome::complete) {
+        running->job->note_failed_target(running->index, target.id);
+    }
+    running->exchange.reset();
+    m_table.running.remove(running);
+    const config::serving_route* route = m_table.route_of(*running->job);
+    const int max_attempts = route != nullptr ? route->max_attempts : 1;
+    running->job->note_ended(running->index, outcome, max_attempts);
+    m_context.log.write(
+        running->stopped ? observe::event::item_yielded : observe::event::item_finished, item,
+        {{"job", job},
+         {"target", target.id},
+         {"outcome", std::to_string(static_cast<int>(outcome))},
+         {"events", std::to_string(running->job->item(running->index).events)},
+         {"ms", std::to_string(to_ms(m_context.clock() - running->started_at))}});
+    m_table.dispatch_wake.notify();
+    if (!running->job->uncommitted().empty()) {
+        m_table.commit_wake.notify();
+    }
+}
+
+void item_dispatcher::stop_streams() {
+    std::map<std::string, int> per_target;
+    for (const running_ptr& running : m_table.running) {
+        if (running->exchange && !running->stopped) {
+            ++per_target[running->exchange->target().id];
+        }
+    }
+    for (const auto& [target, count] : per_target) {
+        const int excess =
+            m_context.loads.batch_to_stop(target, m_options.self.host, m_context.clock());
+        stop_streams_at(target, std::min(excess, count));
+    }
+}
+
+void item_dispatcher::stop_streams_at(const std::string& target, int count) {
+    // The youngest stream has the least memory at its target to lose.
+    for (auto it = m_table.running.rbegin(); it != m_table.running.rend() && count > 0; ++it) {
+        running_item& running = **it;
+        if (running.exchange && !running.stopped && running.exchange->target().id == target) {
+            running.stop();
+            --count;
+        }
+    }
+}
+
+} // namespace eelgrassdoor::jobs
--- /dev/null
+++ b/src/jobs/job_table.cpp
@@ -0,0 +1,172 @@
+#include "jobs/job_table.hpp"
+
+#include "base/digest.hpp"
+#include "base/text.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::jobs {
+
+namespace {
+
+/// Results stay in memory this long after the last item; afterwards the store has them.
+constexpr duration retention = seconds(120);
+/// Difference that the clocks of hosts may have.
+constexpr std::int64_t clock_margin_ms = 3000;
+
+std::int64_t to_ms(duration d) {
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+} // namespace
+
+void running_item::stop() {
+    stopped = true;
+    if (exchange) {
+        exchange->close();
+    }
+}
+
+std::uint64_t waiting_key(std::string_view customer, std::string_view route) {
+    return stable_hash(str_cat(customer, "\n", route));
+}
+
+job_ptr job_table::find(std::string_view job) const {
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : found->second;
+}
+
+const config::serving_route* job_table::route_of(const owned_job& job) const {
+    return m_context.plan ? m_context.plan->find_route(job.record().state.route) : nullptr;
+}
+
+std::uint64_t job_table::waiting(std::uint64_t customer_and_route) const {
+    std::uint64_t sum = 0;
+    for (const auto& [id, job] : m_jobs) {
+        const job_state& state = job->record().state;
+        if (waiting_key(state.customer, state.route) == customer_and_route) {
+            sum += job->waiting_tokens();
+        }
+    }
+    const auto reserved = m_reserved.find(customer_and_route);
+    return sum + (reserved == m_reserved.end() ? 0 : reserved->second);
+}
+
+std::vector<fleet::waiting_tokens> job_table::waiting() const {
+    std::map<std::uint64_t, std::uint64_t> sums = m_reserved;
+    for (const auto& [id, job] : m_jobs) {
+        const job_state& state = job->record().state;
+        sums[waiting_key(state.customer, state.route)] += job->waiting_tokens();
+    }
+    std::vector<fleet::waiting_tokens> out;
+    for (const auto& [key, tokens] : sums) {
+        if (tokens > 0) {
+            out.push_back({key, tokens});
+        }
+    }
+    return out;
+}
+
+void job_table::own(versioned_state record, std::vector<serving::submitted_item> items,
+                    std::vector<serving::listed_result> listed) {
+    const config::serving_route* route =
+        m_context.plan ? m_context.plan->find_route(record.state.route) : nullptr;
+    const duration target = route != nullptr ? route->jobs.completion_target : seconds(0);
+    const milliseconds age(m_options.wall_clock() - record.state.submitted_at);
+    const std::string id = record.state.job;
+    m_jobs[id] = std::make_shared<owned_job>(std::move(record), std::move(items), std::move(listed),
+                                             m_context.clock() + target - age);
+    m_forget_at.erase(id);
+    m_context.link.note_change();
+    dispatch_wake.notify();
+    commit_wake.notify();
+}
+
+void job_table::drop(const std::string& job, std::string_view reason) {
+    const job_ptr found = find(job);
+    if (!found) {
+        return;
+    }
+    m_context.log.write(observe::event::job_lost, job, {{"reason", std::string(reason)}});
+    for (const running_ptr& each : running) {
+        if (each->job == found) {
+            each->stop();
+        }
+    }
+    m_jobs.erase(job);
+    m_forget_at.erase(job);
+    wake_readers();
+}
+
+void job_table::note_ended(const std::string& job) {
+    const job_ptr owned = find(job);
+    if (!owned || owned->record().state.ended) {
+        return;
+    }
+    m_context.log.write(observe::event::job_cancelled, job);
+    owned->record().state.ended = true;
+    for (const running_ptr& each : running) {
+        if (each->job == owned) {
+            each->stop();
+        }
+    }
+    m_context.link.note_change();
+    commit_wake.notify();
+    wake_readers();
+}
+
+void job_table::give_up_late_items() {
+    if (!m_context.plan) {
+        return;
+    }
+    for (const auto& [id, job] : m_jobs) {
+        if (job->finished()) {
+            continue;
+        }
+        const config::serving_route* route = route_of(*job);
+        const std::int64_t age = m_options.wall_clock() - job->record().state.submitted_at;
+        const bool late = route != nullptr && route->jobs.item_lifetime > duration::zero() &&
+                          age > to_ms(route->jobs.item_lifetime) + clock_margin_ms;
+        if (late || route == nullptr) {
+            job->give_up_waiting();
+            commit_wake.notify();
+        }
+    }
+}
+
+void job_table::forget_old() {
+    const time_point now = m_context.clock();
+    for (const auto& [id, job] : m_jobs) {
+        if (job->finished()) {
+            m_forget_at.try_emplace(id, now + retention);
+        }
+    }
+    for (auto it = m_forget_at.begin(); it != m_forget_at.end();) {
+        if (it->second <= now) {
+            m_jobs.erase(it->first);
+            it = m_forget_at.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+bool job_table::owns_nothing() const {
+    return std::all_of(m_jobs.begin(), m_jobs.end(),
+                       [](const auto& entry) { return entry.second->record().state.finished(); });
+}
+
+net::task<> job_table::wait_for_results(time_point deadline) {
+    const auto reader = std::make_shared<net::notification>(m_context.executor);
+    m_readers.push_back(reader);
+    co_await reader->wait_until(deadline);
+    m_readers.remove(reader);
+}
+
+void job_table::wake_readers() {
+    for (const std::shared_ptr<net::notification>& reader : m_readers) {
+        reader->notify();
+    }
+}
+
+} // namespace eelgrassdoor::jobs
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -34,7 +34,7 @@
     std::optional<std::uint64_t> last_event;
     std::string output;
     std::size_t events = 0;
-    /// Targets of the latest runs that failed; they are not tried next.
+    /// The target of the latest run that failed by itself; another one is tried next.
     std::string last_failed_target;
 };
 
@@ -53,6 +53,10 @@
     bool add_events(std::size_t index, const std::vector<serving::stream_event>& events);
     /// Takes in how a run ended. \p max_attempts failures end an item.
     void note_ended(std::size_t index, item_outcome outcome, int max_attempts);
+    /// The item is rather not run at \p target next.
+    void note_failed_target(std::size_t index, std::string_view target) {
+        m_items[index].last_failed_target = target;
+    }
     /// Gives up every item that is not done and does not run.
     void give_up_waiting();
 
--- /dev/null
+++ b/src/jobs/result_committer.hpp
@@ -0,0 +1,43 @@
+/// \file
+/// Defines how results of owned jobs reach the key-value service.
+#pragma once
+
+#include "jobs/job_repository.hpp"
+#include "jobs/job_table.hpp"
+
+#include <functional>
+#include <string>
+
+namespace eelgrassdoor::jobs {
+
+/// How long a change of an owned job is repeated while its outcome is unknown.
+inline constexpr duration commit_timeout = seconds(4);
+
+/// Commits results in groups. The only coroutine that changes the records of owned jobs while they
+/// run, so that two changes of this daemon never race.
+class result_committer {
+public:
+    result_committer(serving::host_context& context, const runner_options& options,
+                     job_repository& repository, job_table& table);
+    void start();
+
+    /// Gives owned jobs up, when the daemon is to own none.
+    std::function<net::task<>()> release;
+    /// Reads a job of this daemon from the store.
+    std::function<net::task<>(versioned_state)> reload;
+
+    /// Finds out what changed a job under this daemon, and whose it is now.
+    net::task<> settle_race(std::string id);
+
+private:
+    net::task<> commit_loop();
+    net::task<> commit_results();
+    net::task<> commit_alone(result_batch batch);
+
+    serving::host_context& m_context;
+    const runner_options& m_options;
+    job_repository& m_repository;
+    job_table& m_table;
+};
+
+} // namespace eelgrassdoor::jobs
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -1,6 +1,7 @@
 #include "routing/fleet_load.hpp"
 
 #include "base/digest.hpp"
+#include "base/text.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -213,6 +214,32 @@
     return std::clamp(excess, 0, own->second.batch);
 }
 
+std::string fleet_load::describe(std::string_view service, time_point now) const {
+    int targets = 0;
+    int resting = 0;
+    int slots = 0;
+    target_share load;
+    for (const auto& [id, target] : m_targets) {
+        if (target.service != service || target.leaving) {
+            continue;
+        }
+        const target_share at = total(id, now);
+        ++targets;
+        resting += is_resting(target, now) ? 1 : 0;
+        slots += target.slots;
+        load.online += at.online;
+        load.batch += at.batch;
+    }
+    duration oldest{};
+    for (const auto& [name, peer] : m_peers) {
+        oldest = std::max(oldest, now - peer.heard_at);
+    }
+    return str_cat("targets ", targets, ", resting ", resting, ", slots ", slots, ", online ",
+                   load.online, ", batch ", load.batch, ", daemons heard ", m_peers.size(),
+                   ", oldest word ", std::chrono::duration_cast<milliseconds>(oldest).count(),
+                   " ms");
+}
+
 bool fleet_load::serves(std::string_view service) const {
     return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
         return !entry.second.leaving && entry.second.service == service;
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -112,6 +112,8 @@
 
     /// Requests of all daemons at a target.
     [[nodiscard]] target_share total(std::string_view id, time_point now) const;
+    /// What decides on requests of \p service now, for the log.
+    [[nodiscard]] std::string describe(std::string_view service, time_point now) const;
     /// Whether the list names any target of \p service that is not leaving.
     [[nodiscard]] bool serves(std::string_view service) const;
 
