Run batch items that can be done in time before those that cannot

Change: a forecast learnt from finished items tells whether one can be done in time; those go first, then customers in turn, then the earliest due.

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -53,25 +53,42 @@
     }
 }
 
-bool item_dispatcher::start_next(std::set<std::string, std::less<>>& full_services) {
-    std::vector<batch::ready_job> ready;
-    std::vector<std::pair<job_ptr, std::string>> candidates;
+std::vector<item_dispatcher::candidate>
+item_dispatcher::candidates(const std::set<std::string, std::less<>>& full_services) {
+    std::vector<candidate> found;
+    bool any_in_time = false;
     for (const auto& [id, job] : m_table.all()) {
         const config::serving_route* route = m_table.route_of(*job);
-        if (route == nullptr || route->services.empty() || !job->next()) {
+        const std::optional<std::size_t> next = job->next();
+        if (route == nullptr || !next) {
             continue;
         }
-        const std::string service = config::pick_service(*route, m_context.random);
-        if (!full_services.contains(service)) {
-            ready.push_back({id, job->record().state.customer, 1, job->due()});
-            candidates.emplace_back(job, service);
+        candidate each{job, config::pick_service(*route, m_context.random)};
+        if (full_services.contains(each.service)) {
+            continue;
         }
+        each.in_time = m_forecast.in_time(job->item(*next).events, m_context.clock(), job->due());
+        any_in_time = any_in_time || each.in_time;
+        found.push_back(std::move(each));
+    }
+    if (any_in_time) {
+        std::erase_if(found, [](const candidate& each) { return !each.in_time; });
+    }
+    return found;
+}
+
+bool item_dispatcher::start_next(std::set<std::string, std::less<>>& full_services) {
+    const std::vector<candidate> waiting = candidates(full_services);
+    std::vector<batch::ready_job> ready;
+    for (const candidate& each : waiting) {
+        const job_state& state = each.job->record().state;
+        ready.push_back({state.job, state.customer, 1, each.job->due()});
     }
     const std::optional<std::size_t> picked = m_scheduler.pick(ready);
     if (!picked) {
         return false;
     }
-    const auto& [job, service] = candidates[*picked];
+    const auto& [job, service, in_time] = waiting[*picked];
     const std::size_t index = *job->next();
     std::set<std::string, std::less<>> excluded;
     if (!job->item(index).last_failed_target.empty()) {
@@ -103,6 +120,7 @@
     const std::string item = running->job->item(running->index).content.id;
     m_context.log.write(observe::event::item_dispatched, item,
                         {{"job", job}, {"target", target.id}});
+    const bool fresh = running->job->item(running->index).events == 0;
     item_outcome outcome = co_await run_item_at(m_context, *running, target);
     if (running->stopped) {
         outcome = item_outcome::interrupted;
@@ -113,6 +131,10 @@
     m_table.running.remove(running);
     const config::serving_route* route = m_table.route_of(*running->job);
     const int max_attempts = route != nullptr ? route->max_attempts : 1;
+    if (fresh && outcome == item_outcome::complete) {
+        m_forecast.note_complete(m_context.clock() - running->started_at,
+                                 running->job->item(running->index).events);
+    }
     running->job->note_ended(running->index, outcome, max_attempts);
     m_context.log.write(
         running->stopped ? observe::event::item_yielded : observe::event::item_finished, item,
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "batch/scheduler.hpp"
+#include "jobs/item_forecast.hpp"
 #include "jobs/job_table.hpp"
 
 #include <set>
@@ -10,7 +11,8 @@
 
 namespace eelgrassdoor::jobs {
 
-/// Offers items to targets with free slots: customers in turn, the earliest due job of each first.
+/// Offers items to targets with free slots: items that can be done in time before all others, then
+/// customers in turn, then the earliest due job.
 class item_dispatcher {
 public:
     item_dispatcher(serving::host_context& context, const runner_options& options,
@@ -20,6 +22,15 @@
 private:
     net::task<> dispatch_loop();
     void dispatch();
+    /// A job with an item to run, and the service that would run it.
+    struct candidate {
+        job_ptr job;
+        std::string service;
+        bool in_time = false;
+    };
+    /// The jobs whose items go first now.
+    [[nodiscard]] std::vector<candidate>
+    candidates(const std::set<std::string, std::less<>>& full_services);
     /// Starts one item; false when none is left that could be started.
     bool start_next(std::set<std::string, std::less<>>& full_services);
     net::task<> run_item(running_ptr running, routing::fleet_target target);
@@ -31,6 +42,7 @@
     const runner_options& m_options;
     job_table& m_table;
     batch::scheduler m_scheduler;
+    item_forecast m_forecast;
 };
 
 } // namespace eelgrassdoor::jobs
