--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -184,6 +184,16 @@
     co_return reply;
 }
 
+net::task<jobs::job_reply> job_front::ask_or_read(jobs::job_call call, duration timeout) {
+    jobs::job_reply reply = co_await ask(call, timeout);
+    const bool unsure = reply.status == jobs::reply_status::unavailable ||
+                        reply.status == jobs::reply_status::unknown;
+    if (unsure) {
+        reply = co_await read_from_store(std::move(call));
+    }
+    co_return reply;
+}
+
 net::task<> job_front::read(net::server_exchange& caller, job_read call, std::string customer) {
     jobs::job_call query;
     query.kind = jobs::call_kind::read;
@@ -192,11 +202,7 @@
     query.after = call.after;
     query.wait_ms =
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(call.wait).count());
-    jobs::job_reply reply = co_await ask(query, call.wait + call_timeout);
-    if (reply.status == jobs::reply_status::unavailable ||
-        reply.status == jobs::reply_status::unknown) {
-        reply = co_await read_from_store(query);
-    }
+    const jobs::job_reply reply = co_await ask_or_read(std::move(query), call.wait + call_timeout);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response response = m_context.wire.encode_results(reply.page);
         co_await caller.respond(std::move(response));
@@ -213,11 +219,7 @@
     query.job = call.job;
     query.customer = std::move(customer);
     query.item = call.item;
-    jobs::job_reply reply = co_await ask(query, call_timeout);
-    if (reply.status == jobs::reply_status::unavailable ||
-        reply.status == jobs::reply_status::unknown) {
-        reply = co_await read_from_store(query);
-    }
+    jobs::job_reply reply = co_await ask_or_read(std::move(query), call_timeout);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response response;
         response.status = 200;
--- a/src/entry/job_front.hpp
+++ b/src/entry/job_front.hpp
@@ -38,6 +38,8 @@
     net::task<jobs::job_reply> ask(jobs::job_call call, duration timeout);
     net::task<jobs::job_reply> ask_one(const std::string& endpoint, const jobs::job_call& call,
                                        duration timeout);
+    /// Asks, and reads the store when no daemon is sure.
+    net::task<jobs::job_reply> ask_or_read(jobs::job_call call, duration timeout);
     net::task<jobs::job_reply> read_from_store(jobs::job_call call);
     net::task<> answer_error(net::server_exchange& caller, const std::string& job, error why);
     [[nodiscard]] std::vector<std::string> endpoints(std::string_view job) const;
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -24,7 +24,7 @@
 /// Entry hosts own nothing that another daemon would take over, so they renew seldom.
 constexpr duration entry_ttl = seconds(8);
 constexpr duration entry_renew_interval = milliseconds(2500);
-/// A daemon that cannot learn of the targets for this long is ready without any.
+/// Descriptors that are not for callers: files, the store, other daemons.
 constexpr std::size_t reserved_descriptors = 300;
 /// What one caller may need besides its own connection: one to a target.
 constexpr std::size_t descriptors_per_caller = 2;
@@ -51,15 +51,15 @@
              m_loads, m_mirror, m_shares),
       m_registration(loop.get_executor(), adapter.store, m_mirror, registration_settings(), m_clock,
                      boot_clock(), log),
-      m_context{.executor = loop.get_executor(),
-                .clock = m_clock,
-                .random = m_random,
-                .log = log,
-                .numbers = m_numbers,
-                .loads = m_loads,
-                .link = m_link,
-                .wire = adapter.wire,
-                .plan = nullptr},
+      m_targets(adapter.decode_target, log), m_context{.executor = loop.get_executor(),
+                                                       .clock = m_clock,
+                                                       .random = m_random,
+                                                       .log = log,
+                                                       .numbers = m_numbers,
+                                                       .loads = m_loads,
+                                                       .link = m_link,
+                                                       .wire = adapter.wire,
+                                                       .plan = nullptr},
       m_repository(adapter.store, m_clock, log),
       m_runner(m_settings.runs_jobs
                    ? std::make_unique<jobs::job_runner>(
@@ -249,42 +249,11 @@
 }
 
 void fleet_host::apply_targets() {
-    std::vector<routing::fleet_target> listed;
-    for (const auto& [key, item] : m_mirror.items(m_adapter.target_prefix)) {
-        result<routing::fleet_target> target = m_adapter.decode_target(item);
-        if (target) {
-            listed.push_back(std::move(target.value()));
-            m_rejected_entries.erase(key);
-        } else if (m_rejected_entries[key] != item.revision) {
-            m_rejected_entries[key] = item.revision;
-            m_log.write(
-                observe::event::entry_rejected, key,
-                {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
-        }
-    }
     const bool reached =
         m_feed.connected_since() != time_point::max() || m_link.any_peer_has_store();
     m_store_presence.update(reached, m_clock());
-    const std::vector<routing::fleet_target> used =
-        m_roster.update(listed, m_store_presence.contact(), m_clock());
-    std::set<std::string> known;
-    for (const routing::fleet_target& target : used) {
-        if (target.leaving) {
-            continue;
-        }
-        known.insert(target.id);
-        if (!m_known_targets.contains(target.id)) {
-            m_log.write(observe::event::target_listed, target.id,
-                        {{"endpoint", target.endpoint}, {"service", target.service}});
-        }
-    }
-    for (const std::string& id : m_known_targets) {
-        if (!known.contains(id)) {
-            m_log.write(observe::event::target_withdrawn, id);
-        }
-    }
-    m_known_targets = std::move(known);
-    m_loads.set_targets(used);
+    m_loads.set_targets(m_targets.update(m_mirror.items(m_adapter.target_prefix),
+                                         m_store_presence.contact(), m_clock()));
 }
 
 void fleet_host::apply_members() {
--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -7,18 +7,15 @@
 #include "fleet/link.hpp"
 #include "fleet/registration.hpp"
 #include "fleet/store_presence.hpp"
-#include "fleet/target_roster.hpp"
 #include "fleet/watch_duty.hpp"
 #include "host/host_adapter.hpp"
 #include "host/host_settings.hpp"
 #include "host/peer_api.hpp"
+#include "host/target_listing.hpp"
 #include "jobs/job_runner.hpp"
 #include "store/mirror_feed.hpp"
 
-#include <map>
 #include <memory>
-#include <optional>
-#include <set>
 
 namespace eelgrassdoor::host {
 
@@ -70,7 +67,7 @@
     store::mirror_feed m_feed;
     fleet::link m_link;
     fleet::registration m_registration;
-    fleet::target_roster m_roster;
+    target_listing m_targets;
     fleet::store_presence m_store_presence;
     serving::host_context m_context;
     jobs::job_repository m_repository;
@@ -82,9 +79,6 @@
     std::unique_ptr<net::http_server> m_readiness_server;
     std::unique_ptr<net::http_server> m_peer_server;
     std::unique_ptr<net::http_server> m_metrics_server;
-    std::set<std::string> m_known_targets;
-    /// Entries that were found malformed, with the revision that was reported.
-    std::map<std::string, std::uint64_t, std::less<>> m_rejected_entries;
     bool m_started_ready = false;
     bool m_shutting_down = false;
     bool m_evacuating = false;
--- /dev/null
+++ b/src/host/target_listing.cpp
@@ -0,0 +1,49 @@
+#include "host/target_listing.hpp"
+
+namespace eelgrassdoor::host {
+
+std::vector<routing::fleet_target>
+target_listing::update(const entries& items, const fleet::store_contact& contact, time_point now) {
+    std::vector<routing::fleet_target> used = m_roster.update(read(items), contact, now);
+    log_changes(used);
+    return used;
+}
+
+std::vector<routing::fleet_target> target_listing::read(const entries& items) {
+    std::vector<routing::fleet_target> listed;
+    for (const auto& [key, item] : items) {
+        result<routing::fleet_target> target = m_decode(item);
+        if (target) {
+            listed.push_back(std::move(target.value()));
+            m_rejected.erase(key);
+        } else if (m_rejected[key] != item.revision) {
+            m_rejected[key] = item.revision;
+            m_log.write(
+                observe::event::entry_rejected, key,
+                {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
+        }
+    }
+    return listed;
+}
+
+void target_listing::log_changes(const std::vector<routing::fleet_target>& used) {
+    std::set<std::string> known;
+    for (const routing::fleet_target& target : used) {
+        if (target.leaving) {
+            continue;
+        }
+        known.insert(target.id);
+        if (!m_known.contains(target.id)) {
+            m_log.write(observe::event::target_listed, target.id,
+                        {{"endpoint", target.endpoint}, {"service", target.service}});
+        }
+    }
+    for (const std::string& id : m_known) {
+        if (!known.contains(id)) {
+            m_log.write(observe::event::target_withdrawn, id);
+        }
+    }
+    m_known = std::move(known);
+}
+
+} // namespace eelgrassdoor::host
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -14,6 +14,22 @@
 /// Bytes of results in one answer; the protocol allows a megabyte.
 constexpr std::size_t max_page_bytes = 700 * 1024;
 
+/// The entries of all values, in the order of their keys.
+template <typename Entry>
+result<std::vector<Entry>>
+join_values(const std::vector<store::kv_item>& values,
+            std::optional<std::vector<Entry>> (*decode)(std::string_view)) {
+    std::vector<Entry> all;
+    for (const store::kv_item& value : values) {
+        std::optional<std::vector<Entry>> part = decode(value.value);
+        if (!part) {
+            return error{error_code::internal, str_cat(value.key, " is malformed")};
+        }
+        std::move(part->begin(), part->end(), std::back_inserter(all));
+    }
+    return all;
+}
+
 /// Whether the current record is the one that \p wanted writes: then an earlier copy of the change
 /// took effect and its answer was lost.
 bool is_written(const store::kv_conflict& conflict, const store::kv_write& wanted) {
@@ -93,72 +109,60 @@
     co_return std::optional(versioned_state{std::move(*state), item.value()->revision});
 }
 
-net::task<result<std::vector<serving::submitted_item>>>
-job_repository::read_items(std::string job) {
-    std::vector<serving::submitted_item> items;
+net::task<result<std::vector<store::kv_item>>> job_repository::list_all(std::string prefix,
+                                                                        store::consistency how) {
+    std::vector<store::kv_item> all;
     std::string after;
     for (;;) {
-        result<store::kv_page> page = co_await m_store.list(str_cat(items_prefix, job, "/"), after,
-                                                            store::consistency::linearizable);
+        result<store::kv_page> page = co_await m_store.list(prefix, after, how);
         if (!page) {
             co_return page.error();
         }
-        for (const store::kv_item& value : page.value().items) {
-            std::optional<std::vector<serving::submitted_item>> part = decode_items(value.value);
-            if (!part) {
-                co_return error{error_code::internal, str_cat(value.key, " is malformed")};
-            }
-            std::move(part->begin(), part->end(), std::back_inserter(items));
-            after = value.key;
+        for (store::kv_item& item : page.value().items) {
+            after = item.key;
+            all.push_back(std::move(item));
         }
         if (!page.value().has_more) {
-            co_return items;
+            co_return all;
         }
     }
 }
 
+net::task<result<std::vector<serving::submitted_item>>>
+job_repository::read_items(std::string job) {
+    const std::string prefix = str_cat(items_prefix, job, "/");
+    const result<std::vector<store::kv_item>> values =
+        co_await list_all(prefix, store::consistency::linearizable);
+    co_return values ? join_values(values.value(), decode_items)
+                     : result<std::vector<serving::submitted_item>>(values.error());
+}
+
 net::task<result<std::vector<serving::listed_result>>>
 job_repository::read_results(std::string job) {
-    std::vector<serving::listed_result> results;
-    std::string after;
-    for (;;) {
-        result<store::kv_page> page = co_await m_store.list(
-            str_cat(results_prefix, job, "/"), after, store::consistency::linearizable);
-        if (!page) {
-            co_return page.error();
-        }
-        for (const store::kv_item& value : page.value().items) {
-            std::optional<std::vector<serving::listed_result>> part = decode_results(value.value);
-            if (!part) {
-                co_return error{error_code::internal, str_cat(value.key, " is malformed")};
-            }
-            std::move(part->begin(), part->end(), std::back_inserter(results));
-            after = value.key;
-        }
-        if (!page.value().has_more) {
-            co_return results;
-        }
-    }
+    const std::string prefix = str_cat(results_prefix, job, "/");
+    const result<std::vector<store::kv_item>> values =
+        co_await list_all(prefix, store::consistency::linearizable);
+    co_return values ? join_values(values.value(), decode_results)
+                     : result<std::vector<serving::listed_result>>(values.error());
 }
 
 net::task<result<std::vector<versioned_state>>> job_repository::read_all(store::consistency how) {
+    const std::string prefix(state_prefix);
+    const result<std::vector<store::kv_item>> values = co_await list_all(prefix, how);
+    if (!values) {
+        co_return values.error();
+    }
     std::vector<versioned_state> all;
-    std::string after;
-    for (;;) {
-        result<store::kv_page> page = co_await m_store.list(std::string(state_prefix), after, how);
-        if (!page) {
-            co_return page.error();
-        }
-        for (const store::kv_item& value : page.value().items) {
-            if (std::optional<job_state> state = decode_state(value.value)) {
-                all.push_back({std::move(*state), value.revision});
-            }
-            after = value.key;
-        }
-        if (!page.value().has_more) {
-            co_return all;
+    for (const store::kv_item& value : values.value()) {
+        std::optional<job_state> state = decode_state(value.value);
+        if (state) {
+            all.push_back({std::move(*state), value.revision});
+        } else {
+            m_log.write(observe::event::entry_rejected, value.key,
+                        {{"reason", "the record of a job is malformed"}});
         }
     }
+    co_return all;
 }
 
 net::task<result<change_outcome>> job_repository::append(std::vector<result_batch>& batches,
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -61,6 +61,9 @@
     net::task<result<bool>> end(std::string job, std::string customer, time_point deadline);
 
 private:
+    /// All pages of a prefix.
+    net::task<result<std::vector<store::kv_item>>> list_all(std::string prefix,
+                                                            store::consistency how);
     /// Commits, repeating while the outcome is unknown. \p is_ours tells from the current items of
     /// the conditions whether an earlier copy of this change took effect.
     net::task<result<store::commit_outcome>> commit_until(store::kv_transaction change,
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -102,7 +102,8 @@
             if (!changes.events.empty() || steady_clock()() >= end) {
                 co_return watch_outcome(changes);
             }
-            co_await net::sleep_for(watch_step);
+            net::notification step(m_executor);
+            co_await step.wait_until(steady_clock()() + watch_step);
         }
     };
     out.commit = [this](kv_transaction change) -> kv_store::reply<commit_outcome> {
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -75,7 +75,8 @@
             co_return;
         }
         open = co_await caller.write(event);
-        co_await net::sleep_for(m_pace);
+        net::notification step(m_executor);
+        co_await step.wait_until(steady_clock()() + m_pace);
         open = open && !caller.caller_left();
     }
     if (!open) {
