Answer for a job from memory only while the store has confirmed its owner

A daemon whose registration had lapsed, and whose job another one had taken over, registered anew and took its own memory as certain again. Change: registrations are numbered; a job is certain only when the store has confirmed it since the latest one; others are read from the store, and asked for as soon as the daemon is registered again.

--- a/src/fleet/registration.cpp
+++ b/src/fleet/registration.cpp
@@ -43,6 +43,7 @@
         co_return false;
     }
     m_lease = lease.value().id;
+    ++m_number;
     m_valid_until = asked_at + lease.value().ttl;
     m_unlisted_rounds = 0;
     co_return true;
--- a/src/fleet/registration.hpp
+++ b/src/fleet/registration.hpp
@@ -32,6 +32,9 @@
     std::function<void(bool, std::string_view)> on_contact = [](bool, std::string_view) {};
     /// Whether the lease cannot have ended yet, whatever the store has heard of this daemon.
     [[nodiscard]] bool valid() const { return m_lease_clock() < m_valid_until; }
+    /// Counts the registrations of this process. Between two of them others may have taken over
+    /// what this daemon owns.
+    [[nodiscard]] std::uint64_t number() const { return m_number; }
     /// Removes the registration.
     net::task<> end();
 
@@ -50,6 +53,7 @@
     observe::decision_log& m_log;
     net::notification m_wake;
     std::uint64_t m_lease = 0;
+    std::uint64_t m_number = 0;
     time_point m_valid_until{};
     bool m_ended = false;
     int m_unlisted_rounds = 0;
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -67,6 +67,7 @@
                          jobs::runner_options{
                              .self = self(),
                              .registration_valid = [this] { return m_registration.valid(); },
+                             .registration_number = [this] { return m_registration.number(); },
                              .store_connected_since = [this] { return m_feed.connected_since(); },
                              .wall_clock = wall_clock_ms})
                    : nullptr),
--- a/src/jobs/job_ownership.cpp
+++ b/src/jobs/job_ownership.cpp
@@ -78,11 +78,23 @@
     }
 }
 
+net::task<> job_ownership::confirm_jobs() {
+    const std::map<std::string, job_ptr, std::less<>> jobs = m_table.all();
+    for (const auto& [id, job] : jobs) {
+        const bool unclear = job->record().state.listed != job->record().state.items &&
+                             job->confirmed_in() != m_options.registration_number();
+        if (unclear) {
+            co_await settle_race(id);
+        }
+    }
+}
+
 net::task<bool> job_ownership::adopt_orphans() {
     std::erase_if(m_unclear, [&](const auto& entry) { return entry.second <= m_context.clock(); });
     if (m_table.releasing || !m_options.registration_valid()) {
         co_return true;
     }
+    co_await confirm_jobs();
     const result<std::vector<versioned_state>> all =
         co_await m_repository.read_all(store::consistency::stale);
     if (!all) {
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -133,8 +133,7 @@
     const time_point wait_until = m_context.clock() + milliseconds(call.wait_ms);
     for (;;) {
         const job_ptr job = m_table.find(call.job);
-        // What is remembered is certain only while nobody else can have taken the job over.
-        if (!job || !m_options.registration_valid()) {
+        if (!job || !m_table.is_certain(*job)) {
             co_return co_await read_from_store(std::move(call));
         }
         if (job->record().state.customer != call.customer) {
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -67,6 +67,13 @@
     return out;
 }
 
+bool job_table::is_certain(const owned_job& job) const {
+    const job_state& state = job.record().state;
+    const bool complete = state.listed == state.items;
+    return complete || (m_options.registration_valid() &&
+                        job.confirmed_in() == m_options.registration_number());
+}
+
 void job_table::own(versioned_state record, std::vector<serving::submitted_item> items,
                     std::vector<serving::listed_result> listed) {
     const config::serving_route* route =
@@ -76,6 +83,7 @@
     const std::string id = record.state.job;
     m_jobs[id] = std::make_shared<owned_job>(std::move(record), std::move(items), std::move(listed),
                                              m_context.clock() + target - age);
+    m_jobs[id]->confirm(m_options.registration_number());
     m_forget_at.erase(id);
     m_context.link.note_change();
     dispatch_wake.notify();
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -22,6 +22,8 @@
     /// Whether this daemon's registration cannot have ended without its knowing: only then is what
     /// it remembers of its jobs certain.
     std::function<bool()> registration_valid;
+    /// Number of the registration; see fleet::registration::number().
+    std::function<std::uint64_t()> registration_number;
     /// Since when the key-value service answers; time_point::max() while it does not.
     std::function<time_point()> store_connected_since;
     /// Unix milliseconds.
@@ -53,6 +55,8 @@
     [[nodiscard]] job_ptr find(std::string_view job) const;
     [[nodiscard]] const std::map<std::string, job_ptr, std::less<>>& all() const { return m_jobs; }
 
+    /// Whether what is remembered of a job is certain: nobody else can have taken it over.
+    [[nodiscard]] bool is_certain(const owned_job& job) const;
     /// Takes a job in that the store says is this daemon's.
     void own(versioned_state record, std::vector<serving::submitted_item> items,
              std::vector<serving::listed_result> listed);
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -74,6 +74,9 @@
     [[nodiscard]] const std::vector<owned_item>& items() const { return m_items; }
     [[nodiscard]] const owned_item* find(std::string_view id) const;
     [[nodiscard]] time_point due() const { return m_due; }
+    /// The registration under which the store confirmed that the job is this daemon's.
+    [[nodiscard]] std::uint64_t confirmed_in() const { return m_confirmed_in; }
+    void confirm(std::uint64_t registration) { m_confirmed_in = registration; }
     /// Tokens of the items that are not done.
     [[nodiscard]] std::uint64_t waiting_tokens() const;
     /// Whether nothing is left to run or to commit.
@@ -87,6 +90,7 @@
     std::vector<serving::listed_result> m_listed;
     std::vector<serving::listed_result> m_uncommitted;
     time_point m_due;
+    std::uint64_t m_confirmed_in = 0;
 };
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/result_committer.cpp
+++ b/src/jobs/result_committer.cpp
@@ -119,6 +119,7 @@
         co_return;
     }
     job->record() = *now.value();
+    job->confirm(m_options.registration_number());
 }
 
 } // namespace eelgrassdoor::jobs
--- a/test/platform/daemon_jobs.cpp
+++ b/test/platform/daemon_jobs.cpp
@@ -32,6 +32,7 @@
         co_await check_waiting_tokens();
         co_await check_end();
         co_await check_lost_answers();
+        co_await check_lapsed_owner();
         co_await check_handover();
     }
 
@@ -162,6 +163,32 @@
         require(listed.size() == 2, "and every item has one result");
     }
 
+    /// Another daemon takes a job over while its owner's registration has ended, and lists a
+    /// result.
+    net::task<> check_lapsed_owner() {
+        for (int i = 0; i < 8; ++i) {
+            m_engine.then(engine_act::hang);
+        }
+        (void)co_await submit("entry-1", "job8", job_body(2));
+        const std::string key = jobs::state_key("job8");
+        std::optional<jobs::job_state> state =
+            jobs::decode_state(m_fleet.memory.items().at(key).value);
+        state->owner = "other";
+        state->epoch = 2;
+        state->listed = 1;
+        m_fleet.memory.end_leases();
+        m_fleet.memory.put(
+            jobs::results_key("job8", 0),
+            jobs::encode(std::vector<serving::listed_result>{{"item0", true, "text"}}));
+        m_fleet.memory.put(key, jobs::encode(*state));
+        const nlohmann::json listed = co_await results("entry-1", "job8", 1);
+        require(listed.size() == 1 && listed[0]["output"] == "text",
+                "an owner that was replaced does not answer from what it remembers");
+        const auto ended = co_await get("entry-2", "/eelgrassdoor/lots/job8", "DELETE");
+        require(ended.status == 200, "its caller ends it");
+        co_await m_fleet.eventually("its items stop", [&] { return m_engine.running() == 0; });
+    }
+
     net::task<> check_handover() {
         m_engine.set_pace(milliseconds(150));
         for (int i = 0; i < 4; ++i) {
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -22,6 +22,15 @@
     m_history.push_back({{key, "", ++m_revision}, true});
 }
 
+void memory_store::end_leases() {
+    for (const auto& [lease, keys] : m_leases) {
+        for (const std::string& key : keys) {
+            erase(key);
+        }
+    }
+    m_leases.clear();
+}
+
 commit_outcome memory_store::apply(const kv_transaction& change) {
     kv_conflict conflict;
     bool holds = true;
--- a/test/stand_in/memory_store.hpp
+++ b/test/stand_in/memory_store.hpp
@@ -28,6 +28,8 @@
         m_items[key] = {key, value, ++m_revision};
     }
     void erase(const std::string& key);
+    /// Ends all leases, as when their holders could not renew them.
+    void end_leases();
     [[nodiscard]] const std::map<std::string, store::kv_item>& items() const { return m_items; }
     [[nodiscard]] std::uint64_t commits() const { return m_commits; }
 
