Read from the store while a commit of a job has no known outcome

Cause: an owner answered reads of a job from memory while one of its commits had no known outcome. The commit may have taken effect, and a caller whose entry host cannot reach the owner reads it from the store; the next caller, who reaches the owner, gets fewer results than the first. Ruled out for the same symptom: reads after a new registration, which mended. Its check passed without that mend because the checks waited a second in each read and the adopting loop runs in step with the registration; the decision is now a function of owned_job with a unit test that fails without it. Change: owned_job notes what became of its last change; reads wait up to 250 ms for a commit under way and go to the store when it is unknown. The committer alone confirms jobs: the adopting loop did so beside it, and a job read anew during a commit would have got the commit's results a second time. Results that the store has listed already are taken in without breaking the job's runs off.

--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -30,6 +30,8 @@
     result<void> start();
     /// Ends gracefully: the event loop stops when nothing is left to do, or when time is up.
     void begin_shutdown();
+    /// Whether this daemon is certain that the others count it as a member.
+    [[nodiscard]] bool is_registered() const { return m_registration.valid(); }
 
 private:
     [[nodiscard]] fleet::member self() const;
--- a/src/jobs/job_ownership.cpp
+++ b/src/jobs/job_ownership.cpp
@@ -49,11 +49,12 @@
 }
 
 bool job_ownership::is_orphan(const job_state& state) const {
-    if (state.finished()) {
+    // A job that is owned here is confirmed or dropped by the committer first.
+    if (state.finished() || m_table.find(state.job)) {
         return false;
     }
     if (state.owner == m_options.self.host) {
-        return !m_table.find(state.job);
+        return true;
     }
     const auto owner = m_context.link.members().find(state.owner);
     return owner == m_context.link.members().end() ||
@@ -78,23 +79,12 @@
     }
 }
 
-net::task<> job_ownership::confirm_jobs() {
-    const std::map<std::string, job_ptr, std::less<>> jobs = m_table.all();
-    for (const auto& [id, job] : jobs) {
-        const bool unclear = job->record().state.listed != job->record().state.items &&
-                             job->confirmed_in() != m_options.registration_number();
-        if (unclear) {
-            co_await settle_race(id);
-        }
-    }
-}
-
 net::task<bool> job_ownership::adopt_orphans() {
     std::erase_if(m_unclear, [&](const auto& entry) { return entry.second <= m_context.clock(); });
     if (m_table.releasing || !m_options.registration_valid()) {
         co_return true;
     }
-    co_await confirm_jobs();
+    m_table.wake_committer_if_uncertain();
     const result<std::vector<versioned_state>> all =
         co_await m_repository.read_all(store::consistency::stale);
     if (!all) {
@@ -136,7 +126,7 @@
     const std::string id = record.state.job;
     // A stale record may be older than what this daemon has committed since.
     result<std::optional<versioned_state>> latest = co_await m_repository.read(id);
-    if (!latest || !latest.value() || m_table.find(id)) {
+    if (!latest || !latest.value() || m_table.find(id) || m_table.releasing) {
         co_return;
     }
     const bool ours = latest.value()->state.owner == m_options.self.host &&
@@ -149,7 +139,8 @@
         co_return;
     }
     result<std::vector<serving::listed_result>> listed = co_await m_repository.read_results(id);
-    if (!listed || listed.value().size() != latest.value()->state.listed || m_table.find(id)) {
+    if (!listed || listed.value().size() != latest.value()->state.listed || m_table.find(id) ||
+        m_table.releasing) {
         co_return;
     }
     m_unclear.erase(id);
--- a/src/jobs/job_ownership.hpp
+++ b/src/jobs/job_ownership.hpp
@@ -30,9 +30,6 @@
 
 private:
     net::task<> adopt_loop();
-    /// Asks the store for the jobs that others may have taken over while this daemon's registration
-    /// had ended.
-    net::task<> confirm_jobs();
     /// Returns whether orphans are left.
     net::task<bool> adopt_orphans();
     net::task<> adopt(versioned_state record);
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -6,6 +6,9 @@
 
 /// Within the time in which callers expect the acknowledgement of a job.
 constexpr duration create_timeout = milliseconds(2500);
+/// How long a read waits for the answer to a commit that is under way before it asks the store
+/// itself: an answer mostly takes a few milliseconds.
+constexpr duration commit_wait = milliseconds(250);
 
 job_reply reply_of(reply_status status) {
     job_reply reply;
@@ -130,9 +133,16 @@
 }
 
 net::task<job_reply> job_runner::read(job_call call) {
-    const time_point wait_until = m_context.clock() + milliseconds(call.wait_ms);
+    const time_point asked_at = m_context.clock();
+    const time_point wait_until = asked_at + milliseconds(call.wait_ms);
+    const time_point commit_until = asked_at + commit_wait;
     for (;;) {
         const job_ptr job = m_table.find(call.job);
+        const bool commits = job && job->last_change() == change_state::under_way;
+        if (commits && m_context.clock() < commit_until) {
+            co_await m_table.wait_for_results(commit_until);
+            continue;
+        }
         if (!job || !m_table.is_certain(*job)) {
             co_return co_await read_from_store(std::move(call));
         }
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -67,11 +67,13 @@
     return out;
 }
 
+std::optional<std::uint64_t> job_table::registration() const {
+    return m_options.registration_valid() ? std::optional(m_options.registration_number())
+                                          : std::nullopt;
+}
+
 bool job_table::is_certain(const owned_job& job) const {
-    const job_state& state = job.record().state;
-    const bool complete = state.listed == state.items;
-    return complete || (m_options.registration_valid() &&
-                        job.confirmed_in() == m_options.registration_number());
+    return job.is_certain(registration());
 }
 
 void job_table::own(versioned_state record, std::vector<serving::submitted_item> items,
@@ -171,6 +173,15 @@
     m_readers.remove(reader);
 }
 
+void job_table::wake_committer_if_uncertain() {
+    const bool uncertain = std::any_of(m_jobs.begin(), m_jobs.end(), [&](const auto& entry) {
+        return !is_certain(*entry.second);
+    });
+    if (uncertain) {
+        commit_wake.notify();
+    }
+}
+
 void job_table::wake_readers() {
     for (const std::shared_ptr<net::notification>& reader : m_readers) {
         reader->notify();
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -55,7 +55,9 @@
     [[nodiscard]] job_ptr find(std::string_view job) const;
     [[nodiscard]] const std::map<std::string, job_ptr, std::less<>>& all() const { return m_jobs; }
 
-    /// Whether what is remembered of a job is certain: nobody else can have taken it over.
+    /// The registration of this daemon, or none while it may have ended.
+    [[nodiscard]] std::optional<std::uint64_t> registration() const;
+    /// Whether no caller can have read more results of a job than are remembered.
     [[nodiscard]] bool is_certain(const owned_job& job) const;
     /// Takes a job in that the store says is this daemon's.
     void own(versioned_state record, std::vector<serving::submitted_item> items,
@@ -83,6 +85,8 @@
     /// Waits until \p deadline for new results of any job.
     net::task<> wait_for_results(time_point deadline);
     void wake_readers();
+    /// The committer asks the store about jobs whose state is not certain.
+    void wake_committer_if_uncertain();
 
     [[nodiscard]] const config::serving_route* route_of(const owned_job& job) const;
 
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -100,6 +100,37 @@
     std::move(m_uncommitted.begin(), end, std::back_inserter(m_listed));
     m_uncommitted.erase(m_uncommitted.begin(), end);
     m_record = std::move(record);
+    m_last_change = change_state::settled;
+}
+
+bool owned_job::note_stored(versioned_state record,
+                            const std::vector<serving::listed_result>& stored) {
+    if (stored.size() < m_listed.size() || stored.size() > m_listed.size() + m_uncommitted.size()) {
+        return false;
+    }
+    const std::size_t count = stored.size() - m_listed.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const serving::listed_result& theirs = stored[m_listed.size() + i];
+        const serving::listed_result& ours = m_uncommitted[i];
+        const bool same = theirs.item == ours.item && theirs.complete == ours.complete &&
+                          theirs.output == ours.output;
+        if (!same) {
+            return false;
+        }
+    }
+    note_committed(count, std::move(record));
+    return true;
+}
+
+void owned_job::confirm(std::uint64_t registration) {
+    m_confirmed_in = registration;
+    m_last_change = change_state::settled;
+}
+
+bool owned_job::is_certain(std::optional<std::uint64_t> registration) const {
+    // Results are final: when all are listed, nothing can follow them.
+    const bool all_listed = m_listed.size() == m_record.state.items;
+    return all_listed || (registration == m_confirmed_in && m_last_change == change_state::settled);
 }
 
 const owned_item* owned_job::find(std::string_view id) const {
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -24,6 +24,15 @@
     interrupted,
 };
 
+/// What has become of the last change of a job's record that this daemon has sent.
+enum class change_state {
+    settled,
+    /// Sent, not answered.
+    under_way,
+    /// It may have taken effect, or may still do so.
+    unknown,
+};
+
 /// One item of a job that this daemon owns.
 struct owned_item {
     serving::submitted_item content;
@@ -66,6 +75,11 @@
     }
     /// The first \p count of them are committed by the change that led to \p record.
     void note_committed(std::size_t count, versioned_state record);
+    /// Takes in what the store has: \p record and the results listed by it. False when this is not
+    /// what is known here followed by results that wait for their commit; then nothing is changed.
+    bool note_stored(versioned_state record, const std::vector<serving::listed_result>& stored);
+    [[nodiscard]] change_state last_change() const { return m_last_change; }
+    void note_change(change_state state) { m_last_change = state; }
 
     [[nodiscard]] const versioned_state& record() const { return m_record; }
     versioned_state& record() { return m_record; }
@@ -74,9 +88,14 @@
     [[nodiscard]] const std::vector<owned_item>& items() const { return m_items; }
     [[nodiscard]] const owned_item* find(std::string_view id) const;
     [[nodiscard]] time_point due() const { return m_due; }
-    /// The registration under which the store confirmed that the job is this daemon's.
-    [[nodiscard]] std::uint64_t confirmed_in() const { return m_confirmed_in; }
-    void confirm(std::uint64_t registration) { m_confirmed_in = registration; }
+    /// The store has confirmed under this registration that the job is this daemon's, and that
+    /// record() is its latest record.
+    void confirm(std::uint64_t registration);
+    /// Whether no caller can have read more results than listed() has. \p registration is the
+    /// number of the registration that this daemon has now, or none while it has none. Others read
+    /// from the store: when they took the job over during a gap between two registrations, or when
+    /// they cannot reach this daemon while a commit has no known outcome.
+    [[nodiscard]] bool is_certain(std::optional<std::uint64_t> registration) const;
     /// Tokens of the items that are not done.
     [[nodiscard]] std::uint64_t waiting_tokens() const;
     /// Whether nothing is left to run or to commit.
@@ -91,6 +110,7 @@
     std::vector<serving::listed_result> m_uncommitted;
     time_point m_due;
     std::uint64_t m_confirmed_in = 0;
+    change_state m_last_change = change_state::settled;
 };
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/result_committer.cpp
+++ b/src/jobs/result_committer.cpp
@@ -25,6 +25,7 @@
     for (;;) {
         co_await m_table.commit_wake.wait_until(time_point::max());
         co_await net::sleep_for(commit_interval);
+        co_await confirm_jobs();
         co_await commit_results();
         if (m_table.releasing) {
             co_await release();
@@ -32,30 +33,72 @@
     }
 }
 
-net::task<> result_committer::commit_results() {
-    for (;;) {
-        std::vector<result_batch> batches;
-        std::size_t bytes = 0;
-        for (const auto& [id, job] : m_table.all()) {
-            if (job->uncommitted().empty() || job->record().state.ended ||
-                batches.size() == max_commit_jobs || bytes > max_commit_bytes) {
-                continue;
-            }
-            result_batch batch{job->record(), {}};
-            for (const serving::listed_result& each : job->uncommitted()) {
-                if (!batch.results.empty() && bytes + each.output.size() > max_commit_bytes) {
-                    break;
-                }
-                bytes += each.output.size();
-                batch.results.push_back(each);
+net::task<> result_committer::confirm_jobs() {
+    if (!m_table.registration()) {
+        co_return;
+    }
+    const std::map<std::string, job_ptr, std::less<>> jobs = m_table.all();
+    for (const auto& [id, job] : jobs) {
+        if (!m_table.is_certain(*job)) {
+            co_await settle_race(id);
+        }
+    }
+}
+
+std::vector<result_batch> result_committer::next_batches() const {
+    std::vector<result_batch> batches;
+    std::size_t bytes = 0;
+    for (const auto& [id, job] : m_table.all()) {
+        if (job->uncommitted().empty() || job->record().state.ended ||
+            batches.size() == max_commit_jobs || bytes > max_commit_bytes) {
+            continue;
+        }
+        result_batch batch{job->record(), {}};
+        for (const serving::listed_result& each : job->uncommitted()) {
+            if (!batch.results.empty() && bytes + each.output.size() > max_commit_bytes) {
+                break;
             }
-            batches.push_back(std::move(batch));
+            bytes += each.output.size();
+            batch.results.push_back(each);
+        }
+        batches.push_back(std::move(batch));
+    }
+    return batches;
+}
+
+net::task<result<change_outcome>> result_committer::send(std::vector<result_batch>& batches) {
+    std::vector<job_ptr> jobs;
+    std::vector<change_state> before;
+    for (const result_batch& batch : batches) {
+        job_ptr job = m_table.find(batch.before.state.job);
+        before.push_back(job->last_change());
+        if (job->last_change() == change_state::settled) {
+            job->note_change(change_state::under_way);
         }
+        jobs.push_back(std::move(job));
+    }
+    result<change_outcome> outcome =
+        co_await m_repository.append(batches, m_context.clock() + commit_timeout);
+    for (std::size_t i = 0; i < batches.size(); ++i) {
+        if (outcome && outcome.value() == change_outcome::done) {
+            jobs[i]->note_committed(batches[i].results.size(), batches[i].before);
+        } else if (!outcome && outcome.error().run == run_state::not_run) {
+            jobs[i]->note_change(before[i]);
+        } else {
+            jobs[i]->note_change(change_state::unknown);
+        }
+    }
+    m_table.wake_readers();
+    co_return outcome;
+}
+
+net::task<> result_committer::commit_results() {
+    for (;;) {
+        std::vector<result_batch> batches = next_batches();
         if (batches.empty()) {
             co_return;
         }
-        const result<change_outcome> outcome =
-            co_await m_repository.append(batches, m_context.clock() + commit_timeout);
+        const result<change_outcome> outcome = co_await send(batches);
         if (!outcome) {
             // The results stay uncommitted and are tried again with the next ones.
             m_table.commit_wake.notify();
@@ -65,37 +108,27 @@
             for (result_batch& batch : batches) {
                 co_await commit_alone(std::move(batch));
             }
-            continue;
-        }
-        for (const result_batch& batch : batches) {
-            if (const job_ptr job = m_table.find(batch.before.state.job)) {
-                job->note_committed(batch.results.size(), batch.before);
-            }
+            // A job whose race could not be settled is not tried again at once.
+            m_table.commit_wake.notify();
+            co_return;
         }
-        m_table.wake_readers();
     }
 }
 
 net::task<> result_committer::commit_alone(result_batch batch) {
     const std::string id = batch.before.state.job;
-    std::vector<result_batch> one{std::move(batch)};
-    const result<change_outcome> outcome =
-        co_await m_repository.append(one, m_context.clock() + commit_timeout);
-    if (!outcome) {
+    if (!m_table.find(id)) {
         co_return;
     }
-    if (outcome.value() == change_outcome::lost_race) {
+    std::vector<result_batch> one{std::move(batch)};
+    const result<change_outcome> outcome = co_await send(one);
+    if (outcome && outcome.value() == change_outcome::lost_race) {
         co_await settle_race(id);
-        co_return;
-    }
-    if (const job_ptr job = m_table.find(id)) {
-        job->note_committed(one.front().results.size(), one.front().before);
-        m_table.wake_readers();
     }
 }
 
 net::task<> result_committer::settle_race(std::string id) {
-    const result<std::optional<versioned_state>> now = co_await m_repository.read(id);
+    result<std::optional<versioned_state>> now = co_await m_repository.read(id);
     if (!now) {
         co_return;
     }
@@ -107,19 +140,38 @@
                             now.value()->state.epoch == job->record().state.epoch;
     if (!still_ours) {
         m_table.drop(id, "another daemon owns the job");
+        m_table.adopt_wake.notify();
         co_return;
     }
     if (now.value()->state.ended) {
         m_table.note_ended(id);
     }
     if (now.value()->state.listed != job->listed().size()) {
-        // An earlier commit took effect after its outcome was given up: read what it listed.
-        m_table.drop(id, "results were listed by an earlier commit");
-        co_await reload(*now.value());
-        co_return;
+        // An earlier commit took effect although its outcome was given up.
+        const bool taken_in = co_await take_in_results(job, *now.value());
+        if (!taken_in) {
+            co_return;
+        }
     }
-    job->record() = *now.value();
+    job->record() = std::move(*now.value());
     job->confirm(m_options.registration_number());
+    m_table.wake_readers();
+}
+
+net::task<bool> result_committer::take_in_results(job_ptr job, versioned_state record) {
+    const std::string id = record.state.job;
+    const result<std::vector<serving::listed_result>> stored =
+        co_await m_repository.read_results(id);
+    const bool readable = stored && stored.value().size() == record.state.listed;
+    if (!readable) {
+        co_return false;
+    }
+    if (job->note_stored(record, stored.value())) {
+        co_return true;
+    }
+    m_table.drop(id, "results were listed by an earlier commit");
+    co_await reload(std::move(record));
+    co_return false;
 }
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/result_committer.hpp
+++ b/src/jobs/result_committer.hpp
@@ -31,8 +31,18 @@
 
 private:
     net::task<> commit_loop();
+    /// Asks the store for the jobs that others may have taken over while this daemon's registration
+    /// had ended, and for those with a change of unknown outcome.
+    net::task<> confirm_jobs();
     net::task<> commit_results();
     net::task<> commit_alone(result_batch batch);
+    /// Takes in the results that the store has beyond those known here; reads the job anew when
+    /// they are others than those that wait here. False when \p job is not up to date afterwards.
+    net::task<bool> take_in_results(job_ptr job, versioned_state record);
+    /// The results that fit into the next commit.
+    [[nodiscard]] std::vector<result_batch> next_batches() const;
+    /// Sends one commit, and notes for each job what has become of it.
+    net::task<result<change_outcome>> send(std::vector<result_batch>& batches);
 
     serving::host_context& m_context;
     const runner_options& m_options;
--- a/test/correctness/job_repository.cpp
+++ b/test/correctness/job_repository.cpp
@@ -44,7 +44,7 @@
         fixture f;
         const int lost = *rc::gen::inRange(0, 4);
         int commits = 0;
-        f.memory.lose_answer = [&] { return ++commits % 5 < lost; };
+        f.memory.lose_answer = [&](const store::kv_transaction&) { return ++commits % 5 < lost; };
         std::vector<serving::listed_result> listed;
         f.run([&]() -> net::task<> {
             const std::vector<std::string> values{"items"};
--- a/test/correctness/owned_jobs.cpp
+++ b/test/correctness/owned_jobs.cpp
@@ -114,6 +114,48 @@
     require(job.finished() && job.listed().back().item == "a", "positions are kept");
 }
 
+void check_certainty() {
+    owned_job job = make_job(2);
+    job.confirm(1);
+    require(job.is_certain(1), "a confirmed job is certain");
+    require(!job.is_certain(std::nullopt), "but not while this daemon may have been replaced");
+    require(!job.is_certain(2), "nor under a later registration until the store confirms it");
+    job.confirm(2);
+    require(job.is_certain(2), "which makes it certain again");
+    for (const change_state state : {change_state::under_way, change_state::unknown}) {
+        job.note_change(state);
+        require(!job.is_certain(2), "others may see a change that has no known outcome");
+    }
+    job.note_started(0);
+    job.note_ended(0, item_outcome::impossible, 3);
+    versioned_state record = job.record();
+    record.state.listed = 1;
+    job.note_committed(1, record);
+    require(job.is_certain(2), "a change that took effect is certain");
+    job.note_started(1);
+    job.note_ended(1, item_outcome::impossible, 3);
+    record.state.listed = 2;
+    job.note_committed(1, record);
+    require(job.is_certain(std::nullopt), "nothing can follow the last result");
+}
+
+void check_stored_results() {
+    owned_job job = make_job(3);
+    for (std::size_t i = 0; i < 2; ++i) {
+        job.note_started(i);
+        job.note_ended(i, item_outcome::impossible, 3);
+    }
+    job.note_change(change_state::unknown);
+    versioned_state record = job.record();
+    record.state.listed = 1;
+    require(!job.note_stored(record, {{"1", false, ""}}), "results in another order do not match");
+    require(!job.note_stored(record, {{"0", true, ""}}), "nor do others for the same item");
+    require(job.uncommitted().size() == 2, "and change nothing");
+    require(job.note_stored(record, {{"0", false, ""}}), "the first waiting result matches");
+    require(job.listed().size() == 1 && job.uncommitted().size() == 1, "and is listed then");
+    require(!job.note_stored(record, {}), "listed results never go back");
+}
+
 } // namespace
 
 int main() {
@@ -122,5 +164,7 @@
     check_failures();
     check_one_result_each();
     check_takeover();
+    check_certainty();
+    check_stored_results();
     return eelgrassdoor::test::finish();
 }
--- a/test/platform/daemon_jobs.cpp
+++ b/test/platform/daemon_jobs.cpp
@@ -14,8 +14,8 @@
 public:
     job_checks()
         : m_engine(m_fleet.add_engine("i-1")),
-          m_first(m_fleet.add_daemon("runner-1", false, true)) {
-        m_fleet.add_daemon("runner-2", false, true);
+          m_runners({{"runner-1", &m_fleet.add_daemon("runner-1", false, true)},
+                     {"runner-2", &m_fleet.add_daemon("runner-2", false, true)}}) {
         m_fleet.add_daemon("entry-1", true, false);
         m_fleet.add_daemon("entry-2", true, false);
         m_fleet.configure(1);
@@ -32,6 +32,8 @@
         co_await check_waiting_tokens();
         co_await check_end();
         co_await check_lost_answers();
+        co_await check_unknown_commit();
+        co_await check_commit_under_way();
         co_await check_lapsed_owner();
         co_await check_handover();
     }
@@ -54,11 +56,12 @@
         return m_fleet.call(m_fleet.caller_endpoint(at), request);
     }
     net::task<daemon_fixture::answer> get(const std::string& at, const std::string& target,
-                                          const std::string& method = "GET") {
+                                          const std::string& method = "GET",
+                                          milliseconds wait = seconds(1)) {
         net::http_request request = daemon_fixture::request("read", target);
         request.method = method;
         request.body.clear();
-        request.headers.set("Wait-Ms", "1000");
+        request.headers.set("Wait-Ms", std::to_string(wait.count()));
         return m_fleet.call(m_fleet.caller_endpoint(at), request);
     }
     /// Submits until the daemons know each other.
@@ -149,7 +152,10 @@
 
     net::task<> check_lost_answers() {
         int commits = 0;
-        m_fleet.memory.lose_answer = [&commits] { return ++commits % 2 == 1; };
+        m_fleet.memory.lose_answer = [&commits](const auto&) {
+            ++commits;
+            return commits % 2 == 1;
+        };
         int status = 0;
         for (int i = 0; i < 10 && status != 202; ++i) {
             const auto got = co_await submit("entry-1", "job7", job_body(2));
@@ -159,10 +165,75 @@
         }
         require(status == 202, "it is accepted in the end");
         const nlohmann::json listed = co_await results("entry-2", "job7", 2);
-        m_fleet.memory.lose_answer = [] { return false; };
+        m_fleet.memory.lose_answer = [](const auto&) { return false; };
         require(listed.size() == 2, "and every item has one result");
     }
 
+    /// Whether a change writes the record of \p job.
+    static bool changes_job(const store::kv_transaction& change, const std::string& job) {
+        return std::any_of(
+            change.writes.begin(), change.writes.end(),
+            [&](const store::kv_write& each) { return each.key == jobs::state_key(job); });
+    }
+    [[nodiscard]] jobs::job_state stored_state(const std::string& job) const {
+        const auto state =
+            jobs::decode_state(m_fleet.memory.items().at(jobs::state_key(job)).value);
+        require(state.has_value(), "the record of a job is readable");
+        return *state;
+    }
+    /// One read from position 0: a caller may have read \p listed results through a host that
+    /// asked the store, so that the answer shows as many, or that it cannot be given now.
+    net::task<> read_shows(const std::string& at, const std::string& job, std::size_t listed,
+                           const std::string& when) {
+        const std::string target = str_cat("/eelgrassdoor/lots/", job, "?after=0");
+        const auto got = co_await get(at, target, "GET", milliseconds(0));
+        const auto page = nlohmann::json::parse(got.body, nullptr, false);
+        const bool shown = got.status == 200 && page["results"].size() >= listed;
+        require(shown || got.status == 503, str_cat("results stay listed ", when));
+    }
+    net::task<> end_job(const std::string& job) {
+        const auto ended = co_await get("entry-2", "/eelgrassdoor/lots/" + job, "DELETE");
+        require(ended.status == 200, "its caller ends it");
+        co_await m_fleet.eventually("its items stop", [&] { return m_engine.running() == 0; });
+    }
+
+    /// The store has results that the owner does not know to be committed.
+    net::task<> check_unknown_commit() {
+        (void)co_await submit("entry-1", "job9", job_body(2));
+        bool lost = false;
+        m_fleet.memory.lose_answer = [&lost](const auto& change) {
+            lost = lost || changes_job(change, "job9");
+            return changes_job(change, "job9");
+        };
+        m_fleet.memory.refuse_commit = [&lost](const auto& change) {
+            return lost && changes_job(change, "job9");
+        };
+        co_await m_fleet.eventually("a commit loses its answer", [&] { return lost; });
+        const std::size_t listed = stored_state("job9").listed;
+        for (int i = 0; i < 3; ++i) {
+            co_await read_shows("entry-1", "job9", listed, "while a commit's outcome is unknown");
+        }
+        m_fleet.memory.lose_answer = [](const auto&) { return false; };
+        m_fleet.memory.refuse_commit = [](const auto&) { return false; };
+        const nlohmann::json all = co_await results("entry-2", "job9", 2);
+        require(all.size() == 2, "and every item has one result");
+    }
+    net::task<> check_commit_under_way() {
+        (void)co_await submit("entry-1", "job10", job_body(2));
+        bool hold = true;
+        m_fleet.memory.hold_answer = [&hold](const auto& change) {
+            return hold && changes_job(change, "job10");
+        };
+        co_await m_fleet.eventually("a commit is made",
+                                    [&] { return stored_state("job10").listed > 0; });
+        const std::size_t listed = stored_state("job10").listed;
+        co_await read_shows("entry-1", "job10", listed, "while a commit is under way");
+        hold = false;
+        const nlohmann::json all = co_await results("entry-2", "job10", 2);
+        require(all.size() == 2, "and every item has one result");
+        m_fleet.memory.hold_answer = [](const auto&) { return false; };
+    }
+
     /// Another daemon takes a job over while its owner's registration has ended, and lists a
     /// result.
     net::task<> check_lapsed_owner() {
@@ -170,23 +241,33 @@
             m_engine.then(engine_act::hang);
         }
         (void)co_await submit("entry-1", "job8", job_body(2));
-        const std::string key = jobs::state_key("job8");
-        std::optional<jobs::job_state> state =
-            jobs::decode_state(m_fleet.memory.items().at(key).value);
-        state->owner = "other";
-        state->epoch = 2;
-        state->listed = 1;
+        const std::string owner = stored_state("job8").owner;
+        // No lease ends before its holder has given it up.
+        bool away = true;
+        m_fleet.memory.refuse = [&away] { return away; };
+        co_await m_fleet.eventually("the owner gives its registration up",
+                                    [&] { return !m_runners.at(owner)->is_registered(); });
         m_fleet.memory.end_leases();
+        jobs::job_state state = stored_state("job8");
+        state.owner = "other";
+        ++state.epoch;
+        state.listed = 1;
         m_fleet.memory.put(
             jobs::results_key("job8", 0),
             jobs::encode(std::vector<serving::listed_result>{{"item0", true, "text"}}));
-        m_fleet.memory.put(key, jobs::encode(*state));
+        m_fleet.memory.put(jobs::state_key("job8"), jobs::encode(state));
+        away = false;
+        const time_point latest = steady_clock()() + seconds(10);
+        while (!m_runners.at(owner)->is_registered() && steady_clock()() < latest) {
+            co_await read_shows("entry-1", "job8", 1, "while its owner is not registered");
+        }
+        for (int i = 0; i < 3; ++i) {
+            co_await read_shows("entry-1", "job8", 1, "after its owner registered anew");
+        }
         const nlohmann::json listed = co_await results("entry-1", "job8", 1);
         require(listed.size() == 1 && listed[0]["output"] == "text",
                 "an owner that was replaced does not answer from what it remembers");
-        const auto ended = co_await get("entry-2", "/eelgrassdoor/lots/job8", "DELETE");
-        require(ended.status == 200, "its caller ends it");
-        co_await m_fleet.eventually("its items stop", [&] { return m_engine.running() == 0; });
+        co_await end_job("job8");
     }
 
     net::task<> check_handover() {
@@ -194,7 +275,7 @@
         for (int i = 0; i < 4; ++i) {
             (void)co_await submit("entry-1", str_cat("hand", i), job_body(2));
         }
-        m_first.begin_shutdown();
+        m_runners.at("runner-1")->begin_shutdown();
         for (int i = 0; i < 4; ++i) {
             const nlohmann::json listed = co_await results("entry-2", str_cat("hand", i), 2);
             require(listed.size() == 2, "jobs of a leaving daemon are finished by another one");
@@ -203,7 +284,7 @@
 
     daemon_fixture m_fleet;
     scripted_engine& m_engine;
-    host::fleet_host& m_first;
+    std::map<std::string, host::fleet_host*> m_runners;
 };
 
 } // namespace
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -116,11 +116,15 @@
         }
     };
     out.commit = [this](kv_transaction change) -> kv_store::reply<commit_outcome> {
-        if (refuse()) {
+        if (refuse() || refuse_commit(change)) {
             co_return refusal();
         }
         const commit_outcome outcome = apply(change);
-        if (lose_answer()) {
+        while (hold_answer(change)) {
+            net::notification step(m_executor);
+            co_await step.wait_until(steady_clock()() + watch_step);
+        }
+        if (lose_answer(change)) {
             co_return error{error_code::unavailable, "answer lost", run_state::unknown};
         }
         co_return outcome;
--- a/test/stand_in/memory_store.hpp
+++ b/test/stand_in/memory_store.hpp
@@ -20,7 +20,17 @@
     store::kv_store make_store();
 
     /// Decides for each change whether it is made although its answer is lost.
-    std::function<bool()> lose_answer = [] { return false; };
+    std::function<bool(const store::kv_transaction&)> lose_answer = [](const auto&) {
+        return false;
+    };
+    /// Decides for each change whether it is refused.
+    std::function<bool(const store::kv_transaction&)> refuse_commit = [](const auto&) {
+        return false;
+    };
+    /// Whether the answer to a change that was made is held back for now.
+    std::function<bool(const store::kv_transaction&)> hold_answer = [](const auto&) {
+        return false;
+    };
     /// Decides for each call whether it is refused.
     std::function<bool()> refuse = [] { return false; };
 
