Refuse bodies no engine can serve; tell resends that the first call runs

Cause: caller_api read fields of completions without checking their types, so a chat whose messages are a text ended in the server's exception handler (500), and max_tokens -1 went to an engine. A resent call found a claim without an answer and could not tell a call that is still served from one whose host died: both were 502. Change: serving/completion_check refuses with 400 and the field's name, for calls and for the lines of a batch. A claim says until when it may be served (the route's timeout); a resend before that is 409 in_progress with Retry-After, after it 502 outcome_unknown as before.

--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -12,12 +12,13 @@
     int status;
 };
 
-constexpr std::array<code_entry, 13> code_table{{
+constexpr std::array<code_entry, 14> code_table{{
     {error_code::invalid_request, "invalid_request", 400},
     {error_code::unauthorized, "unauthorized", 401},
     {error_code::forbidden, "forbidden", 403},
     {error_code::not_found, "not_found", 404},
     {error_code::conflict, "conflict", 409},
+    {error_code::in_progress, "in_progress", 409},
     {error_code::too_large, "too_large", 413},
     {error_code::rate_limited, "rate_limited", 429},
     {error_code::overloaded, "overloaded", 503},
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -18,6 +18,8 @@
     forbidden,
     not_found,
     conflict,
+    /// The same call was sent before and is still being served; its answer can be had later.
+    in_progress,
     too_large,
     rate_limited,
     overloaded,
--- a/src/batch/item_line.cpp
+++ b/src/batch/item_line.cpp
@@ -1,6 +1,7 @@
 #include "batch/item_line.hpp"
 
 #include "base/text.hpp"
+#include "serving/completion_check.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -32,7 +33,9 @@
     if (!item.contains("body") || !item["body"].is_object() || !is_text(item["body"], "model")) {
         return bad("has no object \"body\" with a text \"model\"");
     }
-    return item_line{item["custom_id"], item.value("url", "/v1/completions"), item["body"]["model"],
+    const std::string url = is_text(item, "url") ? item["url"] : "/v1/completions";
+    BOOST_OUTCOME_TRY(serving::check_completion(item["body"], url == serving::chat_path));
+    return item_line{item["custom_id"], url, item["body"]["model"],
                      item["body"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
 }
 
--- a/src/front/caller_api.cpp
+++ b/src/front/caller_api.cpp
@@ -4,6 +4,7 @@
 #include "base/text.hpp"
 #include "front/event_relay.hpp"
 #include "front/responses.hpp"
+#include "serving/completion_check.hpp"
 #include "target/answer_check.hpp"
 
 #include <httplib.h>
@@ -96,7 +97,7 @@
     const auto service = [this](const httplib::Request& in, httplib::Response& out) {
         serve_service(in, out);
     };
-    server.Post("/v1/chat/completions", completion);
+    server.Post(std::string(serving::chat_path), completion);
     server.Post("/v1/completions", completion);
     server.Get("/v1/models", [this](const httplib::Request& in, httplib::Response& out) {
         serve_models(in, out);
@@ -155,9 +156,7 @@
     m_parts.shared.numbers.count("requests_total");
     const auto run = [&]() -> result<void> {
         c.body = json::parse(in.body, nullptr, false);
-        if (!c.body.is_object() || !c.body.contains("model") || !c.body["model"].is_string()) {
-            return bad_request("the body must be a JSON object with a text \"model\"");
-        }
+        BOOST_OUTCOME_TRY(serving::check_completion(c.body, in.path == serving::chat_path));
         BOOST_OUTCOME_TRY(admit(c, c.body["model"].get<std::string>()));
         if (c.route.kind != config::route_kind::model) {
             return bad_request(str_cat("route \"", c.route.name, "\" is not a model"));
@@ -266,8 +265,11 @@
     }
     const std::string what =
         str_cat(request.to_send.method, " ", request.to_send.path, "\n", c.in.body);
-    BOOST_OUTCOME_TRY(begun,
-                      m_parts.once.begin(c.who.customer, c.route.name, idempotency_key, what));
+    BOOST_OUTCOME_TRY(begun, m_parts.once.begin({.customer = c.who.customer,
+                                                 .route = c.route.name,
+                                                 .idempotency_key = idempotency_key,
+                                                 .request = what,
+                                                 .may_run_for = c.route.timeout}));
     if (const auto* earlier = std::get_if<service::stored_answer>(&begun)) {
         m_parts.shared.events.emit(observe::event::claim_replayed, c.id);
         c.out.status = earlier->status;
--- a/src/service/once_service.cpp
+++ b/src/service/once_service.cpp
@@ -16,9 +16,14 @@
 constexpr int token_bytes = 12;
 constexpr std::size_t max_stored_body_bytes = 256U << 10U;
 constexpr int finish_attempts = 3;
+/// When a caller whose call is still being served may ask for its answer again. Short against the
+/// timeouts of routes, long against the time of one look at the claim.
+constexpr duration running_retry = seconds(2);
 
 json claim_json(const call_claim& claim) {
-    return {{"token", claim.token}, {"request", claim.request_digest}};
+    return {{"token", claim.token},
+            {"request", claim.request_digest},
+            {"served_until_ms", claim.served_until_ms}};
 }
 
 std::string token_of(std::string_view text) {
@@ -34,6 +39,12 @@
         return error{error_code::conflict,
                      "the Idempotency-Key was used for another request before", run_state::not_run};
     }
+    if (!value.contains("status") &&
+        wall_clock_ms() < value.value("served_until_ms", std::int64_t{0})) {
+        return error{error_code::in_progress,
+                     "the call was sent before and is still being served; ask again for its answer",
+                     run_state::unknown, running_retry};
+    }
     if (!value.contains("status")) {
         return error{error_code::outcome_unknown,
                      "the call was sent before and its outcome is unknown", run_state::unknown};
@@ -48,12 +59,13 @@
 
 } // namespace
 
-result<std::variant<call_claim, stored_answer>>
-once_service::begin(std::string_view customer, std::string_view route,
-                    std::string_view idempotency_key, std::string_view request) {
-    const std::string name = sha256_hex(json::array({customer, route, idempotency_key})
-                                            .dump(-1, ' ', false, json::error_handler_t::replace));
-    call_claim claim{str_cat(once_prefix, name), secure_hex(token_bytes), sha256_hex(request)};
+result<std::variant<call_claim, stored_answer>> once_service::begin(const once_call& call) {
+    const std::string name =
+        sha256_hex(json::array({call.customer, call.route, call.idempotency_key})
+                       .dump(-1, ' ', false, json::error_handler_t::replace));
+    const auto may_run_for = std::chrono::duration_cast<milliseconds>(call.may_run_for);
+    const call_claim claim{str_cat(once_prefix, name), secure_hex(token_bytes),
+                           sha256_hex(call.request), wall_clock_ms() + may_run_for.count()};
     const auto ours = [&claim](std::string_view found) { return token_of(found) == claim.token; };
     const result<platform::swap_outcome> outcome =
         m_shared.kv.swap(claim.key, 0, claim_json(claim).dump(), ours);
--- a/test/scenario/at_most_once.lua
+++ b/test/scenario/at_most_once.lua
@@ -39,6 +39,17 @@
 end
 expect(ran("boat-2") == 1, "boat-2 ran once")
 
+-- A call that still runs: its resends are told so, and when to ask again, and get its answer then.
+local function slow(host) return f:completion_request(host, key, {model = "once-lm", prompt = "still-running", max_tokens = 60, headers = {["Idempotency-Key"] = "slow-1"}}) end
+local claims = #timeline_events(a, "claim_created")
+local running = begin(slow(a))
+eventually(8, "the slow call is claimed", function() return #timeline_events(a, "claim_created") > claims end)
+local early = http(slow(b))
+expect(early.status == 409 and json_decode(early.body).error.code == "in_progress", "a resend during the run says so: " .. early.body)
+expect(json_decode(early.body).error.run == "unknown" and early.headers["Retry-After"] ~= nil, "with when to come back")
+eventually(20, "and gets the answer later", function() return http(slow(b)).status == 200 end)
+eventually(20, "the first call is answered", function() return peek(running).done and peek(running).status == 200 end)
+
 -- The key-value service's answer to the claim is lost after the write took effect.
 f:control("platform", {lose_answers = 1})
 local settled = pay(a, "boat-3")
--- a/test/scenario/bad_requests.lua
+++ b/test/scenario/bad_requests.lua
@@ -21,6 +21,8 @@
 refused("a list", 400, {path = "/v1/completions", method = "POST", body = "[1]", headers = auth})
 refused("no model", 400, {path = "/v1/completions", method = "POST", body = "{}", headers = auth})
 refused("a wrong type", 400, {path = "/v1/completions", method = "POST", body = '{"model":7}', headers = auth})
+refused("messages as a text", 400, {path = "/v1/chat/completions", method = "POST", headers = auth, body = '{"model":"' .. f.model .. '","messages":"hello"}'})
+refused("a negative number of tokens", 400, {path = "/v1/completions", method = "POST", headers = auth, body = '{"model":"' .. f.model .. '","prompt":"x","max_tokens":-1}'})
 refused("an unknown model", 404, {path = "/v1/completions", method = "POST", body = '{"model":"x"}', headers = auth})
 refused("an unknown route", 404, {path = "/r/nowhere/x", method = "POST", body = "", headers = auth})
 refused("an unknown path", 404, {path = "/nowhere", method = "GET", headers = auth})
