Run every job that was accepted, whichever submission of it was kept

Cause of the probe's job that did not finish within 100 s (one key at eight hosts at once): a host kept one storage for a job id. Copies of other hosts' submissions of the same job replaced the storage that the record names; the host dropped it and never looked at the job again, and only the first live copy claims. Two more causes came up while the scenario ran with the first one mended. A submission whose record was written and then could not be read back (the budget of 20 calls a second was used up) was refused as not run, and its host did not know of its own copy. A claim that could not be read back left a record that names a live owner who does not run the job. Ruled out: the 300 idle connections; other hosts' jobs failed too. Change: storages are keyed by job and storage; a local copy is announced like a remote one; a record that was written and cannot be read is an unknown outcome; a host claims what the record says is its own and it does not run.

--- a/src/service/copy_store.cpp
+++ b/src/service/copy_store.cpp
@@ -42,7 +42,7 @@
                                         std::string_view file, std::uint64_t offset,
                                         std::string_view bytes, bool sync) {
     if (host == m_shared.settings.host) {
-        return m_local.write(storage, file, offset, bytes, sync);
+        return write_local(storage, file, offset, bytes, sync);
     }
     BOOST_OUTCOME_TRY(endpoint, endpoint_of(host));
     const peer::store_copy head{std::string(storage), std::string(file), offset, sync};
@@ -97,17 +97,24 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+result<std::uint64_t> copy_store::write_local(std::string_view storage, std::string_view file,
+                                              std::uint64_t offset, std::string_view bytes,
+                                              bool sync) {
+    BOOST_OUTCOME_TRY(size, m_local.write(storage, file, offset, bytes, sync));
+    if (sync) {
+        m_stored_hook(storage, file);
+    }
+    return size;
+}
+
 peer::bulk_message copy_store::serve_write(const peer::bulk_message& request) {
     const auto head = peer::decode<peer::store_copy>(request.head);
     peer::store_answer answer;
     if (head) {
         const result<std::uint64_t> size =
-            m_local.write(head->storage, head->file, head->offset, request.payload, head->sync);
+            write_local(head->storage, head->file, head->offset, request.payload, head->sync);
         answer.stored = size.has_value();
         answer.size = size ? size.value() : 0;
-        if (size && head->sync) {
-            m_stored_hook(head->storage, head->file);
-        }
     }
     return {peer::encode(answer), {}};
 }
--- a/src/service/copy_store.hpp
+++ b/src/service/copy_store.hpp
@@ -35,6 +35,10 @@
 
 private:
     result<std::string> endpoint_of(std::string_view host) const;
+    /// Writes to this host's spool, and tells the hook of each file that is whole on the disk:
+    /// also of those of a submission that fails afterwards, as its job may exist.
+    result<std::uint64_t> write_local(std::string_view storage, std::string_view file,
+                                      std::uint64_t offset, std::string_view bytes, bool sync);
     peer::bulk_message serve_write(const peer::bulk_message& request);
     peer::bulk_message serve_read(const peer::bulk_message& request) const;
 
--- a/src/service/job_keeper.cpp
+++ b/src/service/job_keeper.cpp
@@ -60,9 +60,13 @@
         }
     }
     const absl::MutexLock lock(&m_mutex);
-    const auto found = m_kept.find(job);
-    const bool known = found != m_kept.end() && !found->second.record.job.empty();
-    return known ? std::optional(found->second.record) : std::nullopt;
+    for (auto it = m_kept.lower_bound({std::string(job), {}});
+         it != m_kept.end() && it->first.job == job; ++it) {
+        if (!it->second.record.job.empty()) {
+            return it->second.record;
+        }
+    }
+    return std::nullopt;
 }
 
 result<batch::job_record> job_keeper::find_with_peers(std::string_view job) {
@@ -99,7 +103,7 @@
 void job_keeper::note_released(const batch::job_record& record) {
     {
         const absl::MutexLock lock(&m_mutex);
-        const auto found = m_kept.find(record.job);
+        const auto found = m_kept.find({record.job, record.storage});
         if (found != m_kept.end()) {
             found->second.record = record;
         }
@@ -125,8 +129,7 @@
         return;
     }
     const absl::MutexLock lock(&m_mutex);
-    kept_job& kept = m_kept[job.value()];
-    kept.storage = storage;
+    kept_job& kept = m_kept[{job.value(), std::string(storage)}];
     kept.first_seen = m_shared.clock();
     kept.next_look = {};
 }
@@ -135,11 +138,11 @@
     m_committer.note_changed(job);
     {
         const absl::MutexLock lock(&m_mutex);
-        const auto found = m_kept.find(job);
-        if (found != m_kept.end()) {
-            found->second.next_look = {};
+        for (auto it = m_kept.lower_bound({std::string(job), {}});
+             it != m_kept.end() && it->first.job == job; ++it) {
+            it->second.next_look = {};
             // The record known here may be old; the next look reads it again.
-            found->second.record_is_old = true;
+            it->second.record_is_old = true;
         }
     }
     m_ticker.wake();
@@ -168,34 +171,37 @@
 
 void job_keeper::step() {
     const time_point now = m_shared.clock();
-    std::vector<std::pair<std::string, kept_job>> due;
+    std::vector<std::pair<storage_key, kept_job>> due;
     {
         const absl::MutexLock lock(&m_mutex);
-        for (auto& [job, kept] : m_kept) {
+        for (auto& [key, kept] : m_kept) {
             if (now >= kept.next_look) {
-                due.emplace_back(job, kept);
+                due.emplace_back(key, kept);
                 kept.next_look = now + look_interval_running;
             }
         }
     }
-    for (auto& [job, kept] : due) {
-        look(job, std::move(kept));
+    for (auto& [key, kept] : due) {
+        look(key, std::move(kept));
     }
     m_shared.numbers.gauge("jobs_owned", static_cast<double>(m_table.size()));
 }
 
 bool job_keeper::may_claim(const batch::job_record& record) const {
     const std::string& self = m_shared.settings.host;
+    // Also when an earlier claim of this daemon took effect and its outcome was not learnt, or when
+    // the owner was an earlier start of it.
+    const bool runs_here = m_table.owns(record.job);
     return m_members.with_table([&](const membership::member_table& table) {
         const auto is_live = [&table, &self](const std::string& host) {
             const membership::member* m = table.find(host);
             return host == self || (m != nullptr && m->status == membership::member_status::live);
         };
-        if (table.self().leaving) {
+        if (table.self().leaving || runs_here) {
             return false;
         }
         if (record.owner == self) {
-            return record.owner_incarnation < m_shared.incarnation;
+            return true;
         }
         if (!record.owner.empty() && is_live(record.owner)) {
             return false;
@@ -226,39 +232,39 @@
     return copy_lost || (!kept.record.ended() && may_claim(kept.record));
 }
 
-void job_keeper::look(const std::string& job, kept_job kept) {
+void job_keeper::look(const storage_key& key, kept_job kept) {
     const time_point now = m_shared.clock();
-    if (runs_well_here(job, kept)) {
-        update(job, kept);
+    if (runs_well_here(key.job, kept)) {
+        update(key, kept);
         return;
     }
     if (!needs_record(kept)) {
         kept.next_look = now + (kept.record.ended() ? look_interval_ended : look_interval_running);
-        update(job, kept);
+        update(key, kept);
         return;
     }
-    result<stored_job> found = m_jobs.load(job);
+    result<stored_job> found = m_jobs.load(key.job);
     if (found) {
-        act_on(job, std::move(kept), std::move(found.value()));
+        act_on(key, std::move(kept), std::move(found.value()));
         return;
     }
     const bool unknown = found.error().code == error_code::not_found;
     if (unknown && now - kept.first_seen > orphan_age) {
-        drop(job, kept);
+        drop(key);
     }
 }
 
-void job_keeper::drop(const std::string& job, const kept_job& kept) {
-    m_copies.local().remove(kept.storage);
+void job_keeper::drop(const storage_key& key) {
+    m_copies.local().remove(key.storage);
     const absl::MutexLock lock(&m_mutex);
-    m_kept.erase(job);
+    m_kept.erase(key);
 }
 
-void job_keeper::act_on(const std::string& job, kept_job kept, stored_job found) {
+void job_keeper::act_on(const storage_key& key, kept_job kept, stored_job found) {
     const bool named = contains(found.record.copies, m_shared.settings.host);
-    if (!named || found.record.storage != kept.storage) {
+    if (!named || found.record.storage != key.storage) {
         // Another submission of the same job was kept, or another host took this copy's place.
-        drop(job, kept);
+        drop(key);
         return;
     }
     const repair_outcome repaired = m_repair.repair(found, kept.checked);
@@ -270,15 +276,15 @@
     kept.record_is_old = false;
     const bool missing = repaired == repair_outcome::missing;
     kept.next_look = m_shared.clock() + (missing ? look_interval_lost : look_interval_running);
-    update(job, kept);
-    if (!found.record.ended() && !m_table.owns(job) && may_claim(found.record)) {
+    update(key, kept);
+    if (!found.record.ended() && may_claim(found.record)) {
         claim(std::move(found));
     }
 }
 
-void job_keeper::update(const std::string& job, const kept_job& kept) {
+void job_keeper::update(const storage_key& key, const kept_job& kept) {
     const absl::MutexLock lock(&m_mutex);
-    const auto found = m_kept.find(job);
+    const auto found = m_kept.find(key);
     if (found != m_kept.end()) {
         found->second.record = kept.record;
         found->second.record_is_old = kept.record_is_old;
--- a/src/service/job_keeper.hpp
+++ b/src/service/job_keeper.hpp
@@ -46,9 +46,18 @@
     void give_up();
 
 private:
-    /// A job whose files are on the local spool.
-    struct kept_job {
+    /// Names a storage on the local spool. Submissions of one job at several hosts at once each
+    /// have a storage of their own, and this host may keep copies of some; the job's record names
+    /// the one that counts.
+    struct storage_key {
+        std::string job;
         std::string storage;
+
+        auto operator<=>(const storage_key&) const = default;
+    };
+    /// What is known of a storage's job.
+    struct kept_job {
+        /// Empty while it is not known.
         batch::job_record record;
         /// Somebody said that the record has changed since.
         bool record_is_old = false;
@@ -61,16 +70,16 @@
     std::optional<batch::job_record> find_kept(std::string_view job);
     void scan_spool();
     void add_storage(std::string_view storage);
-    void look(const std::string& job, kept_job kept);
+    void look(const storage_key& key, kept_job kept);
     /// Whether this daemon owns the job and writes both copies; takes in its record then.
     bool runs_well_here(const std::string& job, kept_job& kept) const;
     /// Whether the record must be read to know what to do.
     bool needs_record(const kept_job& kept) const;
     /// Repairs copies and claims the job by the record that was just read.
-    void act_on(const std::string& job, kept_job kept, stored_job found);
-    /// Forgets a job and removes its local files.
-    void drop(const std::string& job, const kept_job& kept);
-    void update(const std::string& job, const kept_job& kept);
+    void act_on(const storage_key& key, kept_job kept, stored_job found);
+    /// Forgets a storage and removes its local files.
+    void drop(const storage_key& key);
+    void update(const storage_key& key, const kept_job& kept);
     bool may_claim(const batch::job_record& record) const;
     void claim(stored_job found);
     void give_up_one(stored_job job);
@@ -83,7 +92,7 @@
     job_table& m_table;
     copy_repair m_repair;
     absl::Mutex m_mutex;
-    std::map<std::string, kept_job, std::less<>> m_kept ABSL_GUARDED_BY(m_mutex);
+    std::map<storage_key, kept_job> m_kept ABSL_GUARDED_BY(m_mutex);
     ticker m_ticker;
 };
 
--- a/src/service/job_store.cpp
+++ b/src/service/job_store.cpp
@@ -37,7 +37,14 @@
     };
     BOOST_OUTCOME_TRY(
         m_shared.kv.swap(batch::job_key(record.job), 0, batch::to_json(record), ours));
-    return load(record.job);
+    const result<stored_job> kept = load(record.job);
+    if (!kept) {
+        // The job exists, whoever created it.
+        return error{error_code::outcome_unknown,
+                     str_cat("the job may have been accepted: ", kept.error().message),
+                     run_state::unknown, seconds(1)};
+    }
+    return kept;
 }
 
 result<platform::swap_outcome> job_store::save(stored_job& job, const batch::job_record& next) {
@@ -48,12 +55,15 @@
     if (outcome == platform::swap_outcome::lost_race) {
         return outcome;
     }
-    BOOST_OUTCOME_TRY(now, m_shared.kv.get(key));
-    if (now.value != text) {
+    const result<platform::kv_value> now = m_shared.kv.get(key);
+    if (!now) {
+        return error{error_code::outcome_unknown, now.error().message, run_state::unknown};
+    }
+    if (now.value().value != text) {
         return platform::swap_outcome::lost_race;
     }
     job.record = next;
-    job.revision = now.revision;
+    job.revision = now.value().revision;
     return outcome;
 }
 
--- a/test/scenario/batch_failures.lua
+++ b/test/scenario/batch_failures.lua
@@ -29,6 +29,16 @@
     end)
 end
 
+-- 0. The record is written and cannot be read back, at the submission and at the claim: the caller is
+-- not told "not_run", and the host that the record names as owner runs the job.
+f:control("platform", {refuse_read_back = 2})
+local unclear = f:submit(f.order[1], key, batch_lines(10), {idempotency_key = "not-read-back"})
+expect(unclear.status == 502 and json_decode(unclear.body).error.run == "unknown",
+    "a job that was created is not refused as not run: " .. unclear.status .. " " .. unclear.body)
+local again = f:submit(f.order[2], key, batch_lines(10), {idempotency_key = "not-read-back"})
+expect(again.status == 200, "the job is found: " .. again.body)
+eventually(20, "the job is run by its owner", function() return f:job(f.order[1], key, json_decode(again.body).id).status == "finished" end)
+
 -- 1. The acknowledging host is lost right after the acknowledgement.
 local first = f.order[1]
 local job = submit(first, "lost-after-ack")
--- a/test/stand_in/fake_platform.cpp
+++ b/test/stand_in/fake_platform.cpp
@@ -5,6 +5,7 @@
 #include "stand_in/stand_in.hpp"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <atomic>
@@ -24,8 +25,22 @@
     std::atomic<int> slow_ms{0};
     /// Writes whose answer is lost after they took effect.
     std::atomic<int> lose_answers{0};
+    /// Writes of jobs after which the next reads of the same key are refused.
+    std::atomic<int> refuse_read_back{0};
 };
 
+/// A client repeats a refused read once.
+constexpr int refused_reads = 2;
+
+std::string written_key(const json& transaction) {
+    for (const json& operation : transaction.value("success", json::array())) {
+        if (operation.contains("request_put")) {
+            return operation["request_put"].value("key", "");
+        }
+    }
+    return {};
+}
+
 /// Counts calls, and the most in one second.
 class call_counter {
 public:
@@ -102,11 +117,31 @@
         m_faults.hang = in.value("hang", m_faults.hang.load());
         m_faults.slow_ms = in.value("slow_ms", m_faults.slow_ms.load());
         m_faults.lose_answers = in.value("lose_answers", m_faults.lose_answers.load());
+        m_faults.refuse_read_back = in.value("refuse_read_back", m_faults.refuse_read_back.load());
         if (in.value("reset_stats", false)) {
             m_counter.reset();
         }
     }
 
+    void note_write(const std::string& key) {
+        std::string name;
+        const bool of_job = absl::Base64Unescape(key, &name) && absl::StrContains(name, "/jobs/");
+        const std::lock_guard lock(m_reads_mutex);
+        if (of_job && m_faults.refuse_read_back > 0) {
+            --m_faults.refuse_read_back;
+            m_reads_to_refuse[key] = refused_reads;
+        }
+    }
+    bool refuses_read(const std::string& key) {
+        const std::lock_guard lock(m_reads_mutex);
+        const auto found = m_reads_to_refuse.find(key);
+        if (found == m_reads_to_refuse.end() || found->second == 0) {
+            return false;
+        }
+        --found->second;
+        return true;
+    }
+
     /// Delays and refuses by the faults in force; returns whether the call was refused.
     bool fails(httplib::Response& out) {
         if (m_faults.slow_ms > 0) {
@@ -130,7 +165,15 @@
             if (fails(out)) {
                 return;
             }
-            const json answer = run(json::parse(in.body));
+            const json request = json::parse(in.body);
+            if (path == "/v3/kv/range" && refuses_read(request.value("key", ""))) {
+                out.status = 503;
+                return;
+            }
+            const json answer = run(request);
+            if (path == "/v3/kv/txn" && answer.value("succeeded", false)) {
+                note_write(written_key(request));
+            }
             if (path == "/v3/kv/txn" && m_faults.lose_answers > 0) {
                 --m_faults.lose_answers;
                 lose_answer(out);
@@ -159,6 +202,8 @@
     key_value_store m_store;
     platform_faults m_faults;
     call_counter m_counter;
+    std::mutex m_reads_mutex;
+    std::map<std::string, int> m_reads_to_refuse;
     std::mutex m_hosts_mutex;
     json m_hosts = {{"version", 0}, {"hosts", json::array()}};
 };
