Let a front that reaches no job runner ask another front

Ruled out: refusing readiness there, as online work goes on well. Change: link notes from which endpoints datagrams arrive without a relay. A call about a job goes to runners that are heard, then to two fronts that are heard and say that they reach the store; they answer as for their own callers and pass it on no further. Silent runners come last, as before any was heard. The tests' fixture can cut paths. The check of lapsed owners left a hook on a variable of an ended coroutine; it failed checks after it once.

--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -11,11 +11,15 @@
 
 /// How long a daemon may take to answer beyond the wait that the caller asked for. It may have to
 /// commit to the key-value service first.
-constexpr duration call_timeout = milliseconds(900);
-/// Creating a job is repeated for longer inside the daemon that runs it.
-constexpr duration submit_timeout = milliseconds(2700);
+constexpr duration read_timeout = milliseconds(900);
+/// Creating or ending a job is repeated for longer inside the daemon that runs it.
+constexpr duration change_timeout = milliseconds(2700);
+/// What a call through another front may take longer: a round trip and a busy host.
+constexpr duration passed_on_time = milliseconds(200);
+/// How old a front's word that it reaches the store may be: two repeats of a digest.
+constexpr duration store_news_age = milliseconds(1100);
 constexpr duration store_timeout = seconds(2);
-/// Daemons that are asked before the store is read.
+/// Daemons of each kind that are asked before the store is read.
 constexpr std::size_t max_asked = 2;
 /// Owners that are remembered.
 constexpr std::size_t max_owners = 4096;
@@ -56,7 +60,7 @@
 
 } // namespace
 
-std::vector<std::string> job_front::endpoints(std::string_view job) const {
+std::vector<std::string> job_front::runners(std::string_view job) const {
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     for (const auto& [host, member] : m_context.link.members()) {
         if (member.runs_jobs) {
@@ -76,15 +80,61 @@
     return out;
 }
 
-net::task<jobs::job_reply> job_front::ask_one(const std::string& endpoint,
-                                              const jobs::job_call& call, duration timeout) {
+std::vector<std::string> job_front::fronts_in_touch(std::string_view job) const {
+    const fleet::link& link = m_context.link;
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto& [host, member] : link.members()) {
+        const bool helps = member.serves_callers && !member.runs_jobs &&
+                           link.hears_directly(member.endpoint) &&
+                           link.hears_with_store(host, store_news_age);
+        if (helps) {
+            ranked.emplace_back(rendezvous_weight(stable_hash(job), host), member.endpoint);
+        }
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> out;
+    for (const auto& [weight, endpoint] : ranked) {
+        out.push_back(endpoint);
+    }
+    return out;
+}
+
+std::vector<job_front::helper> job_front::helpers(std::string_view job, call_path how) const {
+    std::vector<helper> in_touch;
+    std::vector<helper> silent;
+    for (const std::string& endpoint : runners(job)) {
+        const bool heard = m_context.link.hears_directly(endpoint);
+        (heard ? in_touch : silent).push_back({endpoint});
+    }
+    in_touch.resize(std::min(in_touch.size(), max_asked));
+    std::vector<helper> out = std::move(in_touch);
+    if (how == call_path::from_caller && !silent.empty()) {
+        std::vector<std::string> fronts = fronts_in_touch(job);
+        fronts.resize(std::min(fronts.size(), max_asked));
+        for (std::string& endpoint : fronts) {
+            out.push_back({std::move(endpoint), true});
+        }
+    }
+    // Before any daemon was heard, and when all paths that look better have failed.
+    for (std::size_t i = 0; i < silent.size() && out.size() < max_asked; ++i) {
+        out.push_back(std::move(silent[i]));
+    }
+    return out;
+}
+
+net::task<jobs::job_reply> job_front::ask_one(const helper& whom, const jobs::job_call& call) {
     net::http_request request;
     request.method = "POST";
-    request.target = jobs::job_call_path;
+    request.target = whom.passes_on ? jobs::passed_on_call_path : jobs::job_call_path;
     request.body = jobs::encode(call);
+    const duration timeout =
+        call.kind == jobs::call_kind::submit || call.kind == jobs::call_kind::end
+            ? change_timeout
+            : milliseconds(call.wait_ms) + read_timeout;
+    const duration hop = whom.passes_on ? passed_on_time : duration::zero();
     jobs::job_reply failed;
-    result<net::http_response> response =
-        co_await m_client.call(endpoint, std::move(request), m_context.clock() + timeout);
+    result<net::http_response> response = co_await m_client.call(whom.endpoint, std::move(request),
+                                                                 m_context.clock() + timeout + hop);
     if (!response) {
         failed.status = response.error().run == run_state::not_run ? jobs::reply_status::unavailable
                                                                    : jobs::reply_status::unknown;
@@ -94,19 +144,29 @@
     co_return reply ? std::move(*reply) : failed;
 }
 
-net::task<jobs::job_reply> job_front::ask(jobs::job_call call, duration timeout) {
+net::task<jobs::job_reply> job_front::ask_owner(const std::string& endpoint,
+                                                const jobs::job_call& call) {
+    if (m_owners.size() >= max_owners) {
+        m_owners.clear();
+    }
+    m_owners[call.job] = endpoint;
+    if (!m_context.link.hears_directly(endpoint)) {
+        // Another front is asked next.
+        co_return jobs::job_reply{};
+    }
+    const helper owner{endpoint};
+    co_return co_await ask_one(owner, call);
+}
+
+net::task<jobs::job_reply> job_front::ask(jobs::job_call call, call_path how) {
     jobs::job_reply last;
     bool unknown = false;
-    std::size_t asked = 0;
-    std::vector<std::string> candidates = endpoints(call.job);
-    for (std::size_t i = 0; i < candidates.size() && asked < max_asked; ++i, ++asked) {
-        last = co_await ask_one(candidates[i], call, timeout);
+    const std::vector<helper> all = helpers(call.job, how);
+    for (const helper& whom : all) {
+        last = co_await ask_one(whom, call);
         if (last.status == jobs::reply_status::moved) {
-            if (m_owners.size() >= max_owners) {
-                m_owners.clear();
-            }
-            m_owners[call.job] = last.owner_endpoint;
-            last = co_await ask_one(last.owner_endpoint, call, timeout);
+            const std::string owner = last.owner_endpoint;
+            last = co_await ask_owner(owner, call);
         }
         unknown = unknown || last.status == jobs::reply_status::unknown;
         const bool settled = last.status != jobs::reply_status::unavailable &&
@@ -140,7 +200,7 @@
     call.host = request.host;
     call.body = std::move(request.content.body);
     const std::string job = call.job;
-    const jobs::job_reply reply = co_await ask(std::move(call), submit_timeout);
+    const jobs::job_reply reply = co_await answer(std::move(call), call_path::from_caller);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response accepted;
         accepted.status = 202;
@@ -184,12 +244,35 @@
     co_return reply;
 }
 
-net::task<jobs::job_reply> job_front::ask_or_read(jobs::job_call call, duration timeout) {
-    jobs::job_reply reply = co_await ask(call, timeout);
-    const bool unsure = reply.status == jobs::reply_status::unavailable ||
-                        reply.status == jobs::reply_status::unknown;
-    if (unsure) {
-        reply = co_await read_from_store(std::move(call));
+net::task<jobs::job_reply> job_front::end_in_store(jobs::job_call call) {
+    jobs::job_reply reply;
+    const result<bool> ended =
+        co_await m_repository.end(call.job, call.customer, m_context.clock() + store_timeout);
+    if (ended) {
+        reply.status = ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
+    }
+    co_return reply;
+}
+
+net::task<jobs::job_reply> job_front::answer(jobs::job_call call, call_path how) {
+    jobs::job_reply reply = co_await ask(call, how);
+    const bool unavailable = reply.status == jobs::reply_status::unavailable;
+    const bool unsure = unavailable || reply.status == jobs::reply_status::unknown;
+    switch (call.kind) {
+    case jobs::call_kind::read:
+    case jobs::call_kind::read_item:
+        if (unsure) {
+            reply = co_await read_from_store(std::move(call));
+        }
+        break;
+    case jobs::call_kind::end:
+        if (unavailable) {
+            reply = co_await end_in_store(std::move(call));
+        }
+        break;
+    case jobs::call_kind::submit:
+    case jobs::call_kind::adopt:
+        break;
     }
     co_return reply;
 }
@@ -202,7 +285,7 @@
     query.after = call.after;
     query.wait_ms =
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(call.wait).count());
-    const jobs::job_reply reply = co_await ask_or_read(std::move(query), call.wait + call_timeout);
+    const jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response response = m_context.wire.encode_results(reply.page);
         co_await caller.respond(std::move(response));
@@ -219,7 +302,7 @@
     query.job = call.job;
     query.customer = std::move(customer);
     query.item = call.item;
-    jobs::job_reply reply = co_await ask_or_read(std::move(query), call_timeout);
+    jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response response;
         response.status = 200;
@@ -237,14 +320,7 @@
     query.kind = jobs::call_kind::end;
     query.job = call.job;
     query.customer = std::move(customer);
-    jobs::job_reply reply = co_await ask(query, submit_timeout);
-    if (reply.status == jobs::reply_status::unavailable) {
-        const result<bool> ended =
-            co_await m_repository.end(call.job, query.customer, m_context.clock() + store_timeout);
-        if (ended) {
-            reply.status = ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
-        }
-    }
+    const jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response response;
         response.status = 200;
--- a/src/entry/job_front.hpp
+++ b/src/entry/job_front.hpp
@@ -16,12 +16,21 @@
 
 using namespace serving;
 
+/// How a call came to this daemon.
+enum class call_path {
+    from_caller,
+    /// From a daemon that cannot reach those that run jobs; it is not passed on again.
+    passed_on,
+};
+
 /// Passes calls about jobs to the daemons that run them. When none can be reached, reads and ends
 /// go to the key-value service, which has the truth.
 class job_front {
 public:
-    job_front(host_context& context, jobs::job_repository& repository)
-        : m_context(context), m_repository(repository), m_client(context.executor) {}
+    job_front(host_context& context, jobs::job_repository& repository,
+              net::http_client_options connection)
+        : m_context(context), m_repository(repository),
+          m_client(context.executor, std::move(connection)) {}
 
     /// Takes a job in.
     net::task<> submit(net::server_exchange& caller, caller_request request,
@@ -29,20 +38,36 @@
     /// Answers a read or an end.
     net::task<> handle(net::server_exchange& caller, caller_call call, std::string customer);
 
+    /// Answers a call: by a daemon that runs jobs, by another front that reaches them, or by what
+    /// the store has.
+    net::task<jobs::job_reply> answer(jobs::job_call call, call_path how);
+
 private:
+    /// A daemon that may answer a call.
+    struct helper {
+        std::string endpoint;
+        /// Whether it has to pass the call on.
+        bool passes_on = false;
+    };
+
     net::task<> read(net::server_exchange& caller, job_read call, std::string customer);
     net::task<> read_item(net::server_exchange& caller, item_read call, std::string customer);
     net::task<> end(net::server_exchange& caller, job_end call, std::string customer);
 
-    /// Asks the daemons that run jobs, the likeliest owner first, until one knows.
-    net::task<jobs::job_reply> ask(jobs::job_call call, duration timeout);
-    net::task<jobs::job_reply> ask_one(const std::string& endpoint, const jobs::job_call& call,
-                                       duration timeout);
-    /// Asks, and reads the store when no daemon is sure.
-    net::task<jobs::job_reply> ask_or_read(jobs::job_call call, duration timeout);
+    /// Asks one daemon after the other until one knows.
+    net::task<jobs::job_reply> ask(jobs::job_call call, call_path how);
+    net::task<jobs::job_reply> ask_one(const helper& whom, const jobs::job_call& call);
+    /// Asks the owner that another daemon has named.
+    net::task<jobs::job_reply> ask_owner(const std::string& endpoint, const jobs::job_call& call);
     net::task<jobs::job_reply> read_from_store(jobs::job_call call);
+    net::task<jobs::job_reply> end_in_store(jobs::job_call call);
     net::task<> answer_error(net::server_exchange& caller, const std::string& job, error why);
-    [[nodiscard]] std::vector<std::string> endpoints(std::string_view job) const;
+    /// The daemons that run jobs, the likeliest owner of \p job first.
+    [[nodiscard]] std::vector<std::string> runners(std::string_view job) const;
+    /// Fronts that are heard and reach the store: they are likely to reach the runners.
+    [[nodiscard]] std::vector<std::string> fronts_in_touch(std::string_view job) const;
+    /// Whom to ask, in this order.
+    [[nodiscard]] std::vector<helper> helpers(std::string_view job, call_path how) const;
 
     host_context& m_context;
     jobs::job_repository& m_repository;
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -17,6 +17,11 @@
 /// A member that was not heard for this long is asked for at other daemons: twice the interval in
 /// which unchanged digests are repeated.
 constexpr duration silence_before_relay = milliseconds(1000);
+/// An endpoint that was not heard for this long is taken to be out of reach: a lost datagram must
+/// not make it so.
+constexpr duration direct_silence = milliseconds(1100);
+/// Endpoints that are remembered; above this, those that are silent are forgotten.
+constexpr std::size_t max_heard_endpoints = 2048;
 /// How often others are asked, and for how long they relay afterwards.
 constexpr duration relay_ask_interval = milliseconds(700);
 constexpr duration relay_time = milliseconds(1600);
@@ -155,11 +160,29 @@
     return to_datagram(digest);
 }
 
+void link::note_heard_from(const net::udp::endpoint& from) {
+    const time_point now = m_clock();
+    if (m_heard_from.size() >= max_heard_endpoints) {
+        std::erase_if(m_heard_from,
+                      [&](const auto& entry) { return now - entry.second > direct_silence; });
+    }
+    m_heard_from[to_text(from)] = now;
+}
+
+bool link::hears_directly(std::string_view endpoint) const {
+    const auto found = m_heard_from.find(endpoint);
+    return found != m_heard_from.end() && m_clock() - found->second <= direct_silence;
+}
+
 void link::receive(std::string_view bytes, const net::udp::endpoint& from) {
+    if (m_options.is_cut_off(to_text(from))) {
+        return;
+    }
     if (bytes.size() < 2 || bytes[0] != protocol_version) {
         m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
         return;
     }
+    note_heard_from(from);
     const std::string_view body = bytes.substr(2);
     switch (static_cast<std::uint8_t>(bytes[1])) {
     case load_digest::kind:
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -31,6 +31,8 @@
     std::size_t peers_at_change_interval = 24;
     /// An unchanged digest is repeated this often.
     duration repeat_interval = milliseconds(500);
+    /// Endpoints (`IP:PORT`) whose datagrams are dropped: cuts of the network, in tests.
+    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
 };
 
 /// What another daemon knows that this one does not.
@@ -87,6 +89,9 @@
     [[nodiscard]] bool hears_with_store(std::string_view host, duration age) const;
     /// Whether a daemon was heard within \p age.
     [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
+    /// Whether datagrams from \p endpoint (`IP:PORT`) arrive without another daemon's help, so that
+    /// calls to it are likely to arrive, too.
+    [[nodiscard]] bool hears_directly(std::string_view endpoint) const;
 
 private:
     /// A daemon that gets copies of another one's digests for a while.
@@ -109,6 +114,7 @@
 
     net::task<> run();
     void receive(std::string_view bytes, const net::udp::endpoint& from);
+    void note_heard_from(const net::udp::endpoint& from);
     void receive_digest(std::string_view bytes, const net::udp::endpoint& from);
     void receive_token_request(std::string_view body, const net::udp::endpoint& from);
     void receive_transfer(std::string_view body);
@@ -141,6 +147,8 @@
     directory m_directory;
     std::vector<net::udp::endpoint> m_seed_endpoints;
     std::map<std::string, peer_state, std::less<>> m_peers;
+    /// When a datagram came from an endpoint last.
+    std::map<std::string, time_point, std::less<>> m_heard_from;
     std::map<std::string, std::vector<relay_target>, std::less<>> m_relays;
     time_point m_asked_for_relays{};
     std::size_t m_next_helper = 0;
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -47,8 +47,9 @@
       m_loads({.own_zone = m_settings.availability_zone}), m_shares(m_settings.first_start),
       m_mirror(mirrored_prefixes(adapter, m_settings.runs_jobs)),
       m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
-      m_link(loop.get_executor(), {.self = self(), .seeds = m_settings.seeds}, m_clock, log,
-             m_loads, m_mirror, m_shares),
+      m_link(loop.get_executor(),
+             {.self = self(), .seeds = m_settings.seeds, .is_cut_off = m_settings.is_cut_off},
+             m_clock, log, m_loads, m_mirror, m_shares),
       m_registration(loop.get_executor(), adapter.store, m_mirror, registration_settings(), m_clock,
                      boot_clock(), log),
       m_targets(adapter.decode_target, log), m_context{.executor = loop.get_executor(),
@@ -71,8 +72,9 @@
                              .store_connected_since = [this] { return m_feed.connected_since(); },
                              .wall_clock = wall_clock_ms})
                    : nullptr),
-      m_job_front(m_context, m_repository), m_front(m_context, m_job_front),
-      m_peer_api(m_context, m_mirror, m_runner.get()) {}
+      m_job_front(m_context, m_repository, {.is_cut_off = m_settings.is_cut_off}),
+      m_front(m_context, m_job_front),
+      m_peer_api(m_context, m_mirror, m_runner.get(), m_job_front) {}
 
 fleet_host::~fleet_host() = default;
 
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -4,7 +4,9 @@
 
 #include "base/clock.hpp"
 
+#include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassdoor::host {
@@ -29,6 +31,8 @@
     /// How long a graceful shutdown may take.
     duration grace = seconds(8);
     std::size_t max_descriptors = 4096;
+    /// Endpoints of daemons that this one cannot reach: cuts of the network, in tests.
+    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
 };
 
 } // namespace eelgrassdoor::host
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -38,6 +38,8 @@
         co_await answer_mirror(caller);
     } else if (path == jobs::job_call_path && m_runner != nullptr) {
         co_await answer_jobs(caller);
+    } else if (path == jobs::passed_on_call_path) {
+        co_await answer_passed_on(caller);
     } else {
         net::http_response response;
         response.status = 404;
@@ -65,6 +67,19 @@
     co_await caller.respond(std::move(response));
 }
 
+net::task<> peer_api::answer_passed_on(net::server_exchange& caller) {
+    std::optional<jobs::job_call> call = jobs::decode_call(caller.request().body);
+    net::http_response response;
+    response.status = call ? 200 : 400;
+    if (call) {
+        caller.request().body.clear();
+        const jobs::job_reply reply =
+            co_await m_job_front.answer(std::move(*call), entry::call_path::passed_on);
+        response.body = jobs::encode(reply);
+    }
+    co_await caller.respond(std::move(response));
+}
+
 void peer_api::pull(const fleet::newer_revision& news) {
     if (m_pulling.insert(news.prefix).second) {
         net::asio::co_spawn(m_context.executor, run_pull(news), net::asio::detached);
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -2,6 +2,7 @@
 /// Defines the calls between daemons: mirrors and jobs.
 #pragma once
 
+#include "entry/job_front.hpp"
 #include "fleet/link.hpp"
 #include "jobs/job_runner.hpp"
 #include "net/http_client.hpp"
@@ -18,8 +19,10 @@
 class peer_api {
 public:
     /// \p runner may be null on daemons that run no jobs.
-    peer_api(serving::host_context& context, store::mirror& mirrors, jobs::job_runner* runner)
-        : m_context(context), m_mirror(mirrors), m_runner(runner), m_client(context.executor) {}
+    peer_api(serving::host_context& context, store::mirror& mirrors, jobs::job_runner* runner,
+             entry::job_front& job_front)
+        : m_context(context), m_mirror(mirrors), m_runner(runner), m_job_front(job_front),
+          m_client(context.executor) {}
 
     net::task<> handle(net::server_exchange& caller);
 
@@ -32,10 +35,13 @@
     void take_in(const fleet::newer_revision& news, std::string_view body);
     net::task<> answer_mirror(net::server_exchange& caller);
     net::task<> answer_jobs(net::server_exchange& caller);
+    /// Answers a call of a daemon that cannot reach those that run jobs.
+    net::task<> answer_passed_on(net::server_exchange& caller);
 
     serving::host_context& m_context;
     store::mirror& m_mirror;
     jobs::job_runner* m_runner;
+    entry::job_front& m_job_front;
     net::http_client m_client;
     std::set<std::string> m_pulling;
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,6 +51,10 @@
 
 task<result<http_response>> http_client::call(std::string endpoint, http_request request,
                                               time_point deadline) {
+    if (m_options.is_cut_off(endpoint)) {
+        co_return error{error_code::target_failed, str_cat("connecting to ", endpoint, ": cut off"),
+                        run_state::not_run};
+    }
     std::shared_ptr<tcp_connection> connection = take_idle(endpoint);
     if (connection) {
         connection->set_deadline(deadline);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -5,8 +5,10 @@
 #include "base/error.hpp"
 #include "net/http_exchange.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace eelgrassdoor::net {
@@ -16,13 +18,15 @@
     /// Idle connections kept for each server.
     std::size_t max_idle = 4;
     parse_limits limits;
+    /// Endpoints that cannot be connected to: cuts of the network, in tests.
+    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
 };
 
 /// Sends whole requests and reads whole responses. Repeats nothing by itself.
 class http_client {
 public:
     explicit http_client(asio::any_io_executor executor, http_client_options options = {})
-        : m_executor(std::move(executor)), m_options(options) {}
+        : m_executor(std::move(executor)), m_options(std::move(options)) {}
 
     /// Calls the server at \p endpoint (`IP:PORT`). An error's run_state says whether the request
     /// may have reached it.
--- a/test/platform/daemon_jobs.cpp
+++ b/test/platform/daemon_jobs.cpp
@@ -18,6 +18,10 @@
                      {"runner-2", &m_fleet.add_daemon("runner-2", false, true)}}) {
         m_fleet.add_daemon("entry-1", true, false);
         m_fleet.add_daemon("entry-2", true, false);
+        m_fleet.add_daemon("cut-off", true, false, [this](std::string_view endpoint) {
+            return m_runners_cut_off && (endpoint == m_fleet.peer_endpoint("runner-1") ||
+                                         endpoint == m_fleet.peer_endpoint("runner-2"));
+        });
         m_fleet.configure(1);
     }
 
@@ -35,6 +39,7 @@
         co_await check_unknown_commit();
         co_await check_commit_under_way();
         co_await check_lapsed_owner();
+        co_await check_cut_off_entry();
         co_await check_handover();
     }
 
@@ -243,8 +248,7 @@
         (void)co_await submit("entry-1", "job8", job_body(2));
         const std::string owner = stored_state("job8").owner;
         // No lease ends before its holder has given it up.
-        bool away = true;
-        m_fleet.memory.refuse = [&away] { return away; };
+        m_fleet.memory.refuse = [] { return true; };
         co_await m_fleet.eventually("the owner gives its registration up",
                                     [&] { return !m_runners.at(owner)->is_registered(); });
         m_fleet.memory.end_leases();
@@ -256,7 +260,7 @@
             jobs::results_key("job8", 0),
             jobs::encode(std::vector<serving::listed_result>{{"item0", true, "text"}}));
         m_fleet.memory.put(jobs::state_key("job8"), jobs::encode(state));
-        away = false;
+        m_fleet.memory.refuse = [] { return false; };
         const time_point latest = steady_clock()() + seconds(10);
         while (!m_runners.at(owner)->is_registered() && steady_clock()() < latest) {
             co_await read_shows("entry-1", "job8", 1, "while its owner is not registered");
@@ -270,6 +274,26 @@
         co_await end_job("job8");
     }
 
+    /// A host that reaches no daemon that runs jobs, but another host that does.
+    net::task<> check_cut_off_entry() {
+        m_runners_cut_off = true;
+        int status = 0;
+        std::string said;
+        // It finds out by silence.
+        const time_point latest = steady_clock()() + seconds(10);
+        while (status != 202 && steady_clock()() < latest) {
+            const auto got = co_await submit("cut-off", "job11", job_body(2));
+            status = got.status;
+            said = str_cat(got.status, " ", got.body);
+        }
+        require(status == 202, str_cat("a job is accepted through another host: ", said));
+        const nlohmann::json listed = co_await results("cut-off", "job11", 2);
+        require(listed.size() == 2, "and its results are read");
+        const auto ended = co_await get("cut-off", "/eelgrassdoor/lots/job11", "DELETE");
+        require(ended.status == 200, "and it is ended");
+        m_runners_cut_off = false;
+    }
+
     net::task<> check_handover() {
         m_engine.set_pace(milliseconds(150));
         for (int i = 0; i < 4; ++i) {
@@ -285,6 +309,7 @@
     daemon_fixture m_fleet;
     scripted_engine& m_engine;
     std::map<std::string, host::fleet_host*> m_runners;
+    bool m_runners_cut_off = false;
 };
 
 } // namespace
