--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -190,6 +190,16 @@
     co_await caller.respond(std::move(response));
 }
 
+net::task<> job_front::answer_call(net::server_exchange& caller, const std::string& job,
+                                   jobs::reply_status status, net::http_response when_ok) {
+    if (status == jobs::reply_status::ok) {
+        co_await caller.respond(std::move(when_ok));
+        co_return;
+    }
+    const error why = call_error(status);
+    co_await answer_error(caller, job, why);
+}
+
 net::task<> job_front::submit(net::server_exchange& caller, caller_request request,
                               const config::serving_route& route, std::string customer) {
     jobs::job_call call;
@@ -286,13 +296,8 @@
     query.wait_ms =
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(call.wait).count());
     const jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
-    if (reply.status == jobs::reply_status::ok) {
-        net::http_response response = m_context.wire.encode_results(reply.page);
-        co_await caller.respond(std::move(response));
-        co_return;
-    }
-    const error why = call_error(reply.status);
-    co_await answer_error(caller, call.job, why);
+    net::http_response response = m_context.wire.encode_results(reply.page);
+    co_await answer_call(caller, call.job, reply.status, std::move(response));
 }
 
 net::task<> job_front::read_item(net::server_exchange& caller, item_read call,
@@ -303,16 +308,11 @@
     query.customer = std::move(customer);
     query.item = call.item;
     jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
-    if (reply.status == jobs::reply_status::ok) {
-        net::http_response response;
-        response.status = 200;
-        response.headers.set("Content-Type", "application/octet-stream");
-        response.body = std::move(reply.body);
-        co_await caller.respond(std::move(response));
-        co_return;
-    }
-    const error why = call_error(reply.status);
-    co_await answer_error(caller, call.job, why);
+    net::http_response response;
+    response.status = 200;
+    response.headers.set("Content-Type", "application/octet-stream");
+    response.body = std::move(reply.body);
+    co_await answer_call(caller, call.job, reply.status, std::move(response));
 }
 
 net::task<> job_front::end(net::server_exchange& caller, job_end call, std::string customer) {
@@ -321,14 +321,9 @@
     query.job = call.job;
     query.customer = std::move(customer);
     const jobs::job_reply reply = co_await answer(std::move(query), call_path::from_caller);
-    if (reply.status == jobs::reply_status::ok) {
-        net::http_response response;
-        response.status = 200;
-        co_await caller.respond(std::move(response));
-        co_return;
-    }
-    const error why = call_error(reply.status);
-    co_await answer_error(caller, call.job, why);
+    net::http_response response;
+    response.status = 200;
+    co_await answer_call(caller, call.job, reply.status, std::move(response));
 }
 
 net::task<> job_front::handle(net::server_exchange& caller, caller_call call,
--- a/src/entry/job_front.hpp
+++ b/src/entry/job_front.hpp
@@ -61,6 +61,9 @@
     net::task<jobs::job_reply> ask_owner(const std::string& endpoint, const jobs::job_call& call);
     net::task<jobs::job_reply> read_from_store(jobs::job_call call);
     net::task<jobs::job_reply> end_in_store(jobs::job_call call);
+    /// Answers a call about an existing job: \p when_ok, or why it failed.
+    net::task<> answer_call(net::server_exchange& caller, const std::string& job,
+                            jobs::reply_status status, net::http_response when_ok);
     net::task<> answer_error(net::server_exchange& caller, const std::string& job, error why);
     /// The daemons that run jobs, the likeliest owner of \p job first.
     [[nodiscard]] std::vector<std::string> runners(std::string_view job) const;
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -37,9 +37,9 @@
     if (path == mirror_path) {
         co_await answer_mirror(caller);
     } else if (path == jobs::job_call_path && m_runner != nullptr) {
-        co_await answer_jobs(caller);
+        co_await answer_jobs(caller, false);
     } else if (path == jobs::passed_on_call_path) {
-        co_await answer_passed_on(caller);
+        co_await answer_jobs(caller, true);
     } else {
         net::http_response response;
         response.status = 404;
@@ -55,26 +55,18 @@
     co_await caller.respond(std::move(response));
 }
 
-net::task<> peer_api::answer_jobs(net::server_exchange& caller) {
+net::task<> peer_api::answer_jobs(net::server_exchange& caller, bool pass_on) {
     std::optional<jobs::job_call> call = jobs::decode_call(caller.request().body);
     net::http_response response;
     response.status = call ? 200 : 400;
     if (call) {
         caller.request().body.clear();
-        const jobs::job_reply reply = co_await m_runner->handle(std::move(*call));
-        response.body = jobs::encode(reply);
-    }
-    co_await caller.respond(std::move(response));
-}
-
-net::task<> peer_api::answer_passed_on(net::server_exchange& caller) {
-    std::optional<jobs::job_call> call = jobs::decode_call(caller.request().body);
-    net::http_response response;
-    response.status = call ? 200 : 400;
-    if (call) {
-        caller.request().body.clear();
-        const jobs::job_reply reply =
-            co_await m_job_front.answer(std::move(*call), entry::call_path::passed_on);
+        jobs::job_reply reply;
+        if (pass_on) {
+            reply = co_await m_job_front.answer(std::move(*call), entry::call_path::passed_on);
+        } else {
+            reply = co_await m_runner->handle(std::move(*call));
+        }
         response.body = jobs::encode(reply);
     }
     co_await caller.respond(std::move(response));
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -34,9 +34,9 @@
     net::task<> run_pull(fleet::newer_revision news);
     void take_in(const fleet::newer_revision& news, std::string_view body);
     net::task<> answer_mirror(net::server_exchange& caller);
-    net::task<> answer_jobs(net::server_exchange& caller);
-    /// Answers a call of a daemon that cannot reach those that run jobs.
-    net::task<> answer_passed_on(net::server_exchange& caller);
+    /// Answers a call about a job from what runs here, or passes it on for a daemon that cannot
+    /// reach those that run jobs.
+    net::task<> answer_jobs(net::server_exchange& caller, bool pass_on);
 
     serving::host_context& m_context;
     store::mirror& m_mirror;
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -128,22 +128,26 @@
     }
 }
 
-net::task<result<std::vector<serving::submitted_item>>>
-job_repository::read_items(std::string job) {
-    const std::string prefix = str_cat(items_prefix, job, "/");
+template <typename Entry>
+net::task<result<std::vector<Entry>>>
+job_repository::read_entries(std::string prefix,
+                             std::optional<std::vector<Entry>> (*decode)(std::string_view)) {
     const result<std::vector<store::kv_item>> values =
         co_await list_all(prefix, store::consistency::linearizable);
-    co_return values ? join_values(values.value(), decode_items)
-                     : result<std::vector<serving::submitted_item>>(values.error());
+    if (!values) {
+        co_return values.error();
+    }
+    co_return join_values(values.value(), decode);
+}
+
+net::task<result<std::vector<serving::submitted_item>>>
+job_repository::read_items(std::string job) {
+    return read_entries(str_cat(items_prefix, job, "/"), decode_items);
 }
 
 net::task<result<std::vector<serving::listed_result>>>
 job_repository::read_results(std::string job) {
-    const std::string prefix = str_cat(results_prefix, job, "/");
-    const result<std::vector<store::kv_item>> values =
-        co_await list_all(prefix, store::consistency::linearizable);
-    co_return values ? join_values(values.value(), decode_results)
-                     : result<std::vector<serving::listed_result>>(values.error());
+    return read_entries(str_cat(results_prefix, job, "/"), decode_results);
 }
 
 net::task<result<std::vector<versioned_state>>> job_repository::read_all(store::consistency how) {
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -64,6 +64,10 @@
     /// All pages of a prefix.
     net::task<result<std::vector<store::kv_item>>> list_all(std::string prefix,
                                                             store::consistency how);
+    /// The entries of all values with a prefix, in the order of their keys.
+    template <typename Entry>
+    net::task<result<std::vector<Entry>>>
+    read_entries(std::string prefix, std::optional<std::vector<Entry>> (*decode)(std::string_view));
     /// Commits, repeating while the outcome is unknown. \p is_ours tells from the current items of
     /// the conditions whether an earlier copy of this change took effect.
     net::task<result<store::commit_outcome>> commit_until(store::kv_transaction change,
