--- a/src/service/job_keeper.hpp
+++ b/src/service/job_keeper.hpp
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace eelgrassdoor::service {
@@ -53,7 +54,9 @@
         std::string job;
         std::string storage;
 
-        auto operator<=>(const storage_key&) const = default;
+        bool operator<(const storage_key& other) const {
+            return std::tie(job, storage) < std::tie(other.job, other.storage);
+        }
     };
     /// What is known of a storage's job.
     struct kept_job {
