Believe a leaving target at its first word; keep the load as sums

Cause: nothing read an engine's own word that it leaves (Server-Leaving), so requests went to it until its entry changed, which a cut or an outage of the store delays without bound.

Change: the adapter decodes the header of every answer, also of those that belong to other requests; routing/leaving_targets remembers the start of a target that said so until a later start of the same id; digests tell the other daemons; no entry, outage or lack of other targets brings it back. Sums are changed by the difference as digests come in and when a daemon's word lapses, so a pick is one pass over counters.

Tests: daemon_online (an engine that refuses with the header; both daemons; a newer entry that says ready) fails with the decoding taken out: "an engine gets no request after an answer that says that it leaves". fleet_load compares sums with those of the digests that count, over random histories.

--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -44,6 +44,15 @@
     return out;
 }
 
+std::vector<routing::told_share> told_shares(const std::vector<target_count>& counts) {
+    std::vector<routing::told_share> out;
+    out.reserve(counts.size());
+    for (const target_count& count : counts) {
+        out.push_back({count.target, {count.online, count.batch}});
+    }
+    return out;
+}
+
 std::string to_text(const net::udp::endpoint& endpoint) {
     return str_cat(endpoint.address().to_string(), ":", endpoint.port());
 }
@@ -152,6 +161,9 @@
         digest.targets.push_back({stable_hash(id), static_cast<std::uint16_t>(share.online),
                                   static_cast<std::uint16_t>(share.batch)});
     }
+    for (const routing::leaving_start& each : m_loads.leaving()) {
+        digest.leaving.push_back({each.target, each.started_at});
+    }
     digest.ends = m_stopped;
     digest.reaches_store = reaches_store && reaches_store();
     if (own_waiting) {
@@ -202,16 +214,6 @@
     }
 }
 
-routing::load_by_target link::named(const std::vector<target_count>& counts) const {
-    routing::load_by_target out;
-    for (const target_count& count : counts) {
-        if (const std::string* id = m_loads.find_hashed(count.target)) {
-            out[*id] = {count.online, count.batch};
-        }
-    }
-    return out;
-}
-
 void link::receive_digest(std::string_view bytes, const net::udp::endpoint& from) {
     const auto digest = peer::decode<load_digest>(bytes.substr(2));
     if (!digest || digest->host == m_options.self.host) {
@@ -233,7 +235,10 @@
     m_directory.note_heard(digest->host, m_clock());
     known = {digest->incarnation, digest->sequence, m_clock(), digest->reaches_store,
              digest->waiting};
-    m_loads.note_peer(digest->host, named(digest->targets), m_clock());
+    m_loads.note_peer(digest->host, told_shares(digest->targets), m_clock());
+    for (const leaving_target& each : digest->leaving) {
+        m_loads.note_leaving({each.target, each.started_at});
+    }
     if (on_peer_load) {
         on_peer_load();
     }
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -129,7 +129,6 @@
     void send_to(const std::vector<net::udp::endpoint>& peers);
     [[nodiscard]] std::vector<net::udp::endpoint> peer_endpoints(bool own_zone) const;
     [[nodiscard]] duration interval_for(std::size_t peers) const;
-    [[nodiscard]] routing::load_by_target named(const std::vector<target_count>& counts) const;
 
     net::asio::any_io_executor m_executor;
     link_options m_options;
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -21,6 +21,16 @@
     template <typename Archive> void serialize(Archive& ar) { ar(target, online, batch); }
 };
 
+/// A start of a target that has said that it leaves.
+struct leaving_target {
+    /// stable_hash() of the target's id.
+    std::uint64_t target = 0;
+    /// Unix milliseconds.
+    std::uint64_t started_at = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(target, started_at); }
+};
+
 /// Tokens of one customer's accepted items on one route that wait at the sender.
 struct waiting_tokens {
     std::uint64_t customer_and_route = 0;
@@ -43,6 +53,8 @@
     std::vector<std::uint64_t> known_revisions;
     std::vector<target_count> targets;
     std::vector<waiting_tokens> waiting;
+    /// Listed targets that have said to any daemon that they leave.
+    std::vector<leaving_target> leaving;
 
     template <typename Archive> void serialize(Archive& ar) {
         peer::text(ar, host);
@@ -52,6 +64,7 @@
         peer::list(ar, known_revisions, number);
         peer::list(ar, targets, whole);
         peer::list(ar, waiting, whole);
+        peer::list(ar, leaving, whole);
     }
 };
 
@@ -88,7 +101,7 @@
 };
 
 /// The bytes of a datagram: protocol version, kind, message.
-inline constexpr char protocol_version = 1;
+inline constexpr char protocol_version = 2;
 
 template <typename Message> std::string to_datagram(const Message& message) {
     std::string out;
--- a/src/host/target_listing.cpp
+++ b/src/host/target_listing.cpp
@@ -9,18 +9,27 @@
     return used;
 }
 
+target_listing::read_entry target_listing::read_one(const store::kv_item& item) {
+    result<routing::fleet_target> target = m_decode(item);
+    if (!target) {
+        m_log.write(
+            observe::event::entry_rejected, item.key,
+            {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
+        return {item.revision, std::nullopt};
+    }
+    return {item.revision, std::move(target.value())};
+}
+
 std::vector<routing::fleet_target> target_listing::read(const entries& items) {
+    std::erase_if(m_read, [&](const auto& known) { return !items.contains(known.first); });
     std::vector<routing::fleet_target> listed;
     for (const auto& [key, item] : items) {
-        result<routing::fleet_target> target = m_decode(item);
-        if (target) {
-            listed.push_back(std::move(target.value()));
-            m_rejected.erase(key);
-        } else if (m_rejected[key] != item.revision) {
-            m_rejected[key] = item.revision;
-            m_log.write(
-                observe::event::entry_rejected, key,
-                {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
+        const auto known = m_read.find(key);
+        if (known == m_read.end() || known->second.revision != item.revision) {
+            m_read[key] = read_one(item);
+        }
+        if (const read_entry& entry = m_read[key]; entry.target) {
+            listed.push_back(*entry.target);
         }
     }
     return listed;
--- a/src/host/target_listing.hpp
+++ b/src/host/target_listing.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,15 +29,22 @@
                                               const fleet::store_contact& contact, time_point now);
 
 private:
+    /// An entry as it was read last.
+    struct read_entry {
+        std::uint64_t revision = 0;
+        /// Nothing when the entry is malformed.
+        std::optional<routing::fleet_target> target;
+    };
+
     std::vector<routing::fleet_target> read(const entries& items);
+    read_entry read_one(const store::kv_item& item);
     void log_changes(const std::vector<routing::fleet_target>& used);
 
     decoder m_decode;
     observe::decision_log& m_log;
     fleet::target_roster m_roster;
     std::set<std::string> m_known;
-    /// Entries that were found malformed, with the revision that was reported.
-    std::map<std::string, std::uint64_t, std::less<>> m_rejected;
+    std::map<std::string, read_entry, std::less<>> m_read;
 };
 
 } // namespace eelgrassdoor::host
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -42,6 +42,8 @@
                "An entry of another writer could not be read and is ignored."},
     event_info{event::mirror_pulled, "mirror_pulled", info,
                "News of the key-value service were taken from another daemon."},
+    event_info{event::target_leaving, "target_leaving", info,
+               "A target said in an answer that it leaves; it gets no new work."},
     event_info{event::platform_lost, "platform_lost", warning,
                "The key-value service does not answer."},
     event_info{event::platform_back, "platform_back", info, "The key-value service answers again."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -31,6 +31,7 @@
     target_withdrawn = 306,
     entry_rejected = 307,
     mirror_pulled = 308,
+    target_leaving = 309,
     platform_lost = 310,
     platform_back = 311,
     limit_part_claimed = 400,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -21,45 +21,117 @@
 } // namespace
 
 void fleet_load::set_targets(std::vector<fleet_target> targets) {
-    std::map<std::string, fleet_target, std::less<>> next;
+    if (targets == m_listed) {
+        return;
+    }
+    m_listed = targets;
+    std::map<std::string, target_state, std::less<>> next;
+    std::set<std::uint64_t> hashes;
     for (fleet_target& target : targets) {
+        const std::uint64_t hash = stable_hash(target.id);
+        hashes.insert(hash);
         const auto known = m_targets.find(target.id);
-        if (known != m_targets.end() && known->second.started_at != target.started_at) {
-            m_failures.erase(target.id);
+        target_state state;
+        if (known != m_targets.end() && known->second.target.started_at == target.started_at) {
+            state.broken_answers = known->second.broken_answers;
+            state.resting = known->second.resting;
+        }
+        if (const auto own = m_own.find(target.id); own != m_own.end()) {
+            state.own = own->second;
         }
+        target.leaving = target.leaving || m_leaving.contains({hash, target.started_at});
+        state.told = &m_told[hash];
+        state.zone = &m_zones[target.availability_zone];
         std::string id = target.id;
-        next.emplace(std::move(id), std::move(target));
+        state.target = std::move(target);
+        next.emplace(std::move(id), std::move(state));
     }
-    std::erase_if(m_failures, [&](const auto& entry) { return !next.contains(entry.first); });
     m_targets = std::move(next);
-    m_ids_by_hash.clear();
-    for (const auto& [id, target] : m_targets) {
-        m_ids_by_hash[stable_hash(id)] = id;
+    std::erase_if(m_told, [&](const auto& entry) {
+        return entry.second == target_share{} && !hashes.contains(entry.first);
+    });
+    m_by_service.clear();
+    for (const auto& [id, state] : m_targets) {
+        m_by_service[state.target.service].push_back(&state);
     }
 }
 
-const std::string* fleet_load::find_hashed(std::uint64_t hash) const {
-    const auto found = m_ids_by_hash.find(hash);
-    return found == m_ids_by_hash.end() ? nullptr : &found->second;
-}
-
 const fleet_target* fleet_load::find(std::string_view id) const {
     const auto found = m_targets.find(id);
-    return found == m_targets.end() ? nullptr : &found->second;
+    return found == m_targets.end() ? nullptr : &found->second.target;
+}
+
+bool fleet_load::note_leaving(const leaving_start& start) {
+    const bool news = m_leaving.note(start);
+    if (news) {
+        for (auto& [id, state] : m_targets) {
+            const leaving_start listed{stable_hash(id), state.target.started_at};
+            state.target.leaving = state.target.leaving || m_leaving.contains(listed);
+        }
+    }
+    return news;
 }
 
-void fleet_load::note_peer(std::string_view peer, load_by_target loads, time_point now) {
-    m_peers[std::string(peer)] = {std::move(loads), now};
+std::vector<leaving_start> fleet_load::leaving() const {
+    std::vector<leaving_start> out;
+    for (const auto& [id, state] : m_targets) {
+        const leaving_start listed{stable_hash(id), state.target.started_at};
+        if (m_leaving.contains(listed)) {
+            out.push_back(listed);
+        }
+    }
+    return out;
+}
+
+void fleet_load::add_told(const std::vector<told_share>& loads, int sign) {
+    for (const told_share& each : loads) {
+        target_share& sum = m_told[each.target];
+        sum.online += sign * each.share.online;
+        sum.batch += sign * each.share.batch;
+    }
+}
+
+void fleet_load::note_peer(std::string_view peer, std::vector<told_share> loads, time_point now) {
+    peer_load& known = m_peers[std::string(peer)];
+    add_told(known.loads, -1);
+    add_told(loads, 1);
+    known = {std::move(loads), now};
+}
+
+void fleet_load::forget_peer(std::string_view peer) {
+    const auto found = m_peers.find(peer);
+    if (found != m_peers.end()) {
+        add_told(found->second.loads, -1);
+        m_peers.erase(found);
+    }
 }
 
-void fleet_load::release(std::string_view id, int target_share::*kind) {
-    const auto found = m_own.find(id);
-    if (found == m_own.end()) {
+void fleet_load::expire_peers(time_point now) {
+    if (now < m_next_expiry) {
         return;
     }
-    --(found->second.*kind);
-    if (found->second == target_share{}) {
-        m_own.erase(found);
+    time_point oldest = now;
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (now - it->second.heard_at > peer_load_lifetime) {
+            add_told(it->second.loads, -1);
+            it = m_peers.erase(it);
+        } else {
+            oldest = std::min(oldest, it->second.heard_at);
+            ++it;
+        }
+    }
+    m_next_expiry = oldest + peer_load_lifetime;
+}
+
+void fleet_load::change_own(std::string_view id, target_share by) {
+    target_share& own = m_own[std::string(id)];
+    own.online += by.online;
+    own.batch += by.batch;
+    if (const auto state = m_targets.find(id); state != m_targets.end()) {
+        state->second.own = own;
+    }
+    if (own == target_share{}) {
+        m_own.erase(std::string(id));
     }
 }
 
@@ -72,14 +144,17 @@
 }
 
 void fleet_load::note_failed(std::string_view id, target_failure how, time_point now) {
-    failure_state& state = m_failures[std::string(id)];
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    target_state& state = found->second;
     state.broken_answers += how == target_failure::broke_off ? 1 : 0;
     if (how == target_failure::unreachable || state.broken_answers >= 2) {
         state.resting.begin(now);
     }
-    const fleet_target* target = find(id);
-    if (how == target_failure::unreachable && target != nullptr) {
-        note_unreachable_zone(*target, now);
+    if (how == target_failure::unreachable) {
+        note_unreachable_zone(state.target, now);
     }
 }
 
@@ -96,100 +171,94 @@
 }
 
 void fleet_load::note_answered(std::string_view id) {
-    const auto found = m_failures.find(id);
-    if (found != m_failures.end()) {
-        m_failures.erase(found);
-    }
-    if (const fleet_target* target = find(id)) {
-        m_zones.erase(target->availability_zone);
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
     }
+    found->second.broken_answers = 0;
+    found->second.resting = {};
+    m_zones[found->second.target.availability_zone] = {};
 }
 
-target_share fleet_load::total(std::string_view id, time_point now) const {
+target_share fleet_load::total(std::string_view id, time_point now) {
+    expire_peers(now);
     target_share sum;
-    const auto add = [&](const load_by_target& loads) {
-        const auto found = loads.find(id);
-        if (found != loads.end()) {
-            sum.online += found->second.online;
-            sum.batch += found->second.batch;
-        }
-    };
-    add(m_own);
-    for (const auto& [name, peer] : m_peers) {
-        if (now - peer.heard_at <= peer_load_lifetime) {
-            add(peer.loads);
-        }
+    if (const auto own = m_own.find(id); own != m_own.end()) {
+        sum = own->second;
+    }
+    if (const auto told = m_told.find(stable_hash(id)); told != m_told.end()) {
+        sum.online += told->second.online;
+        sum.batch += told->second.batch;
     }
     return sum;
 }
 
-bool fleet_load::is_resting(const fleet_target& target, time_point now) const {
-    const auto zone = m_zones.find(target.availability_zone);
-    if (zone != m_zones.end() && now < zone->second.resting.until) {
-        return true;
-    }
-    const auto failed = m_failures.find(target.id);
-    return failed != m_failures.end() && now < failed->second.resting.until;
+bool fleet_load::is_resting(const target_state& state, time_point now) {
+    return now < state.zone->resting.until || now < state.resting.until;
 }
 
-std::vector<const fleet_target*>
-fleet_load::candidates(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-                       time_point now) const {
-    std::vector<const fleet_target*> fit;
-    std::vector<const fleet_target*> resting;
-    for (const auto& [id, target] : m_targets) {
-        if (target.leaving || target.service != service || excluded.contains(id)) {
+const std::vector<const fleet_load::target_state*>&
+fleet_load::candidates(std::string_view service, const excluded_ids& excluded, time_point now) {
+    expire_peers(now);
+    m_fit.clear();
+    m_resting.clear();
+    const auto listed = m_by_service.find(service);
+    if (listed == m_by_service.end()) {
+        return m_fit;
+    }
+    for (const target_state* state : listed->second) {
+        if (state->target.leaving || excluded.contains(state->target.id)) {
             continue;
         }
-        (is_resting(target, now) ? resting : fit).push_back(&target);
+        (is_resting(*state, now) ? m_resting : m_fit).push_back(state);
     }
-    return fit.empty() ? resting : fit;
+    return m_fit.empty() ? m_resting : m_fit;
 }
 
-std::optional<fleet_target>
-fleet_load::pick_online(std::string_view service,
-                        const std::set<std::string, std::less<>>& excluded, time_point now,
-                        random_source& random) const {
+std::optional<fleet_target> fleet_load::pick_online(std::string_view service,
+                                                    const excluded_ids& excluded, time_point now,
+                                                    random_source& random) {
     const fleet_target* best = nullptr;
     double best_cost = 0;
-    for (const fleet_target* target : candidates(service, excluded, now)) {
-        const target_share load = total(target->id, now);
-        if (load.online >= target->slots + m_options.max_waiting_inside) {
+    for (const target_state* state : candidates(service, excluded, now)) {
+        const fleet_target& target = state->target;
+        const target_share load = state->load();
+        if (load.online >= target.slots + m_options.max_waiting_inside) {
             continue;
         }
-        double cost = static_cast<double>(load.online) / target->slots + tie_spread * random.unit();
-        cost += target->availability_zone == m_options.own_zone ? 0 : other_zone_cost;
-        cost += load.online + load.batch >= target->slots ? stop_batch_cost : 0;
+        double cost = static_cast<double>(load.online) / target.slots + tie_spread * random.unit();
+        cost += target.availability_zone == m_options.own_zone ? 0 : other_zone_cost;
+        cost += load.online + load.batch >= target.slots ? stop_batch_cost : 0;
         if (best == nullptr || cost < best_cost) {
-            best = target;
+            best = &target;
             best_cost = cost;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-std::optional<fleet_target>
-fleet_load::pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-                       time_point now, random_source& random) const {
+std::optional<fleet_target> fleet_load::pick_batch(std::string_view service,
+                                                   const excluded_ids& excluded, time_point now,
+                                                   random_source& random) {
     const fleet_target* best = nullptr;
     double best_free = 0;
-    for (const fleet_target* target : candidates(service, excluded, now)) {
-        const target_share load = total(target->id, now);
-        const int free = target->slots - m_options.batch_reserve - load.online - load.batch;
+    for (const target_state* state : candidates(service, excluded, now)) {
+        const fleet_target& target = state->target;
+        const target_share load = state->load();
+        const int free = target.slots - m_options.batch_reserve - load.online - load.batch;
         if (free <= 0) {
             continue;
         }
         const double worth = free + random.unit();
         if (best == nullptr || worth > best_free) {
-            best = target;
+            best = &target;
             best_free = worth;
         }
     }
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-int fleet_load::batch_to_stop(std::string_view id, std::string_view own_name,
-                              time_point now) const {
+int fleet_load::batch_to_stop(std::string_view id, std::string_view own_name, time_point now) {
     const fleet_target* target = find(id);
     const auto own = m_own.find(id);
     if (target == nullptr || own == m_own.end() || own->second.batch == 0) {
@@ -201,12 +270,14 @@
         return 0;
     }
     // Daemons that hold more streams there, or as many and an earlier name, make room first.
+    const std::uint64_t hash = stable_hash(id);
     for (const auto& [name, peer] : m_peers) {
-        const auto theirs = peer.loads.find(id);
-        if (theirs == peer.loads.end() || now - peer.heard_at > peer_load_lifetime) {
+        const auto theirs = std::find_if(peer.loads.begin(), peer.loads.end(),
+                                         [&](const auto& each) { return each.target == hash; });
+        if (theirs == peer.loads.end()) {
             continue;
         }
-        const int held = theirs->second.batch;
+        const int held = theirs->share.batch;
         const bool before =
             held > own->second.batch || (held == own->second.batch && name < own_name);
         excess -= before ? held : 0;
@@ -214,19 +285,20 @@
     return std::clamp(excess, 0, own->second.batch);
 }
 
-std::string fleet_load::describe(std::string_view service, time_point now) const {
+std::string fleet_load::describe(std::string_view service, time_point now) {
+    expire_peers(now);
     int targets = 0;
     int resting = 0;
     int slots = 0;
     target_share load;
-    for (const auto& [id, target] : m_targets) {
-        if (target.service != service || target.leaving) {
+    for (const auto& [id, state] : m_targets) {
+        if (state.target.service != service || state.target.leaving) {
             continue;
         }
-        const target_share at = total(id, now);
+        const target_share at = state.load();
         ++targets;
-        resting += is_resting(target, now) ? 1 : 0;
-        slots += target.slots;
+        resting += is_resting(state, now) ? 1 : 0;
+        slots += state.target.slots;
         load.online += at.online;
         load.batch += at.batch;
     }
@@ -241,9 +313,10 @@
 }
 
 bool fleet_load::serves(std::string_view service) const {
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
-        return !entry.second.leaving && entry.second.service == service;
-    });
+    const auto listed = m_by_service.find(service);
+    return listed != m_by_service.end() &&
+           std::any_of(listed->second.begin(), listed->second.end(),
+                       [](const target_state* state) { return !state->target.leaving; });
 }
 
 } // namespace eelgrassdoor::routing
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.hpp"
 #include "base/random_source.hpp"
+#include "routing/leaving_targets.hpp"
 
 #include <cstdint>
 #include <map>
@@ -11,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace eelgrassdoor::routing {
@@ -39,10 +41,17 @@
     bool operator==(const target_share&) const = default;
 };
 
-/// All work on the targets comes from the daemons of the fleet, so what each tells of its own
-/// requests gives the whole load, without asking the targets.
+/// Requests of one daemon at all targets, by the targets' ids.
 using load_by_target = std::map<std::string, target_share, std::less<>>;
 
+/// Requests of another daemon at one target. All work on the targets comes from the daemons of the
+/// fleet, so what each tells of its own requests gives the whole load, without asking the targets.
+struct told_share {
+    /// stable_hash() of the target's id.
+    std::uint64_t target = 0;
+    target_share share;
+};
+
 /// How a target failed.
 enum class target_failure {
     /// It could not be connected to, so nothing was sent.
@@ -71,22 +80,32 @@
     static constexpr duration longest_backoff = seconds(4);
 
     explicit fleet_load(placement_options options) : m_options(std::move(options)) {}
+    fleet_load(const fleet_load&) = delete;
+    fleet_load& operator=(const fleet_load&) = delete;
+    fleet_load(fleet_load&&) = default;
+    fleet_load& operator=(fleet_load&&) = default;
+    ~fleet_load() = default;
 
     /// Takes in the targets. Counts of those that stay are kept.
     void set_targets(std::vector<fleet_target> targets);
     [[nodiscard]] const fleet_target* find(std::string_view id) const;
-    /// The id whose stable_hash() is \p hash, or null.
-    [[nodiscard]] const std::string* find_hashed(std::uint64_t hash) const;
 
-    void note_peer(std::string_view peer, load_by_target loads, time_point now);
-    void forget_peer(std::string_view peer) { m_peers.erase(std::string(peer)); }
+    /// Takes in what another daemon told; it replaces what that daemon told before.
+    void note_peer(std::string_view peer, std::vector<told_share> loads, time_point now);
+    void forget_peer(std::string_view peer);
+
+    /// A start of a target has said that it leaves: it gets no more requests, whatever the list
+    /// says of it. True when this is news.
+    bool note_leaving(const leaving_start& start);
+    /// The listed targets that said so, for the other daemons.
+    [[nodiscard]] std::vector<leaving_start> leaving() const;
     /// This daemon's own requests, for the others.
     [[nodiscard]] const load_by_target& own() const { return m_own; }
 
-    void note_online_sent(std::string_view id) { ++m_own[std::string(id)].online; }
-    void note_online_ended(std::string_view id) { release(id, &target_share::online); }
-    void note_batch_sent(std::string_view id) { ++m_own[std::string(id)].batch; }
-    void note_batch_ended(std::string_view id) { release(id, &target_share::batch); }
+    void note_online_sent(std::string_view id) { change_own(id, {.online = 1}); }
+    void note_online_ended(std::string_view id) { change_own(id, {.online = -1}); }
+    void note_batch_sent(std::string_view id) { change_own(id, {.batch = 1}); }
+    void note_batch_ended(std::string_view id) { change_own(id, {.batch = -1}); }
 
     /// The target rests at once when it cannot be reached, and after a second answer in a row that
     /// broke off: engines that break off a few answers serve all others.
@@ -100,26 +119,25 @@
     /// streams make room and do not count as load.
     [[nodiscard]] std::optional<fleet_target>
     pick_online(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-                time_point now, random_source& random) const;
+                time_point now, random_source& random);
     /// Picks a target with a slot that neither online nor batch work uses.
     [[nodiscard]] std::optional<fleet_target>
     pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-               time_point now, random_source& random) const;
+               time_point now, random_source& random);
     /// How many of this daemon's batch streams at \p id have to make room for online requests. Of
     /// several daemons with batch streams there, the one with the most makes room first.
-    [[nodiscard]] int batch_to_stop(std::string_view id, std::string_view own_name,
-                                    time_point now) const;
+    [[nodiscard]] int batch_to_stop(std::string_view id, std::string_view own_name, time_point now);
 
     /// Requests of all daemons at a target.
-    [[nodiscard]] target_share total(std::string_view id, time_point now) const;
+    [[nodiscard]] target_share total(std::string_view id, time_point now);
     /// What decides on requests of \p service now, for the log.
-    [[nodiscard]] std::string describe(std::string_view service, time_point now) const;
+    [[nodiscard]] std::string describe(std::string_view service, time_point now);
     /// Whether the list names any target of \p service that is not leaving.
     [[nodiscard]] bool serves(std::string_view service) const;
 
 private:
     struct peer_load {
-        load_by_target loads;
+        std::vector<told_share> loads;
         time_point heard_at;
     };
     struct rest {
@@ -128,31 +146,54 @@
         /// Begins a rest, longer than the one before.
         void begin(time_point now);
     };
-    struct failure_state {
-        int broken_answers = 0;
-        rest resting;
-    };
     struct zone_state {
         /// Targets that could not be reached since one there has answered.
         std::set<std::string, std::less<>> unreachable;
         rest resting;
     };
+    struct target_state {
+        fleet_target target;
+        int broken_answers = 0;
+        rest resting;
+        target_share own;
+        /// Sums that are kept as digests come in, so that a pick costs one pass over the targets
+        /// whatever the number of daemons. Points into m_told.
+        const target_share* told = nullptr;
+        /// Points into m_zones.
+        const zone_state* zone = nullptr;
+
+        [[nodiscard]] target_share load() const {
+            return {own.online + told->online, own.batch + told->batch};
+        }
+    };
+    using excluded_ids = std::set<std::string, std::less<>>;
 
-    void release(std::string_view id, int target_share::*kind);
+    void change_own(std::string_view id, target_share by);
+    void add_told(const std::vector<told_share>& loads, int sign);
+    /// Takes what silent daemons told out of the sums.
+    void expire_peers(time_point now);
     /// The targets that may get a request, without the resting ones unless there are no others.
-    [[nodiscard]] std::vector<const fleet_target*>
-    candidates(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-               time_point now) const;
-    [[nodiscard]] bool is_resting(const fleet_target& target, time_point now) const;
+    /// Valid until the next call.
+    [[nodiscard]] const std::vector<const target_state*>&
+    candidates(std::string_view service, const excluded_ids& excluded, time_point now);
+    [[nodiscard]] static bool is_resting(const target_state& state, time_point now);
     void note_unreachable_zone(const fleet_target& target, time_point now);
 
     placement_options m_options;
-    std::map<std::string, fleet_target, std::less<>> m_targets;
-    std::map<std::uint64_t, std::string> m_ids_by_hash;
+    /// The targets as they were taken in last.
+    std::vector<fleet_target> m_listed;
+    std::map<std::string, target_state, std::less<>> m_targets;
+    std::map<std::string, std::vector<const target_state*>, std::less<>> m_by_service;
     std::map<std::string, peer_load, std::less<>> m_peers;
+    /// Requests of all other daemons by the hash of the target's id, listed or not.
+    std::unordered_map<std::uint64_t, target_share> m_told;
+    /// No daemon's word lapses before.
+    time_point m_next_expiry = time_point::min();
     load_by_target m_own;
-    std::map<std::string, failure_state, std::less<>> m_failures;
     std::map<std::string, zone_state, std::less<>> m_zones;
+    leaving_targets m_leaving;
+    std::vector<const target_state*> m_fit;
+    std::vector<const target_state*> m_resting;
 };
 
 } // namespace eelgrassdoor::routing
--- a/src/serving/caller_wire.hpp
+++ b/src/serving/caller_wire.hpp
@@ -93,6 +93,8 @@
     bool is_stream = false;
     /// Whether the body is encoded, which callers have not asked for.
     bool is_encoded = false;
+    /// Whether the target says that it leaves and takes no new requests.
+    bool target_leaves = false;
 };
 
 /// One result of a job, as callers see it.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -1,5 +1,6 @@
 #include "serving/target_exchange.hpp"
 
+#include "base/digest.hpp"
 #include "base/text.hpp"
 #include "net/http_client.hpp"
 
@@ -52,6 +53,16 @@
     }
 }
 
+void target_exchange::note_leaving() {
+    const bool news = m_context.loads.note_leaving(
+        {stable_hash(target().id), target().started_at});
+    if (news) {
+        m_context.log.write(observe::event::target_leaving, target().id,
+                            {{"started_at", std::to_string(target().started_at)}});
+        m_context.link.note_change();
+    }
+}
+
 net::task<result<target_answer>>
 target_exchange::open(net::http_request request, std::string request_id, time_point answer_by) {
     const time_point connect_by = std::min(answer_by, m_context.clock() + connect_timeout);
@@ -74,6 +85,9 @@
             co_return head.error();
         }
         target_answer answer = m_context.wire.decode_answer(m_exchange->response());
+        if (answer.target_leaves) {
+            note_leaving();
+        }
         const bool refusal_without_id = answer.request_id.empty() && answer.not_run;
         if (answer.request_id == request_id || refusal_without_id) {
             co_return answer;
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -56,6 +56,9 @@
     void close();
 
 private:
+    /// The target has said that it leaves: no daemon sends it anything more.
+    void note_leaving();
+
     host_context& m_context;
     target_place m_place;
     std::shared_ptr<net::tcp_connection> m_connection;
--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -22,6 +22,14 @@
             .slots = slots};
 }
 
+std::vector<told_share> told(const load_by_target& loads) {
+    std::vector<told_share> out;
+    for (const auto& [id, share] : loads) {
+        out.push_back({stable_hash(id), share});
+    }
+    return out;
+}
+
 fleet_load two_targets() {
     fleet_load loads({.own_zone = "a", .max_waiting_inside = 1, .batch_reserve = 1});
     loads.set_targets({target("x", "a"), target("y", "b")});
@@ -36,9 +44,9 @@
     loads.note_online_sent("x");
     require(loads.pick_online("s", none, now, random)->id == "y",
             "a target of another zone goes before one that is a request busier");
-    loads.note_peer("p", {{"y", {3, 0}}}, now);
+    loads.note_peer("p", told({{"y", {3, 0}}}), now);
     require(loads.pick_online("s", none, now, random)->id == "x", "load of other daemons counts");
-    loads.note_peer("p", {{"y", {3, 0}}, {"x", {2, 0}}}, now);
+    loads.note_peer("p", told({{"y", {3, 0}}, {"x", {2, 0}}}), now);
     require(!loads.pick_online("s", none, now, random), "full targets get nothing");
     require(loads.pick_online("s", none, now + seconds(3), random).has_value(),
             "what a silent daemon told is forgotten");
@@ -116,13 +124,93 @@
     loads.note_online_sent("x");
     loads.note_online_sent("x");
     require(loads.batch_to_stop("x", "me", now) == 1, "batch makes room for online requests");
-    loads.note_peer("p", {{"x", {0, 2}}}, now);
+    loads.note_peer("p", told({{"x", {0, 2}}}), now);
     require(loads.batch_to_stop("x", "me", now) == 1,
             "the daemon with more streams there makes room first");
-    loads.note_peer("p", {{"x", {0, 3}}}, now);
+    loads.note_peer("p", told({{"x", {0, 3}}}), now);
     require(loads.batch_to_stop("x", "me", now) == 1, "and no more than there is");
 }
 
+/// Sums that are kept as digests come in are those of the digests that count.
+void check_sums() {
+    property("the load at a target is what daemons heard lately told last", [] {
+        fleet_load loads({.own_zone = "z"});
+        loads.set_targets({target("x", "z"), target("y", "z")});
+        struct word {
+            load_by_target loads;
+            time_point at;
+        };
+        std::map<std::string, word> last;
+        time_point now{};
+        for (int step = 0; step < 40; ++step) {
+            now += milliseconds(*rc::gen::inRange(0, 700));
+            const std::string peer(1, *rc::gen::element('p', 'q', 'r'));
+            const std::string id(1, *rc::gen::element('x', 'y', 'u'));
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                loads.forget_peer(peer);
+                last.erase(peer);
+                break;
+            case 1:
+                // A list without one of the targets for a while changes no sum.
+                loads.set_targets({target("x", "z"), target(id == "x" ? "y" : id, "z")});
+                break;
+            default:
+                last[peer] = {{{id, {*rc::gen::inRange(0, 9), *rc::gen::inRange(0, 9)}}}, now};
+                loads.note_peer(peer, told(last[peer].loads), now);
+            }
+            for (const char* each : {"x", "y", "u"}) {
+                target_share sum;
+                for (const auto& [name, said] : last) {
+                    const auto found = said.loads.find(each);
+                    if (found != said.loads.end() &&
+                        now - said.at <= fleet_load::peer_load_lifetime) {
+                        sum.online += found->second.online;
+                        sum.batch += found->second.batch;
+                    }
+                }
+                RC_ASSERT(loads.total(each, now) == sum);
+            }
+        }
+    });
+}
+
+void check_leaving() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    fleet_target x = target("x", "a");
+    x.started_at = 7;
+    loads.set_targets({x, target("y", "b")});
+    require(loads.note_leaving({stable_hash("x"), 7}), "a target's own word is news once");
+    require(!loads.note_leaving({stable_hash("x"), 7}), "and not again");
+    require(loads.pick_online("s", none, now, random)->id == "y",
+            "a target that says that it leaves gets no online request");
+    require(loads.pick_batch("s", none, now, random)->id == "y", "and no batch item");
+    x.slots = 3;
+    loads.set_targets({x, target("y", "b")});
+    require(loads.pick_online("s", none, now, random)->id == "y", "whatever its entry says then");
+    loads.set_targets({target("y", "b")});
+    loads.set_targets({x, target("y", "b")});
+    require(loads.pick_online("s", none, now, random)->id == "y",
+            "also when its entry has been away");
+    require(loads.leaving() == std::vector<leaving_start>{{stable_hash("x"), 7}},
+            "the other daemons are told");
+    require(!loads.pick_online("s", {"y"}, now, random), "not even when no other target is left");
+    x.started_at = 8;
+    loads.set_targets({x, target("y", "b")});
+    require(loads.pick_online("s", none, now, random)->id == "x",
+            "a later start under the same id is another one");
+    require(loads.leaving().empty(), "of which nobody is told");
+    fleet_load stale = two_targets();
+    stale.note_leaving({stable_hash("late"), 5});
+    fleet_target late = target("late", "a");
+    late.started_at = 5;
+    stale.set_targets({late});
+    require(!stale.pick_online("s", none, now, random),
+            "a daemon may be told before it has the entry");
+}
+
 /// Whatever daemons stop, together they free exactly what online requests lack.
 void check_stops_add_up() {
     property("daemons that see the same load stop enough streams and no more", [] {
@@ -139,10 +227,10 @@
             for (int i = 0; i < own; ++i) {
                 loads.note_batch_sent("x");
             }
-            loads.note_peer("front", {{"x", {online, 0}}}, {});
+            loads.note_peer("front", told({{"x", {online, 0}}}), {});
             for (const auto& [peer, theirs] : batch) {
                 if (peer != self) {
-                    loads.note_peer(peer, {{"x", {0, theirs}}}, {});
+                    loads.note_peer(peer, told({{"x", {0, theirs}}}), {});
                 }
             }
             stopped += loads.batch_to_stop("x", self, {});
@@ -159,6 +247,8 @@
     check_failures();
     check_zones();
     check_batch();
+    check_sums();
+    check_leaving();
     check_stops_add_up();
     return eelgrassdoor::test::finish();
 }
--- a/test/platform/adapter_records.cpp
+++ b/test/platform/adapter_records.cpp
@@ -108,9 +108,12 @@
     });
     for (const char* bad :
          {"", "\xff\xfe", "7", "{}", R"({"service":5})",
-          R"({"service":"s","address":"h:1","zone":"z","slots":8,"state":"ready"})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":-8,"state":"ready"})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"odd"})"}) {
+          R"({"service":"s","address":"h:1","zone":"z","slots":8,"state":"ready","born":1})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":-8,"state":"ready","born":1})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"odd","born":1})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready"})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":"1"})",
+          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":1.5})"}) {
         require(!decode(bad), std::string("names no target: ") + bad);
     }
 }
@@ -198,6 +201,9 @@
     require(!wire.decode_answer(refusal).not_run, "a bare 503 of a target promises nothing");
     refusal.headers.set("Not-Executed", "1");
     require(wire.decode_answer(refusal).not_run, "its own statement does");
+    require(!wire.decode_answer(refusal).target_leaves, "a target stays unless it says otherwise");
+    refusal.headers.set("Server-Leaving", "1");
+    require(wire.decode_answer(refusal).target_leaves, "a target may say that it leaves");
 }
 
 } // namespace
--- a/test/platform/daemon_online.cpp
+++ b/test/platform/daemon_online.cpp
@@ -32,6 +32,7 @@
         co_await check_foreign_answer();
         co_await check_caller_leaves();
         co_await check_withdrawn_key();
+        co_await check_leaving_engine();
         co_await check_shutdown();
     }
 
@@ -173,6 +174,62 @@
         require(status == 200, "a newer one does");
     }
 
+    /// Sends requests until engine one, which leaves, has answered one of them with \p act.
+    net::task<> hear_from_leaving(engine_act act) {
+        bool heard = false;
+        for (int i = 0; i < 500 && !heard; ++i) {
+            m_one.forget_script();
+            m_one.then(act);
+            const std::size_t before = m_one.arrived().size();
+            (void)co_await call("n" + std::to_string(i), "/o/x");
+            heard = m_one.arrived().size() > before;
+        }
+        m_one.forget_script();
+        require(heard, "an engine that has not said anything gets requests");
+    }
+
+    net::task<> check_leaving_engine() {
+        m_fleet.add_daemon("second", true, false);
+        int ready = 0;
+        for (int i = 0; i < 500 && ready != 200; ++i) {
+            const auto got = co_await m_fleet.call(m_fleet.caller_endpoint("second"),
+                                                   daemon_fixture::request("s"));
+            ready = got.status;
+        }
+        require(ready == 200, "a second daemon serves");
+        m_one.set_leaving(true);
+        co_await hear_from_leaving(engine_act::refuse);
+        const std::size_t before = m_one.arrived().size();
+        for (int i = 0; i < 40; ++i) {
+            (void)co_await call("o" + std::to_string(i), "/o/x");
+        }
+        require(m_one.arrived().size() == before,
+                "an engine gets no request after an answer that says that it leaves");
+        // Its entry still says that it is ready.
+        m_fleet.memory.put("servers/i-1", R"({"service":"s","address":")" + m_one.endpoint() +
+                                              R"(","zone":"a","version":"v1","slots":9,)"
+                                              R"("state":"ready","seq":2,"born":1})");
+        bool told = false;
+        for (int i = 0; i < 500 && !told; ++i) {
+            const std::size_t seen = m_one.arrived().size();
+            for (int j = 0; j < 10; ++j) {
+                (void)co_await m_fleet.call(
+                    m_fleet.caller_endpoint("second"),
+                    daemon_fixture::request("p" + std::to_string(10 * i + j), "/o/x"));
+            }
+            told = m_one.arrived().size() == seen;
+        }
+        require(told, "the other daemon sends it nothing either");
+        const std::size_t late = m_one.arrived().size();
+        for (int i = 0; i < 20; ++i) {
+            (void)co_await call("q" + std::to_string(i), "/o/x");
+            (void)co_await m_fleet.call(m_fleet.caller_endpoint("second"),
+                                        daemon_fixture::request("r" + std::to_string(i), "/o/x"));
+        }
+        require(m_one.arrived().size() == late, "whatever its entry says");
+        m_one.set_leaving(false);
+    }
+
     net::task<> check_shutdown() {
         m_one.set_pace(milliseconds(300));
         m_two.set_pace(milliseconds(300));
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -18,6 +18,9 @@
     out.status = status;
     out.headers.set("Attempt-Id", request.headers.get("Attempt-Id"));
     out.headers.set("Server-Seal", "seal-" + m_endpoint);
+    if (m_leaving) {
+        out.headers.set("Server-Leaving", "1");
+    }
     return out;
 }
 
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -40,6 +40,8 @@
     void then(engine_act act) { m_script.push_back(act); }
     void forget_script() { m_script.clear(); }
     void set_events(std::uint64_t events) { m_events = events; }
+    /// Whether its answers say that it leaves.
+    void set_leaving(bool leaving) { m_leaving = leaving; }
     /// Time between two events.
     void set_pace(duration pace) { m_pace = pace; }
 
@@ -64,6 +66,7 @@
     std::deque<net::http_request> m_arrived;
     std::uint64_t m_events = 5;
     duration m_pace = milliseconds(1);
+    bool m_leaving = false;
     int m_running = 0;
     int m_dropped = 0;
 };
