Pass digests between zones through two gateways a zone

Cause: every daemon sent its digest to every other one. With 195 daemons that is some 650 datagrams a second out and as many in for each, on hosts with 0.12 of a core, and most of the bytes go between zones. Each round also copied the directory and parsed all endpoints twice.

Change: with more than 24 daemons in other zones, a daemon tells only its own zone. Two gateways a zone (fleet/zone_gateways: the first two in an order by rendezvous that are heard; daemons without callers first) bundle what they hear for the gateways of the other zones, and these spread it (fleet/gateway_duty, fleet/digest_bundle). Bundles hold the digests as they were sent, so that sequence numbers, relays and all that is known of single daemons stay as they are, and a digest that comes twice changes nothing. Daemons that run jobs still show their presence to other zones, as callers' hosts there call them directly. Smaller fleets go on as before. Endpoints are read when the directory changes; tokens and relays have classes of their own.

--- /dev/null
+++ b/src/fleet/digest_relay.cpp
@@ -0,0 +1,76 @@
+#include "fleet/digest_relay.hpp"
+
+#include "fleet/message.hpp"
+#include "net/endpoint.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::fleet {
+
+namespace {
+
+/// How often others are asked, and for how long they relay afterwards.
+constexpr duration ask_interval = milliseconds(700);
+constexpr duration relay_time = milliseconds(1600);
+/// Daemons that are asked for the digests of one that is not heard.
+constexpr std::size_t helpers_asked = 2;
+/// Daemons that one digest is relayed to.
+constexpr std::size_t max_targets = 16;
+
+} // namespace
+
+void digest_relay::note_request(const std::string& host, const net::udp::endpoint& from,
+                                time_point now) {
+    std::vector<relay_target>& targets = m_targets[host];
+    std::erase_if(targets, [&](const relay_target& each) {
+        return each.until <= now || each.endpoint == from;
+    });
+    if (targets.size() < max_targets) {
+        targets.push_back({from, now + relay_time});
+    }
+}
+
+void digest_relay::relay(std::string_view host, std::string_view datagram, time_point now) const {
+    const auto found = m_targets.find(host);
+    if (found == m_targets.end()) {
+        return;
+    }
+    for (const relay_target& target : found->second) {
+        if (target.until > now) {
+            m_send(target.endpoint, datagram);
+        }
+    }
+}
+
+bool digest_relay::is_ask_due(time_point now) const {
+    return now - m_asked_at >= ask_interval;
+}
+
+void digest_relay::ask(const member_map& members,
+                       const std::function<bool(std::string_view host)>& is_heard, time_point now) {
+    if (!is_ask_due(now)) {
+        return;
+    }
+    m_asked_at = now;
+    std::vector<const member*> heard;
+    std::vector<std::string> silent;
+    for (const auto& [host, each] : members) {
+        if (is_heard(host)) {
+            heard.push_back(&each);
+        } else if (host != m_own_host) {
+            silent.push_back(host);
+        }
+    }
+    for (const std::string& host : silent) {
+        const std::string request = to_datagram(relay_request{host});
+        // Another helper each time: one may be cut off from the member as well.
+        for (std::size_t i = 0; i < std::min(helpers_asked, heard.size()); ++i) {
+            const member& helper = *heard[m_next_helper++ % heard.size()];
+            if (const auto endpoint = net::parse_endpoint(helper.endpoint)) {
+                m_send({endpoint.value().address(), endpoint.value().port()}, request);
+            }
+        }
+    }
+}
+
+} // namespace eelgrassdoor::fleet
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -41,6 +41,16 @@
     return m_registered.contains(host) || (lapsed != m_lapsed.end() && lapsed->second.until > now);
 }
 
+bool directory::is_in_zone(std::string_view host, const member& other) const {
+    const auto registered = m_registered.find(host);
+    if (registered != m_registered.end()) {
+        return registered->second.availability_zone == other.availability_zone;
+    }
+    const auto lapsed = m_lapsed.find(host);
+    return lapsed != m_lapsed.end() &&
+           lapsed->second.record.availability_zone == other.availability_zone;
+}
+
 std::size_t directory::fronts(time_point now) const {
     const member_map all = reachable(now);
     return static_cast<std::size_t>(std::count_if(
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// How long a request waits for tokens of other daemons. Far above a round trip between zones, far
-/// below a quarter of the shortest latency objective, within which a refusal helps the caller.
-constexpr duration token_wait = milliseconds(25);
-
 /// A member that was not heard for this long is asked for at other daemons: twice the interval in
 /// which unchanged digests are repeated.
 constexpr duration silence_before_relay = milliseconds(1000);
@@ -22,13 +18,6 @@
 constexpr duration direct_silence = milliseconds(1100);
 /// Endpoints that are remembered; above this, those that are silent are forgotten.
 constexpr std::size_t max_heard_endpoints = 2048;
-/// How often others are asked, and for how long they relay afterwards.
-constexpr duration relay_ask_interval = milliseconds(700);
-constexpr duration relay_time = milliseconds(1600);
-/// Daemons that are asked for the digests of one that is not heard.
-constexpr std::size_t relay_helpers = 2;
-/// Daemons that one digest is relayed to.
-constexpr std::size_t max_relay_targets = 16;
 
 net::udp::endpoint to_udp(const net::tcp::endpoint& endpoint) {
     return {endpoint.address(), endpoint.port()};
@@ -63,8 +52,15 @@
            observe::decision_log& log, routing::fleet_load& loads, store::mirror& mirrors,
            limits::customer_shares& shares)
     : m_executor(std::move(executor)), m_options(std::move(options)), m_clock(std::move(clock)),
-      m_log(log), m_loads(loads), m_mirrors(mirrors), m_shares(shares), m_socket(m_executor),
-      m_wake(m_executor), m_seed_endpoints(to_endpoints(m_options.seeds)) {}
+      m_log(log), m_loads(loads), m_mirrors(mirrors), m_socket(m_executor), m_wake(m_executor),
+      m_seed_endpoints(to_endpoints(m_options.seeds)),
+      m_relay(m_options.self.host,
+              [this](const net::udp::endpoint& to, std::string_view datagram) {
+                  m_socket.send(datagram, to);
+              }),
+      m_tokens(m_executor, m_clock, shares), m_gateway(m_options.self, make_gateway_hooks()) {
+    m_tokens.ask_others = [this](std::string_view datagram) { send_to(m_fronts, datagram); };
+}
 
 result<void> link::start() {
     BOOST_OUTCOME_TRY(own, net::parse_endpoint(m_options.self.endpoint));
@@ -78,25 +74,37 @@
 
 void link::stop() {
     m_stopped = true;
-    send_to(peer_endpoints(true));
-    send_to(peer_endpoints(false));
+    const std::string last = own_digest();
+    send_to(m_own_zone.endpoints, last);
+    send_to(m_other_zones.endpoints, last);
     m_wake.notify();
     m_socket.close();
 }
 
 void link::set_members(const std::vector<member>& members) {
     m_directory.set_registered(members, m_clock());
+    refresh_peers();
 }
 
-std::vector<net::udp::endpoint> link::peer_endpoints(bool own_zone) const {
-    std::vector<std::string> endpoints;
-    for (const auto& [host, each] : m_directory.reachable(m_clock())) {
+void link::refresh_peers() {
+    m_refreshed_at = m_clock();
+    const member_map all = m_directory.reachable(m_refreshed_at);
+    m_gateway.set_members(all);
+    m_own_zone.endpoints.clear();
+    m_other_zones.endpoints.clear();
+    m_fronts.clear();
+    for (const auto& [host, each] : all) {
+        const result<net::tcp::endpoint> parsed = net::parse_endpoint(each.endpoint);
+        if (host == m_options.self.host || !parsed) {
+            continue;
+        }
+        const net::udp::endpoint endpoint = to_udp(parsed.value());
         const bool same_zone = each.availability_zone == m_options.self.availability_zone;
-        if (host != m_options.self.host && same_zone == own_zone) {
-            endpoints.push_back(each.endpoint);
+        (same_zone ? m_own_zone : m_other_zones).endpoints.push_back(endpoint);
+        if (each.serves_callers) {
+            m_fronts.push_back(endpoint);
         }
     }
-    return to_endpoints(endpoints);
 }
 
 void link::note_change() {
@@ -111,44 +119,87 @@
     return from_seconds(to_seconds(m_options.change_interval) * std::max(1.0, groups));
 }
 
-void link::send_to(const std::vector<net::udp::endpoint>& peers) {
-    if (peers.empty()) {
-        return;
-    }
-    const std::string bytes = own_digest();
+void link::send_to(const std::vector<net::udp::endpoint>& peers, std::string_view bytes) {
     for (const net::udp::endpoint& endpoint : peers) {
         m_socket.send(bytes, endpoint);
     }
 }
 
-void link::send_when_due(peer_group& group, bool own_zone) {
+bool link::is_due(peer_group& group) const {
     const duration age = m_clock() - group.sent_at;
-    const std::vector<net::udp::endpoint> peers = peer_endpoints(own_zone);
     const duration interval =
-        group.changed ? interval_for(peers.size()) : m_options.repeat_interval;
+        group.changed ? interval_for(group.endpoints.size()) : m_options.repeat_interval;
     if (age < interval) {
+        return false;
+    }
+    group.changed = false;
+    group.sent_at = m_clock();
+    return true;
+}
+
+void link::tell_own_zone() {
+    if (!is_due(m_own_zone)) {
+        return;
+    }
+    const std::string digest = own_digest();
+    send_to(m_own_zone.endpoints, digest);
+    if (uses_gateways()) {
+        m_gateway.collect_outgoing(m_options.self.host, digest);
+    }
+}
+
+void link::tell_other_zones() {
+    if (!uses_gateways()) {
+        if (is_due(m_other_zones)) {
+            send_to(m_other_zones.endpoints, own_digest());
+        }
         return;
     }
-    group = {false, m_clock()};
-    send_to(peers);
+    // Their gateways hear of this daemon's load from those of the own zone.
+    m_other_zones.changed = false;
+    if (m_options.self.runs_jobs && is_due(m_other_zones)) {
+        send_to(m_other_zones.endpoints, to_datagram(presence{}));
+    }
 }
 
 net::task<> link::run() {
     while (!m_stopped) {
-        if (m_directory.reachable(m_clock()).size() <= 1) {
-            send_to(m_seed_endpoints);
+        if (m_clock() - m_refreshed_at >= m_options.repeat_interval) {
+            refresh_peers();
+        }
+        if (m_own_zone.endpoints.empty() && m_other_zones.endpoints.empty()) {
+            send_to(m_seed_endpoints, own_digest());
+        }
+        tell_own_zone();
+        tell_other_zones();
+        m_gateway.pass_on(m_clock());
+        if (m_relay.is_ask_due(m_clock())) {
+            const auto is_heard = [this](std::string_view host) {
+                return heard_within(host, silence_before_relay);
+            };
+            m_relay.ask(m_directory.reachable(m_clock()), is_heard, m_clock());
         }
-        send_when_due(m_own_zone, true);
-        send_when_due(m_other_zones, false);
-        ask_for_relays();
         // A change waits until the last digest is change_interval old.
         co_await net::sleep_for(m_options.change_interval);
-        if (!m_own_zone.changed && !m_other_zones.changed) {
+        if (!m_own_zone.changed && !m_other_zones.changed && !m_gateway.has_news()) {
             co_await m_wake.wait_until(m_clock() + m_options.repeat_interval);
         }
     }
 }
 
+gateway_hooks link::make_gateway_hooks() {
+    return {.is_heard =
+                [this](std::string_view host) {
+                    return host == m_options.self.host || heard_within(host, silence_before_relay);
+                },
+            .send =
+                [this](const member& to, std::string_view datagram) {
+                    send_to(to_endpoints({to.endpoint}), datagram);
+                },
+            .send_to_own_zone =
+                [this](std::string_view datagram) { send_to(m_own_zone.endpoints, datagram); }};
+}
+
 std::string link::own_digest() {
     load_digest digest;
     digest.host = m_options.self.host;
@@ -178,16 +229,20 @@
         std::erase_if(m_heard_from,
                       [&](const auto& entry) { return now - entry.second > direct_silence; });
     }
-    m_heard_from[to_text(from)] = now;
+    m_heard_from[from] = now;
 }
 
 bool link::hears_directly(std::string_view endpoint) const {
-    const auto found = m_heard_from.find(endpoint);
+    const result<net::tcp::endpoint> parsed = net::parse_endpoint(endpoint);
+    if (!parsed) {
+        return false;
+    }
+    const auto found = m_heard_from.find(to_udp(parsed.value()));
     return found != m_heard_from.end() && m_clock() - found->second <= direct_silence;
 }
 
 void link::receive(std::string_view bytes, const net::udp::endpoint& from) {
-    if (m_options.is_cut_off(to_text(from))) {
+    if (m_options.is_cut_off && m_options.is_cut_off(to_text(from))) {
         return;
     }
     if (bytes.size() < 2 || bytes[0] != protocol_version) {
@@ -198,13 +253,20 @@
     const std::string_view body = bytes.substr(2);
     switch (static_cast<std::uint8_t>(bytes[1])) {
     case load_digest::kind:
-        receive_digest(bytes, from);
+        receive_digest(bytes, {.from = from});
+        break;
+    case digest_bundle::kind:
+        receive_bundle(body, from);
+        break;
+    case presence::kind:
         break;
     case token_request::kind:
         receive_token_request(body, from);
         break;
     case token_transfer::kind:
-        receive_transfer(body);
+        if (const auto transfer = peer::decode<token_transfer>(body)) {
+            m_tokens.receive(*transfer);
+        }
         break;
     case relay_request::kind:
         receive_relay_request(body, from);
@@ -214,7 +276,25 @@
     }
 }
 
-void link::receive_digest(std::string_view bytes, const net::udp::endpoint& from) {
+void link::receive_bundle(std::string_view body, const net::udp::endpoint& from) {
+    const auto bundle = peer::decode<digest_bundle>(body);
+    if (!bundle) {
+        return;
+    }
+    const digest_origin origin{.from = from,
+                               .in_bundle = true,
+                               .from_other_zone =
+                                   bundle->availability_zone != m_options.self.availability_zone};
+    for (const std::string& datagram : bundle->datagrams) {
+        const bool is_digest = datagram.size() > 2 && datagram[0] == protocol_version &&
+                               static_cast<std::uint8_t>(datagram[1]) == load_digest::kind;
+        if (is_digest) {
+            receive_digest(datagram, origin);
+        }
+    }
+}
+
+void link::receive_digest(std::string_view bytes, const digest_origin& origin) {
     const auto digest = peer::decode<load_digest>(bytes.substr(2));
     if (!digest || digest->host == m_options.self.host) {
         return;
@@ -226,7 +306,8 @@
     if (older) {
         return;
     }
-    relay(digest->host, bytes);
+    m_relay.relay(digest->host, bytes, m_clock());
+    collect(*digest, bytes, origin);
     if (digest->ends) {
         m_loads.forget_peer(digest->host);
         m_directory.forget(digest->host);
@@ -242,76 +323,52 @@
     if (on_peer_load) {
         on_peer_load();
     }
-    const std::vector<std::string>& prefixes = m_mirrors.prefixes();
-    for (std::size_t i = 0; i < std::min(prefixes.size(), digest->known_revisions.size()); ++i) {
-        if (digest->known_revisions[i] > m_mirrors.revision(prefixes[i]) && on_newer_revision) {
-            const member_map& members = m_directory.registered();
-            const auto sender = members.find(digest->host);
-            const bool same_zone = sender != members.end() && sender->second.availability_zone ==
-                                                                  m_options.self.availability_zone;
-            on_newer_revision({to_text(from), prefixes[i], digest->known_revisions[i], same_zone});
-        }
-    }
+    note_revisions(*digest, origin);
     // A daemon that is not registered, because it cannot reach the key-value service, learns from
     // an answer who can tell it the configuration.
-    if (!m_directory.knows(digest->host, m_clock())) {
-        m_socket.send(own_digest(), from);
+    if (!origin.in_bundle && !m_directory.knows(digest->host, m_clock())) {
+        m_socket.send(own_digest(), origin.from);
     }
 }
 
-void link::receive_relay_request(std::string_view body, const net::udp::endpoint& from) {
-    const auto request = peer::decode<relay_request>(body);
-    if (!request || !m_directory.knows(request->host, m_clock())) {
+void link::collect(const load_digest& digest, std::string_view bytes, const digest_origin& origin) {
+    if (!uses_gateways()) {
         return;
     }
-    std::vector<relay_target>& targets = m_relays[request->host];
-    const time_point now = m_clock();
-    std::erase_if(targets, [&](const relay_target& each) {
-        return each.until <= now || each.endpoint == from;
-    });
-    if (targets.size() < max_relay_targets) {
-        targets.push_back({from, now + relay_time});
+    if (origin.from_other_zone) {
+        m_gateway.collect_incoming(digest.host, bytes);
+    } else if (!origin.in_bundle && m_directory.is_in_zone(digest.host, m_options.self)) {
+        m_gateway.collect_outgoing(digest.host, bytes);
+    }
+    if (m_gateway.has_news()) {
+        m_wake.notify();
     }
 }
 
-void link::relay(const std::string& host, std::string_view bytes) {
-    const auto found = m_relays.find(host);
-    if (found == m_relays.end()) {
-        return;
-    }
-    for (const relay_target& target : found->second) {
-        if (target.until > m_clock()) {
-            m_socket.send(bytes, target.endpoint);
+void link::note_revisions(const load_digest& digest, const digest_origin& origin) {
+    const std::vector<std::string>& prefixes = m_mirrors.prefixes();
+    for (std::size_t i = 0; i < std::min(prefixes.size(), digest.known_revisions.size()); ++i) {
+        if (digest.known_revisions[i] <= m_mirrors.revision(prefixes[i]) || !on_newer_revision) {
+            continue;
         }
+        const member_map& members = m_directory.registered();
+        const auto sender = members.find(digest.host);
+        const bool known = sender != members.end();
+        const bool same_zone =
+            known && sender->second.availability_zone == m_options.self.availability_zone;
+        // Whoever passed a bundle on need not have the news itself.
+        const std::string endpoint =
+            origin.in_bundle && known ? sender->second.endpoint : to_text(origin.from);
+        on_newer_revision({endpoint, prefixes[i], digest.known_revisions[i], same_zone});
     }
 }
 
-void link::ask_for_relays() {
-    const time_point now = m_clock();
-    if (now - m_asked_for_relays < relay_ask_interval) {
+void link::receive_relay_request(std::string_view body, const net::udp::endpoint& from) {
+    const auto request = peer::decode<relay_request>(body);
+    if (!request || !m_directory.knows(request->host, m_clock())) {
         return;
     }
-    m_asked_for_relays = now;
-    const member_map all = m_directory.reachable(now);
-    std::vector<const member*> heard;
-    for (const auto& [host, each] : all) {
-        if (heard_within(host, silence_before_relay)) {
-            heard.push_back(&each);
-        }
-    }
-    for (const auto& [host, each] : all) {
-        if (host == m_options.self.host || heard_within(host, silence_before_relay)) {
-            continue;
-        }
-        const std::string request = to_datagram(relay_request{host});
-        // Another helper each time: one may be cut off from the member as well.
-        for (std::size_t i = 0; i < std::min(relay_helpers, heard.size()); ++i) {
-            const member& helper = *heard[m_next_helper++ % heard.size()];
-            if (const auto endpoint = net::parse_endpoint(helper.endpoint)) {
-                m_socket.send(request, to_udp(endpoint.value()));
-            }
-        }
-    }
+    m_relay.note_request(request->host, from, m_clock());
 }
 
 void link::receive_token_request(std::string_view body, const net::udp::endpoint& from) {
@@ -319,52 +376,10 @@
     if (!request) {
         return;
     }
-    const double amount = m_shares.lend(request->customer, request->want, m_clock());
-    if (amount > 0) {
-        m_socket.send(to_datagram(token_transfer{request->customer, amount}), from);
-    }
-}
-
-void link::receive_transfer(std::string_view body) {
-    const auto transfer = peer::decode<token_transfer>(body);
-    if (!transfer) {
-        return;
-    }
-    m_shares.receive(transfer->customer, transfer->amount);
-    const auto waiting = m_waiters.find(transfer->customer);
-    if (waiting == m_waiters.end()) {
-        return;
-    }
-    for (const std::shared_ptr<net::notification>& waiter : waiting->second) {
-        waiter->notify();
-    }
-}
-
-net::task<bool> link::take_token(std::string customer) {
-    if (m_shares.try_take(customer, m_clock())) {
-        co_return true;
-    }
-    if (m_shares.may_ask(customer, m_clock())) {
-        const std::string request =
-            to_datagram(token_request{customer, m_shares.tokens_to_ask(customer)});
-        for (const auto& [host, each] : m_directory.reachable(m_clock())) {
-            const result<net::tcp::endpoint> endpoint = net::parse_endpoint(each.endpoint);
-            if (each.serves_callers && host != m_options.self.host && endpoint) {
-                m_socket.send(request, to_udp(endpoint.value()));
-            }
-        }
+    const std::string transfer = m_tokens.lend(*request);
+    if (!transfer.empty()) {
+        m_socket.send(transfer, from);
     }
-    const time_point give_up = m_clock() + token_wait;
-    const auto waiter = std::make_shared<net::notification>(m_executor);
-    m_waiters[customer].push_back(waiter);
-    bool taken = false;
-    bool notified = true;
-    while (!taken && notified) {
-        notified = co_await waiter->wait_until(give_up);
-        taken = notified && m_shares.try_take(customer, m_clock());
-    }
-    std::erase(m_waiters[customer], waiter);
-    co_return taken;
 }
 
 std::uint64_t link::waiting_elsewhere(std::uint64_t customer_and_route) const {
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include "base/clock.hpp"
+#include "fleet/digest_relay.hpp"
 #include "fleet/directory.hpp"
+#include "fleet/gateway_duty.hpp"
 #include "fleet/message.hpp"
+#include "fleet/token_exchange.hpp"
 #include "limits/customer_shares.hpp"
 #include "net/notification.hpp"
 #include "net/udp_socket.hpp"
@@ -14,7 +17,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -31,8 +33,10 @@
     std::size_t peers_at_change_interval = 24;
     /// An unchanged digest is repeated this often.
     duration repeat_interval = milliseconds(500);
+    /// With more daemons than this in other zones, digests go to them through gateways.
+    std::size_t max_direct_peers = 24;
     /// Endpoints (`IP:PORT`) whose datagrams are dropped: cuts of the network, in tests.
-    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
+    std::function<bool(std::string_view)> is_cut_off;
 };
 
 /// What another daemon knows that this one does not.
@@ -75,11 +79,9 @@
     void note_change();
 
     /// Takes a token of the customer's rate, if need be from other daemons.
-    net::task<bool> take_token(std::string customer);
+    net::task<bool> take_token(std::string customer) { return m_tokens.take(std::move(customer)); }
     /// When a token of the customer's rate is likely to be there.
-    duration until_token(std::string_view customer) {
-        return m_shares.until_next(customer, m_clock());
-    }
+    duration until_token(std::string_view customer) { return m_tokens.until_token(customer); }
 
     /// Tokens of a customer and route that wait at other daemons.
     [[nodiscard]] std::uint64_t waiting_elsewhere(std::uint64_t customer_and_route) const;
@@ -94,15 +96,19 @@
     [[nodiscard]] bool hears_directly(std::string_view endpoint) const;
 
 private:
-    /// A daemon that gets copies of another one's digests for a while.
-    struct relay_target {
-        net::udp::endpoint endpoint;
-        time_point until{};
-    };
     /// Daemons that are told changes equally often: those of the own zone, and all others.
     struct peer_group {
         bool changed = true;
         time_point sent_at{};
+        std::vector<net::udp::endpoint> endpoints;
+    };
+    /// How a digest came.
+    struct digest_origin {
+        net::udp::endpoint from;
+        /// Whether another daemon passed it on in a bundle.
+        bool in_bundle = false;
+        /// Whether that daemon is of another zone.
+        bool from_other_zone = false;
     };
     struct peer_state {
         std::uint64_t incarnation = 0;
@@ -115,20 +121,26 @@
     net::task<> run();
     void receive(std::string_view bytes, const net::udp::endpoint& from);
     void note_heard_from(const net::udp::endpoint& from);
-    void receive_digest(std::string_view bytes, const net::udp::endpoint& from);
+    void receive_digest(std::string_view bytes, const digest_origin& origin);
+    void receive_bundle(std::string_view body, const net::udp::endpoint& from);
     void receive_token_request(std::string_view body, const net::udp::endpoint& from);
-    void receive_transfer(std::string_view body);
+    /// Keeps a new digest for the daemons that it is to be passed on to.
+    void collect(const load_digest& digest, std::string_view bytes, const digest_origin& origin);
+    void note_revisions(const load_digest& digest, const digest_origin& origin);
     void receive_relay_request(std::string_view body, const net::udp::endpoint& from);
-    /// Passes a digest on to the daemons that asked for it.
-    void relay(const std::string& host, std::string_view bytes);
-    /// Asks others for the digests of members that are not heard.
-    void ask_for_relays();
     [[nodiscard]] std::string own_digest();
-    /// Sends a digest to a group when that is due.
-    void send_when_due(peer_group& group, bool own_zone);
-    void send_to(const std::vector<net::udp::endpoint>& peers);
-    [[nodiscard]] std::vector<net::udp::endpoint> peer_endpoints(bool own_zone) const;
+    /// Reads the directory into the lists of endpoints.
+    void refresh_peers();
+    /// Whether a digest to the group is due; then the group counts as told.
+    [[nodiscard]] bool is_due(peer_group& group) const;
+    void send_to(const std::vector<net::udp::endpoint>& peers, std::string_view bytes);
     [[nodiscard]] duration interval_for(std::size_t peers) const;
+    [[nodiscard]] bool uses_gateways() const {
+        return m_other_zones.endpoints.size() > m_options.max_direct_peers;
+    }
+    void tell_own_zone();
+    void tell_other_zones();
+    [[nodiscard]] gateway_hooks make_gateway_hooks();
 
     net::asio::any_io_executor m_executor;
     link_options m_options;
@@ -136,7 +148,6 @@
     observe::decision_log& m_log;
     routing::fleet_load& m_loads;
     store::mirror& m_mirrors;
-    limits::customer_shares& m_shares;
     net::udp_socket m_socket;
     net::notification m_wake;
     peer_group m_own_zone;
@@ -147,12 +158,13 @@
     std::vector<net::udp::endpoint> m_seed_endpoints;
     std::map<std::string, peer_state, std::less<>> m_peers;
     /// When a datagram came from an endpoint last.
-    std::map<std::string, time_point, std::less<>> m_heard_from;
-    std::map<std::string, std::vector<relay_target>, std::less<>> m_relays;
-    time_point m_asked_for_relays{};
-    std::size_t m_next_helper = 0;
-    /// Requests that wait for tokens of a customer.
-    std::map<std::string, std::vector<std::shared_ptr<net::notification>>, std::less<>> m_waiters;
+    std::map<net::udp::endpoint, time_point> m_heard_from;
+    digest_relay m_relay;
+    token_exchange m_tokens;
+    /// Daemons that may hold tokens of customers' rates.
+    std::vector<net::udp::endpoint> m_fronts;
+    gateway_duty m_gateway;
+    time_point m_refreshed_at{};
 };
 
 } // namespace eelgrassdoor::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -100,6 +100,14 @@
     template <typename Archive> void serialize(Archive& ar) { peer::text(ar, host); }
 };
 
+/// Shows that datagrams of the sender arrive. Daemons that run jobs send it to other zones when
+/// their digests go through gateways, as callers' daemons there call them.
+struct presence {
+    static constexpr std::uint8_t kind = 6;
+
+    template <typename Archive> void serialize(Archive& /*ar*/) {}
+};
+
 /// The bytes of a datagram: protocol version, kind, message.
 inline constexpr char protocol_version = 2;
 
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -32,7 +32,7 @@
     duration grace = seconds(8);
     std::size_t max_descriptors = 4096;
     /// Endpoints of daemons that this one cannot reach: cuts of the network, in tests.
-    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
+    std::function<bool(std::string_view)> is_cut_off;
 };
 
 } // namespace eelgrassdoor::host
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,7 +51,7 @@
 
 task<result<http_response>> http_client::call(std::string endpoint, http_request request,
                                               time_point deadline) {
-    if (m_options.is_cut_off(endpoint)) {
+    if (m_options.is_cut_off && m_options.is_cut_off(endpoint)) {
         co_return error{error_code::target_failed, str_cat("connecting to ", endpoint, ": cut off"),
                         run_state::not_run};
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -19,7 +19,7 @@
     std::size_t max_idle = 4;
     parse_limits limits;
     /// Endpoints that cannot be connected to: cuts of the network, in tests.
-    std::function<bool(std::string_view)> is_cut_off = [](std::string_view) { return false; };
+    std::function<bool(std::string_view)> is_cut_off;
 };
 
 /// Sends whole requests and reads whole responses. Repeats nothing by itself.
--- a/src/routing/leaving_targets.cpp
+++ b/src/routing/leaving_targets.cpp
@@ -13,9 +13,9 @@
     }
     if (m_starts.size() >= max_remembered) {
         // The earliest start is the likeliest to be gone for good.
-        m_starts.erase(std::min_element(
-            m_starts.begin(), m_starts.end(),
-            [](const auto& a, const auto& b) { return a.second < b.second; }));
+        m_starts.erase(
+            std::min_element(m_starts.begin(), m_starts.end(),
+                             [](const auto& a, const auto& b) { return a.second < b.second; }));
     }
     m_starts.emplace(start.target, start.started_at);
     return true;
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -54,8 +54,7 @@
 }
 
 void target_exchange::note_leaving() {
-    const bool news = m_context.loads.note_leaving(
-        {stable_hash(target().id), target().started_at});
+    const bool news = m_context.loads.note_leaving({stable_hash(target().id), target().started_at});
     if (news) {
         m_context.log.write(observe::event::target_leaving, target().id,
                             {{"started_at", std::to_string(target().started_at)}});
--- a/test/platform/adapter_records.cpp
+++ b/test/platform/adapter_records.cpp
@@ -106,14 +106,15 @@
         damaged.erase(at, length);
         (void)decode(damaged);
     });
-    for (const char* bad :
-         {"", "\xff\xfe", "7", "{}", R"({"service":5})",
-          R"({"service":"s","address":"h:1","zone":"z","slots":8,"state":"ready","born":1})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":-8,"state":"ready","born":1})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"odd","born":1})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready"})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":"1"})",
-          R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":1.5})"}) {
+    for (
+        const char* bad :
+        {"", "\xff\xfe", "7", "{}", R"({"service":5})",
+         R"({"service":"s","address":"h:1","zone":"z","slots":8,"state":"ready","born":1})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":-8,"state":"ready","born":1})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"odd","born":1})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":"1"})",
+         R"({"service":"s","address":"1.1.1.1:1","zone":"z","slots":8,"state":"ready","born":1.5})"}) {
         require(!decode(bad), std::string("names no target: ") + bad);
     }
 }
