Ask the store less: stale first reads, one watcher a zone also in an outage

At a start every daemon read three prefixes at full price and watched them until it had heard two delegates; in an outage nobody heard a delegate that reached the store, so that all 195 watched and were refused; registrations were retried four times a second; a daemon that is told all news read everything each six seconds.

Change: the first read is a stale one, which a watch or the others' digests bring up to date. A daemon that has just started leaves watching to others for 1.6 s. The delegate of a zone is the first that reaches the store, or the first that lives when none does (watch_duty); who is turned away or not registered counts on it. A failed registration waits up to its renewal interval. Reads beside the digests come each 30 s.

--- a/src/fleet/registration.cpp
+++ b/src/fleet/registration.cpp
@@ -2,12 +2,12 @@
 
 #include "base/text.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::fleet {
 
 namespace {
 
-/// Pause after a registration that failed.
-constexpr duration retry_pause = milliseconds(250);
 /// The mirror lags behind the store; a registration counts as missing after so many renewals.
 constexpr int max_unlisted_rounds = 3;
 
@@ -73,6 +73,7 @@
 }
 
 net::task<> registration::run() {
+    duration retry_pause = m_options.first_retry_pause;
     while (!m_ended) {
         bool done = false;
         if (m_lease == 0) {
@@ -80,7 +81,10 @@
         } else {
             done = co_await renew();
         }
-        const duration wait = done && m_lease != 0 ? m_options.renew_interval : retry_pause;
+        const bool holds = done && m_lease != 0;
+        const duration wait = holds ? m_options.renew_interval : retry_pause;
+        retry_pause = holds ? m_options.first_retry_pause
+                            : std::min(2 * retry_pause, m_options.longest_retry_pause);
         co_await m_wake.wait_until(m_clock() + wait);
     }
 }
--- a/src/fleet/registration.hpp
+++ b/src/fleet/registration.hpp
@@ -17,6 +17,10 @@
     duration ttl = milliseconds(3000);
     /// Three renewals may be lost in a row.
     duration renew_interval = milliseconds(800);
+    /// First and longest pause after a call that failed. Calls that the store refuses are counted
+    /// as well, and in an outage every daemon of the fleet makes them.
+    duration first_retry_pause = milliseconds(250);
+    duration longest_retry_pause = milliseconds(500);
 };
 
 /// Keeps the registration alive, and knows until when it cannot have ended.
--- a/src/fleet/watch_duty.hpp
+++ b/src/fleet/watch_duty.hpp
@@ -10,15 +10,25 @@
 
 namespace eelgrassdoor::fleet {
 
-/// The daemon of a zone that watches for all others there, by rendezvous over the registered
-/// daemons; empty when the zone has none. The store counts each watch, so calls grow with the
-/// zones and not with the daemons.
-std::string zone_delegate(const member_map& registered, std::string_view availability_zone);
+/// What a daemon knows of another one.
+enum class heard_state {
+    /// Nothing was heard lately.
+    silent,
+    /// It lives but does not reach the key-value service.
+    without_store,
+    with_store,
+};
 
-/// Whether this daemon has to watch: because it is its zone's delegate, or because it does not hear
-/// enough delegates that reach the store to be sure of news in time.
-/// \param hears_with_store whether a daemon was heard lately and said that it reaches the store.
+/// The daemon of a zone that watches for all others there: the first by rendezvous of those that
+/// reach the key-value service, or of those that live when none does; empty when the zone has none.
+/// The store counts each watch, also a refused one, so calls grow with the zones and not with the
+/// daemons, also while it is away.
+std::string zone_delegate(const member_map& registered, std::string_view availability_zone,
+                          const std::function<heard_state(std::string_view host)>& state_of);
+
+/// Whether this daemon has to watch: because it is its zone's delegate, or because it hears none.
+/// \param state_of what is known of a daemon; asked for this one as well.
 bool must_watch(const member_map& registered, const member& self,
-                const std::function<bool(std::string_view host)>& hears_with_store);
+                const std::function<heard_state(std::string_view host)>& state_of);
 
 } // namespace eelgrassdoor::fleet
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -83,6 +83,7 @@
     if (!m_settings.runs_jobs) {
         options.ttl = entry_ttl;
         options.renew_interval = entry_renew_interval;
+        options.longest_retry_pause = entry_renew_interval;
     }
     return options;
 }
@@ -185,10 +186,10 @@
 }
 
 void fleet_host::follow_prefixes() {
-    m_feed.must_watch = [this] {
-        return fleet::must_watch(m_link.members(), self(), [this](std::string_view host) {
-            return m_link.hears_with_store(host, delegate_silence);
-        });
+    m_feed.must_watch = [this, started_at = m_clock()] {
+        return m_clock() - started_at >= m_settings.watch_grace &&
+               fleet::must_watch(m_link.members(), self(),
+                                 [this](std::string_view host) { return heard_state(host); });
     };
     // Daemons that run jobs must know who else does; they are few.
     m_feed.set_options(fleet::member_prefix,
@@ -196,6 +197,18 @@
     m_feed.set_options(jobs::ended_prefix, {.always_watched = true});
 }
 
+fleet::heard_state fleet_host::heard_state(std::string_view host) const {
+    if (host == m_settings.host) {
+        return m_feed.connected_since() != time_point::max() ? fleet::heard_state::with_store
+                                                             : fleet::heard_state::without_store;
+    }
+    if (m_link.hears_with_store(host, delegate_silence)) {
+        return fleet::heard_state::with_store;
+    }
+    return m_link.heard_within(host, delegate_silence) ? fleet::heard_state::without_store
+                                                       : fleet::heard_state::silent;
+}
+
 void fleet_host::on_mirror_change(std::string_view prefix) {
     m_link.note_change();
     if (prefix == m_adapter.operator_prefix) {
--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -37,6 +37,8 @@
     [[nodiscard]] fleet::member self() const;
     [[nodiscard]] fleet::registration_options registration_settings() const;
     void follow_prefixes();
+    /// What is known of a daemon of the fleet, this one included.
+    [[nodiscard]] fleet::heard_state heard_state(std::string_view host) const;
     [[nodiscard]] bool ready() const;
     void open_servers();
     result<void> start_servers();
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -30,6 +30,10 @@
     bool first_start = false;
     /// How long a graceful shutdown may take.
     duration grace = seconds(8);
+    /// A daemon that has just started leaves watching the key-value service to others for this
+    /// long: before, it cannot have heard who watches, as digests are repeated every half second
+    /// and registrations are gathered for as long.
+    duration watch_grace = milliseconds(1600);
     std::size_t max_descriptors = 4096;
     /// Endpoints of daemons that this one cannot reach: cuts of the network, in tests.
     std::function<bool(std::string_view)> is_cut_off;
--- a/src/store/mirror_feed.cpp
+++ b/src/store/mirror_feed.cpp
@@ -13,8 +13,9 @@
 constexpr duration watch_wait = seconds(10);
 /// How often a daemon that does not watch looks whether it has to.
 constexpr duration duty_interval = milliseconds(300);
-/// How often it reads a prefix all the same, in case that nobody told it of a change.
-constexpr duration look_interval = seconds(6);
+/// How often it reads a prefix all the same. Digests of other daemons name the revisions that they
+/// know, so that a daemon which hears them misses nothing in between.
+constexpr duration look_interval = seconds(30);
 /// First and longest pause after a call that failed.
 constexpr duration first_pause = milliseconds(100);
 constexpr duration longest_pause = milliseconds(800);
@@ -79,26 +80,28 @@
     return found == m_options.end() ? feed_options() : found->second;
 }
 
-net::task<std::string> mirror_feed::follow_once(const std::string& prefix, bool& must_read,
-                                                std::uint64_t& revision) {
-    if (must_read) {
-        const result<std::uint64_t> read = co_await read_all(prefix, consistency::linearizable);
+net::task<std::string> mirror_feed::follow_once(const std::string& prefix, feed_position& at) {
+    if (at.must_read) {
+        // A stale read is cheap, and at the start nothing is missed by it: a watch goes on from its
+        // revision, and daemons that do not watch are told what is newer.
+        const consistency how = at.revision == 0 ? consistency::stale : consistency::linearizable;
+        const result<std::uint64_t> read = co_await read_all(prefix, how);
         if (!read) {
             co_return read.error().message;
         }
-        must_read = false;
-        revision = read.value();
+        at.must_read = false;
+        at.revision = read.value();
         co_return std::string();
     }
-    const result<watch_outcome> seen = co_await m_store.watch(prefix, revision, watch_wait);
+    const result<watch_outcome> seen = co_await m_store.watch(prefix, at.revision, watch_wait);
     if (!seen) {
         co_return seen.error().message;
     }
     const auto* changes = std::get_if<kv_changes>(&seen.value());
-    must_read = changes == nullptr;
+    at.must_read = changes == nullptr;
     if (changes != nullptr) {
         m_mirror.apply_changes(prefix, *changes);
-        revision = std::max(revision, changes->store_revision);
+        at.revision = std::max(at.revision, changes->store_revision);
     }
     co_return std::string();
 }
@@ -118,18 +121,19 @@
 
 net::task<> mirror_feed::follow(std::string prefix) {
     duration pause = first_pause;
-    bool must_read = true;
-    std::uint64_t revision = 0;
+    feed_position at;
     for (;;) {
         const feed_options options = options_of(prefix);
-        const bool watches = must_read || options.always_watched || must_watch();
+        // Before the first entry there is nothing that others could tell a newer revision of.
+        const bool watches = at.must_read || options.always_watched || must_watch() ||
+                             m_mirror.items(prefix).empty();
         std::string failure;
         if (watches) {
-            failure = co_await follow_once(prefix, must_read, revision);
+            failure = co_await follow_once(prefix, at);
         } else {
             failure = co_await look_now_and_then(prefix);
             // What happened meanwhile was not seen in order.
-            must_read = must_watch();
+            at.must_read = must_watch();
         }
         note_answer(failure.empty(), failure);
         if (failure.empty()) {
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -43,10 +43,16 @@
     [[nodiscard]] duration last_outage() const { return m_last_outage; }
 
 private:
+    /// How far a prefix has been followed.
+    struct feed_position {
+        bool must_read = true;
+        /// The watch goes on behind this revision; 0 before the first read.
+        std::uint64_t revision = 0;
+    };
+
     net::task<> follow(std::string prefix);
     /// Takes one step for a prefix; returns why it failed, or an empty text.
-    net::task<std::string> follow_once(const std::string& prefix, bool& must_read,
-                                       std::uint64_t& revision);
+    net::task<std::string> follow_once(const std::string& prefix, feed_position& at);
     net::task<std::string> look_now_and_then(const std::string& prefix);
     net::task<result<std::uint64_t>> read_all(std::string prefix, consistency how);
     [[nodiscard]] feed_options options_of(const std::string& prefix) const;
