Pass over targets that hang or break answers off, by all daemons' word

Each daemon learnt only from its own requests, a few for each engine.

A target with a stalled request, or with three broken answers at all daemons together, is passed over while others can take the request. No timer brings it back: it is tried when its requests have ended. When more than a quarter of a service's targets are concerned, none is.

Tests: fleet_load (pattern: one engine in eight hangs or breaks off; the bound of a quarter), daemon_online fails without the mark: "an engine that has not begun an answer for long gets no other request".

--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -37,11 +37,16 @@
     std::vector<routing::told_share> out;
     out.reserve(counts.size());
     for (const target_count& count : counts) {
-        out.push_back({count.target, {count.online, count.batch}});
+        out.push_back({count.target, {count.online, count.batch, count.stalled, count.broken}});
     }
     return out;
 }
 
+/// Above a few, such a count decides no differently.
+std::uint8_t to_byte(int count) {
+    return static_cast<std::uint8_t>(std::clamp(count, 0, 255));
+}
+
 std::string to_text(const net::udp::endpoint& endpoint) {
     return str_cat(endpoint.address().to_string(), ":", endpoint.port());
 }
@@ -208,9 +213,10 @@
     for (const std::string& prefix : m_mirrors.prefixes()) {
         digest.known_revisions.push_back(m_mirrors.content_revision(prefix));
     }
-    for (const auto& [id, share] : m_loads.own()) {
+    for (const auto& [id, share] : m_loads.own(m_clock())) {
         digest.targets.push_back({stable_hash(id), static_cast<std::uint16_t>(share.online),
-                                  static_cast<std::uint16_t>(share.batch)});
+                                  static_cast<std::uint16_t>(share.batch), to_byte(share.stalled),
+                                  to_byte(share.broken)});
     }
     for (const routing::leaving_start& each : m_loads.leaving()) {
         digest.leaving.push_back({each.target, each.started_at});
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -17,8 +17,14 @@
     std::uint64_t target = 0;
     std::uint16_t online = 0;
     std::uint16_t batch = 0;
+    /// Of these, requests that wait for the first byte of their answer for too long.
+    std::uint8_t stalled = 0;
+    /// Answers that broke off lately.
+    std::uint8_t broken = 0;
 
-    template <typename Archive> void serialize(Archive& ar) { ar(target, online, batch); }
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(target, online, batch, stalled, broken);
+    }
 };
 
 /// A start of a target that has said that it leaves.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -47,6 +47,9 @@
     event_info{event::platform_lost, "platform_lost", warning,
                "The key-value service does not answer."},
     event_info{event::platform_back, "platform_back", info, "The key-value service answers again."},
+    event_info{
+        event::target_stalled, "target_stalled", warning,
+        "A target has not begun an answer for too long; it gets no other request until then."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host holds a part of every customer's rate in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -34,6 +34,7 @@
     target_leaving = 309,
     platform_lost = 310,
     platform_back = 311,
+    target_stalled = 312,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -88,6 +88,8 @@
         target_share& sum = m_told[each.target];
         sum.online += sign * each.share.online;
         sum.batch += sign * each.share.batch;
+        sum.stalled += sign * each.share.stalled;
+        sum.broken += sign * each.share.broken;
     }
 }
 
@@ -127,6 +129,8 @@
     target_share& own = m_own[std::string(id)];
     own.online += by.online;
     own.batch += by.batch;
+    own.stalled += by.stalled;
+    own.broken += by.broken;
     if (const auto state = m_targets.find(id); state != m_targets.end()) {
         state->second.own = own;
     }
@@ -135,6 +139,18 @@
     }
 }
 
+const load_by_target& fleet_load::own(time_point now) {
+    expire_broken(now);
+    return m_own;
+}
+
+void fleet_load::expire_broken(time_point now) {
+    while (!m_broken.empty() && now - m_broken.front().first > broken_memory) {
+        change_own(m_broken.front().second, {.broken = -1});
+        m_broken.pop_front();
+    }
+}
+
 void fleet_load::rest::begin(time_point now) {
     if (now < until) {
         return;
@@ -149,7 +165,11 @@
         return;
     }
     target_state& state = found->second;
-    state.broken_answers += how == target_failure::broke_off ? 1 : 0;
+    if (how == target_failure::broke_off) {
+        ++state.broken_answers;
+        m_broken.emplace_back(now, id);
+        change_own(id, {.broken = 1});
+    }
     if (how == target_failure::unreachable || state.broken_answers >= 2) {
         state.resting.begin(now);
     }
@@ -189,6 +209,8 @@
     if (const auto told = m_told.find(stable_hash(id)); told != m_told.end()) {
         sum.online += told->second.online;
         sum.batch += told->second.batch;
+        sum.stalled += told->second.stalled;
+        sum.broken += told->second.broken;
     }
     return sum;
 }
@@ -200,7 +222,9 @@
 const std::vector<const fleet_load::target_state*>&
 fleet_load::candidates(std::string_view service, const excluded_ids& excluded, time_point now) {
     expire_peers(now);
+    expire_broken(now);
     m_fit.clear();
+    m_ailing.clear();
     m_resting.clear();
     const auto listed = m_by_service.find(service);
     if (listed == m_by_service.end()) {
@@ -210,9 +234,21 @@
         if (state->target.leaving || excluded.contains(state->target.id)) {
             continue;
         }
-        (is_resting(*state, now) ? m_resting : m_fit).push_back(state);
+        if (is_resting(*state, now)) {
+            m_resting.push_back(state);
+        } else {
+            (state->is_ailing() ? m_ailing : m_fit).push_back(state);
+        }
+    }
+    const std::size_t most_ailing =
+        std::max<std::size_t>(1, listed->second.size() / max_ailing_part);
+    if (m_ailing.size() > most_ailing) {
+        m_fit.insert(m_fit.end(), m_ailing.begin(), m_ailing.end());
+    }
+    if (!m_fit.empty()) {
+        return m_fit;
     }
-    return m_fit.empty() ? m_resting : m_fit;
+    return m_ailing.empty() ? m_resting : m_ailing;
 }
 
 std::optional<fleet_target> fleet_load::pick_online(std::string_view service,
@@ -289,6 +325,7 @@
     expire_peers(now);
     int targets = 0;
     int resting = 0;
+    int ailing = 0;
     int slots = 0;
     target_share load;
     for (const auto& [id, state] : m_targets) {
@@ -298,6 +335,7 @@
         const target_share at = state.load();
         ++targets;
         resting += is_resting(state, now) ? 1 : 0;
+        ailing += state.is_ailing() ? 1 : 0;
         slots += state.target.slots;
         load.online += at.online;
         load.batch += at.batch;
@@ -306,10 +344,10 @@
     for (const auto& [name, peer] : m_peers) {
         oldest = std::max(oldest, now - peer.heard_at);
     }
-    return str_cat("targets ", targets, ", resting ", resting, ", slots ", slots, ", online ",
-                   load.online, ", batch ", load.batch, ", daemons heard ", m_peers.size(),
-                   ", oldest word ", std::chrono::duration_cast<milliseconds>(oldest).count(),
-                   " ms");
+    return str_cat("targets ", targets, ", resting ", resting, ", ailing ", ailing, ", slots ",
+                   slots, ", online ", load.online, ", batch ", load.batch, ", daemons heard ",
+                   m_peers.size(), ", oldest word ",
+                   std::chrono::duration_cast<milliseconds>(oldest).count(), " ms");
 }
 
 bool fleet_load::serves(std::string_view service) const {
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -6,13 +6,16 @@
 #include "base/random_source.hpp"
 #include "routing/leaving_targets.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace eelgrassdoor::routing {
@@ -33,10 +36,14 @@
     bool operator==(const fleet_target&) const = default;
 };
 
-/// Requests of one daemon at one target.
+/// Requests of one daemon at one target, and how the target treats them.
 struct target_share {
     int online = 0;
     int batch = 0;
+    /// Of these, requests that wait for the first byte of their answer for too long.
+    int stalled = 0;
+    /// Answers that broke off within broken_memory.
+    int broken = 0;
 
     bool operator==(const target_share&) const = default;
 };
@@ -78,6 +85,14 @@
     /// First and longest time for which a target that failed gets no request.
     static constexpr duration first_backoff = milliseconds(500);
     static constexpr duration longest_backoff = seconds(4);
+    /// How long an answer that broke off is remembered and told.
+    static constexpr duration broken_memory = seconds(3);
+    /// A target with so many of them, at all daemons together, is ailing. A target that serves five
+    /// requests a second and loses one answer in twenty has as many about once a minute.
+    static constexpr int broken_when_ailing = 3;
+    /// When more than one of a service's targets, and more than one in this many, are ailing, the
+    /// cause is likely to be elsewhere, and none is passed over.
+    static constexpr std::size_t max_ailing_part = 4;
 
     explicit fleet_load(placement_options options) : m_options(std::move(options)) {}
     fleet_load(const fleet_load&) = delete;
@@ -100,13 +115,18 @@
     /// The listed targets that said so, for the other daemons.
     [[nodiscard]] std::vector<leaving_start> leaving() const;
     /// This daemon's own requests, for the others.
-    [[nodiscard]] const load_by_target& own() const { return m_own; }
+    [[nodiscard]] const load_by_target& own(time_point now);
 
     void note_online_sent(std::string_view id) { change_own(id, {.online = 1}); }
     void note_online_ended(std::string_view id) { change_own(id, {.online = -1}); }
     void note_batch_sent(std::string_view id) { change_own(id, {.batch = 1}); }
     void note_batch_ended(std::string_view id) { change_own(id, {.batch = -1}); }
 
+    /// A request waits for too long for its first byte, or does so no more. Until then the target
+    /// gets no other request of any daemon, if others can take it.
+    void note_stalled(std::string_view id) { change_own(id, {.stalled = 1}); }
+    void note_stall_ended(std::string_view id) { change_own(id, {.stalled = -1}); }
+
     /// The target rests at once when it cannot be reached, and after a second answer in a row that
     /// broke off: engines that break off a few answers serve all others.
     /// All targets of a zone rest when a second one there cannot be reached and none has answered
@@ -163,7 +183,12 @@
         const zone_state* zone = nullptr;
 
         [[nodiscard]] target_share load() const {
-            return {own.online + told->online, own.batch + told->batch};
+            return {own.online + told->online, own.batch + told->batch, own.stalled + told->stalled,
+                    own.broken + told->broken};
+        }
+        [[nodiscard]] bool is_ailing() const {
+            const target_share all = load();
+            return all.stalled > 0 || all.broken >= broken_when_ailing;
         }
     };
     using excluded_ids = std::set<std::string, std::less<>>;
@@ -172,8 +197,10 @@
     void add_told(const std::vector<told_share>& loads, int sign);
     /// Takes what silent daemons told out of the sums.
     void expire_peers(time_point now);
-    /// The targets that may get a request, without the resting ones unless there are no others.
-    /// Valid until the next call.
+    /// Forgets answers of this daemon that broke off long ago.
+    void expire_broken(time_point now);
+    /// The targets that may get a request: neither ailing nor resting ones unless there are no
+    /// others. Valid until the next call.
     [[nodiscard]] const std::vector<const target_state*>&
     candidates(std::string_view service, const excluded_ids& excluded, time_point now);
     [[nodiscard]] static bool is_resting(const target_state& state, time_point now);
@@ -192,7 +219,10 @@
     load_by_target m_own;
     std::map<std::string, zone_state, std::less<>> m_zones;
     leaving_targets m_leaving;
+    /// Answers that broke off here, oldest first.
+    std::deque<std::pair<time_point, std::string>> m_broken;
     std::vector<const target_state*> m_fit;
+    std::vector<const target_state*> m_ailing;
     std::vector<const target_state*> m_resting;
 };
 
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.hpp"
 #include "base/text.hpp"
 #include "net/http_client.hpp"
+#include "serving/stall_watch.hpp"
 
 #include <algorithm>
 
@@ -78,6 +79,7 @@
     m_connection->set_deadline(answer_by);
     m_exchange = std::make_unique<net::http_exchange>(m_connection, answer_limits);
     m_exchange->send(request);
+    const stall_watch watch(m_context, target().id);
     for (int foreign = 0; foreign <= max_foreign_answers; ++foreign) {
         const result<void> head = co_await m_exchange->read_head();
         if (!head) {
--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -131,6 +131,51 @@
     require(loads.batch_to_stop("x", "me", now) == 1, "and no more than there is");
 }
 
+/// Load pattern: an engine in eight hangs or fails part of its answers while its health check is
+/// good, and every daemon has only few requests at it.
+void check_ailing() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads({.own_zone = "a"});
+    std::vector<fleet_target> targets;
+    for (int i = 0; i < 8; ++i) {
+        targets.push_back(target("t" + std::to_string(i), "a", 8));
+    }
+    loads.set_targets(targets);
+    const auto picks = [&](const std::string& id, time_point at) {
+        int count = 0;
+        for (int i = 0; i < 200; ++i) {
+            count += loads.pick_online("s", none, at, random)->id == id ? 1 : 0;
+        }
+        return count;
+    };
+    require(picks("t0", now) > 0, "a sound target gets requests");
+    loads.note_stalled("t0");
+    require(picks("t0", now) == 0, "one with a request that waits for its first byte gets none");
+    loads.note_stall_ended("t0");
+    require(picks("t0", now) > 0, "until that one has begun or ended");
+    loads.note_peer("p", told({{"t1", {.online = 1, .stalled = 1}}}), now);
+    require(picks("t1", now) == 0, "also by the word of another daemon");
+    loads.note_peer("p", {}, now);
+    require(picks("t1", now) > 0, "until it takes it back");
+
+    loads.note_failed("t2", target_failure::broke_off, now);
+    loads.note_peer("p", told({{"t2", {.broken = 1}}}), now);
+    loads.note_answered("t2");
+    require(picks("t2", now) > 0, "a few answers that break off are no reason");
+    loads.note_peer("q", told({{"t2", {.broken = 1}}}), now);
+    require(picks("t2", now) == 0, "three at all daemons together are");
+    const time_point later = now + fleet_load::broken_memory + milliseconds(1);
+    require(loads.own(later).empty() && picks("t2", later) > 0, "and are forgotten in time");
+
+    loads.note_stalled("t0");
+    loads.note_stalled("t1");
+    require(picks("t0", later) == 0 && picks("t1", later) == 0, "a quarter may be passed over");
+    loads.note_stalled("t2");
+    require(picks("t0", later) + picks("t1", later) + picks("t2", later) > 0,
+            "but when more are slow at once, all go on");
+}
+
 /// Sums that are kept as digests come in are those of the digests that count.
 void check_sums() {
     property("the load at a target is what daemons heard lately told last", [] {
@@ -248,6 +293,7 @@
     check_zones();
     check_batch();
     check_sums();
+    check_ailing();
     check_leaving();
     check_stops_add_up();
     return eelgrassdoor::test::finish();
--- a/test/platform/daemon_online.cpp
+++ b/test/platform/daemon_online.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Online requests through a daemon: what callers and engines see.
 #include "platform/fixture/daemon_fixture.hpp"
+#include "serving/stall_watch.hpp"
 
 namespace {
 
@@ -31,6 +32,7 @@
         co_await check_at_most_once();
         co_await check_foreign_answer();
         co_await check_caller_leaves();
+        co_await check_hanging_engine();
         co_await check_withdrawn_key();
         co_await check_leaving_engine();
         co_await check_shutdown();
@@ -153,6 +155,51 @@
             [&] { return m_one.dropped() + m_two.dropped() == before + 1; }, milliseconds(500));
     }
 
+    /// An engine that hangs costs the requests that it has, and no more.
+    net::task<> check_hanging_engine() {
+        m_one.forget_script();
+        m_two.forget_script();
+        const std::size_t before = m_one.arrived().size();
+        for (int i = 0; i < 200 && m_one.arrived().size() == before; ++i) {
+            m_one.forget_script();
+            m_one.then(engine_act::hang);
+            net::asio::co_spawn(
+                m_fleet.loop,
+                [&, i]() -> net::task<> { (void)co_await call("t" + std::to_string(i), "/o/x"); },
+                net::asio::detached);
+            co_await m_fleet.eventually("a request arrives", [&, seen = arrivals()] {
+                return arrivals() > seen || m_one.arrived().size() > before;
+            });
+        }
+        m_one.forget_script();
+        co_await net::sleep_for(serving::stall_watch::stall_time + milliseconds(50));
+        const std::size_t stalled = m_one.arrived().size();
+        // The other engine is busier than the one that hangs.
+        m_two.set_pace(milliseconds(40));
+        int ended = 0;
+        for (int i = 0; i < 6; ++i) {
+            net::asio::co_spawn(
+                m_fleet.loop,
+                [&, i]() -> net::task<> {
+                    (void)co_await call("u" + std::to_string(i), "/o/x");
+                    ++ended;
+                },
+                net::asio::detached);
+        }
+        co_await m_fleet.eventually("they end", [&] { return ended == 6; });
+        m_two.set_pace(milliseconds(1));
+        require(m_one.arrived().size() == stalled,
+                "an engine that has not begun an answer for long gets no other request");
+        co_await m_fleet.eventually(
+            "the caller's time ends", [&] { return m_one.running() == 0; }, seconds(6));
+        bool again = false;
+        for (int i = 0; i < 200 && !again; ++i) {
+            (void)co_await call("v" + std::to_string(i), "/o/x");
+            again = m_one.arrived().size() > stalled;
+        }
+        require(again, "and is tried again when that request has ended");
+    }
+
     net::task<> check_withdrawn_key() {
         m_one.forget_script();
         m_two.forget_script();
