Look routes up by host and name; decode a configuration once

Change: serving_plan keeps places of routes by host, longest prefix first, and by name; the host remembers the revision that it decoded.

--- a/src/config/serving_plan.cpp
+++ b/src/config/serving_plan.cpp
@@ -2,27 +2,42 @@
 
 #include "base/text.hpp"
 
+#include <absl/strings/ascii.h>
+
+#include <algorithm>
+#include <utility>
+
 namespace eelgrassdoor::config {
 
+void serving_plan::add_route(serving_route route) {
+    const std::size_t place = routes.size();
+    routes_by_name.emplace(route.name, place);
+    std::vector<std::size_t>& same_host = routes_by_host[absl::AsciiStrToLower(route.host)];
+    const auto shorter = std::find_if(same_host.begin(), same_host.end(), [&](std::size_t other) {
+        return routes[other].path_prefix.size() < route.path_prefix.size();
+    });
+    same_host.insert(shorter, place);
+    routes.push_back(std::move(route));
+}
+
 const serving_route* serving_plan::match(std::string_view host, std::string_view path) const {
-    const serving_route* best = nullptr;
-    for (const serving_route& route : routes) {
-        const bool fits = equals_ignore_case(route.host, host) &&
-                          path.substr(0, route.path_prefix.size()) == route.path_prefix;
-        if (fits && (best == nullptr || route.path_prefix.size() > best->path_prefix.size())) {
-            best = &route;
+    const auto same_host =
+        routes_by_host.find(absl::AsciiStrToLower(absl::string_view(host.data(), host.size())));
+    if (same_host == routes_by_host.end()) {
+        return nullptr;
+    }
+    for (const std::size_t place : same_host->second) {
+        const std::string& prefix = routes[place].path_prefix;
+        if (path.substr(0, prefix.size()) == prefix) {
+            return &routes[place];
         }
     }
-    return best;
+    return nullptr;
 }
 
 const serving_route* serving_plan::find_route(std::string_view name) const {
-    for (const serving_route& route : routes) {
-        if (route.name == name) {
-            return &route;
-        }
-    }
-    return nullptr;
+    const auto found = routes_by_name.find(name);
+    return found == routes_by_name.end() ? nullptr : &routes[found->second];
 }
 
 std::string pick_service(const serving_route& route, random_source& random) {
--- a/src/config/serving_plan.hpp
+++ b/src/config/serving_plan.hpp
@@ -6,6 +6,7 @@
 #include "base/random_source.hpp"
 #include "net/http_server.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -90,7 +91,12 @@
 /// One version of the configuration. Immutable once it is in force.
 struct serving_plan {
     std::uint64_t version = 0;
+    /// Filled by add_route().
     std::vector<serving_route> routes;
+    /// Places in routes by host name in lower case, the longest path prefix first.
+    std::map<std::string, std::vector<std::size_t>, std::less<>> routes_by_host;
+    /// Places in routes by name.
+    std::map<std::string, std::size_t, std::less<>> routes_by_name;
     std::map<std::string, serving_service, std::less<>> services;
     std::map<std::string, serving_customer, std::less<>> customers;
     /// Keys that callers show, with their customer's name.
@@ -99,6 +105,7 @@
     bool keyed = false;
     net::caller_limits limits;
 
+    void add_route(serving_route route);
     /// The route of a request: of those with this host name, the one with the longest prefix.
     [[nodiscard]] const serving_route* match(std::string_view host, std::string_view path) const;
     [[nodiscard]] const serving_route* find_route(std::string_view name) const;
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -230,9 +230,11 @@
 
 void fleet_host::apply_plan() {
     const store::kv_item* item = m_mirror.find(m_adapter.plan_key);
-    if (item == nullptr) {
+    // Other records below the operator's prefix change as well.
+    if (item == nullptr || item->revision == m_plan_revision) {
         return;
     }
+    m_plan_revision = item->revision;
     result<config::serving_plan> plan = m_adapter.decode_plan(item->value);
     const std::uint64_t current = m_context.plan ? m_context.plan->version : 0;
     if (!plan) {
--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -83,6 +83,8 @@
     std::unique_ptr<net::http_server> m_readiness_server;
     std::unique_ptr<net::http_server> m_peer_server;
     std::unique_ptr<net::http_server> m_metrics_server;
+    /// Revision of the configuration that was decoded last.
+    std::uint64_t m_plan_revision = 0;
     bool m_started_ready = false;
     bool m_shutting_down = false;
     bool m_evacuating = false;
--- a/test/platform/adapter_records.cpp
+++ b/test/platform/adapter_records.cpp
@@ -65,6 +65,8 @@
     require(p.match("a.example", "/p/x")->name == "r1", "host and prefix find the route");
     require(p.match("A.EXAMPLE", "/p/q/x")->name == "r2", "the longest prefix wins");
     require(p.match("a.example", "/other") == nullptr, "another path has no route");
+    require(p.match("b.example", "/p/x") == nullptr, "nor has another host");
+    require(p.find_route("none") == nullptr, "an unknown name has no route");
     require(p.find_route("r1")->repeats == config::repeat_rule::idempotent,
             "a stream that may be resumed may be repeated");
     require(p.find_route("r2")->repeats == config::repeat_rule::at_most_once &&
