Commit results of at most ten jobs in one transaction

The log shows commit_failed "the store answered 400" again and again until the end: a commit of 15 jobs has 15 conditions, 15 records and 15 lists of results, 45 entries, and the store takes 32. Once more than ten jobs of a daemon had results that waited, as after an outage, none was ever listed. Two job runners of five instead of all make it likelier; the fault is older.

Change: a bound of 32 / 3 jobs, beside the transaction that it counts. The store stand-in refuses too many entries, as the store does.

Test: daemon_jobs, check_many_jobs: results of 40 jobs wait during refused commits and are listed afterwards.

--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -49,8 +49,11 @@
     /// The records of all jobs.
     net::task<result<std::vector<versioned_state>>> read_all(store::consistency how);
 
-    /// Appends results to several jobs at once; all or none. Updates the states and revisions in
-    /// \p batches when done.
+    /// Jobs in one append(): a condition, a record and results of each count as entries.
+    static constexpr std::size_t max_append_jobs = store::max_transaction_entries / 3;
+
+    /// Appends results to several jobs at once, at most max_append_jobs; all or none. Updates the
+    /// states and revisions in \p batches when done.
     net::task<result<change_outcome>> append(std::vector<result_batch>& batches,
                                              time_point deadline);
     /// Replaces the record when it still has the revision. Updates \p revision when done.
--- a/src/jobs/result_committer.cpp
+++ b/src/jobs/result_committer.cpp
@@ -8,8 +8,6 @@
 constexpr duration commit_interval = milliseconds(300);
 /// Bytes of results in one commit; a value of the store holds a megabyte.
 constexpr std::size_t max_commit_bytes = 400 * 1024;
-/// Jobs in one commit: two entries each.
-constexpr std::size_t max_commit_jobs = store::max_transaction_entries / 2 - 1;
 
 } // namespace
 
@@ -50,7 +48,7 @@
     std::size_t bytes = 0;
     for (const auto& [id, job] : m_table.all()) {
         if (job->uncommitted().empty() || job->record().state.ended ||
-            batches.size() == max_commit_jobs || bytes > max_commit_bytes) {
+            batches.size() == job_repository::max_append_jobs || bytes > max_commit_bytes) {
             continue;
         }
         result_batch batch{job->record(), {}};
--- a/test/platform/daemon_jobs.cpp
+++ b/test/platform/daemon_jobs.cpp
@@ -34,6 +34,7 @@
         co_await check_accepted();
         co_await check_failing_items();
         co_await check_waiting_tokens();
+        co_await check_many_jobs();
         co_await check_end();
         co_await check_lost_answers();
         co_await check_unknown_commit();
@@ -115,6 +116,36 @@
         require(unknown.status == 404, "an unknown job is not found");
     }
 
+    /// After an outage, results of more jobs wait than one transaction of the store takes.
+    net::task<> check_many_jobs() {
+        constexpr int job_count = 40;
+        int refused = 0;
+        m_fleet.memory.refuse_commit = [&](const store::kv_transaction& change) {
+            const bool has_results =
+                std::any_of(change.writes.begin(), change.writes.end(), [](const auto& write) {
+                    return write.key.starts_with(jobs::results_prefix);
+                });
+            refused += has_results ? 1 : 0;
+            return has_results;
+        };
+        const std::size_t before = m_engine.arrived().size();
+        for (int i = 0; i < job_count; ++i) {
+            const auto got = co_await submit("entry-1", str_cat("many", i), job_body(1));
+            require(got.status == 202, "a job is accepted while results wait");
+        }
+        co_await m_fleet.eventually("all items have run", [&] {
+            return m_engine.arrived().size() >= before + job_count && m_engine.running() == 0;
+        });
+        co_await m_fleet.eventually("results wait", [&] { return refused > 2; });
+        m_fleet.memory.refuse_commit = [](const store::kv_transaction&) { return false; };
+        int listed = 0;
+        for (int i = 0; i < job_count; ++i) {
+            const nlohmann::json got = co_await results("entry-2", str_cat("many", i), 1);
+            listed += static_cast<int>(got.size());
+        }
+        require(listed == job_count, str_cat("all results are listed then: ", listed));
+    }
+
     net::task<> check_failing_items() {
         // One item in each run: the first two attempts fail, which is what the route allows.
         m_engine.then(engine_act::fail);
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -119,6 +119,12 @@
         if (refuse() || refuse_commit(change)) {
             co_return refusal();
         }
+        const std::size_t entries =
+            change.conditions.size() + change.writes.size() + change.deletes.size();
+        if (entries > max_transaction_entries) {
+            co_return error{error_code::unavailable, "the transaction has too many entries",
+                            run_state::not_run};
+        }
         const commit_outcome outcome = apply(change);
         while (hold_answer(change)) {
             net::notification step(m_executor);
