Wait for the stall instead of sleeping in daemon_online

Cause: check_hanging_engine slept 650 ms before it looked whether the engine that hangs is left out, so that its verdict hung on the clock of a busy machine.

Change: rounds of six requests run until one leaves the engine out, at most as long as its request hangs, and one more round must leave it out as well. The check is as strict: without the mark every round reaches it, as the other engine is busier.

No code of the daemon changes.

--- a/test/platform/daemon_online.cpp
+++ b/test/platform/daemon_online.cpp
@@ -1,7 +1,6 @@
 /// \file
 /// Online requests through a daemon: what callers and engines see.
 #include "platform/fixture/daemon_fixture.hpp"
-#include "serving/stall_watch.hpp"
 
 namespace {
 
@@ -155,6 +154,21 @@
             [&] { return m_one.dropped() + m_two.dropped() == before + 1; }, milliseconds(500));
     }
 
+    /// Sends requests at the same time and waits until all have been answered.
+    net::task<> run_at_once(int count) {
+        int ended = 0;
+        for (int i = 0; i < count; ++i) {
+            net::asio::co_spawn(
+                m_fleet.loop,
+                [&, id = ++m_last_id]() -> net::task<> {
+                    (void)co_await call("w" + std::to_string(id), "/o/x");
+                    ++ended;
+                },
+                net::asio::detached);
+        }
+        co_await m_fleet.eventually("they end", [&] { return ended == count; });
+    }
+
     /// An engine that hangs costs the requests that it has, and no more.
     net::task<> check_hanging_engine() {
         m_one.forget_script();
@@ -172,21 +186,18 @@
             });
         }
         m_one.forget_script();
-        co_await net::sleep_for(serving::stall_watch::stall_time + milliseconds(50));
-        const std::size_t stalled = m_one.arrived().size();
-        // The other engine is busier than the one that hangs.
+        // The other engine is busier than the one that hangs, so that only the stall speaks against
+        // the latter. Rounds go on until one leaves it out, at most as long as the request hangs.
         m_two.set_pace(milliseconds(40));
-        int ended = 0;
-        for (int i = 0; i < 6; ++i) {
-            net::asio::co_spawn(
-                m_fleet.loop,
-                [&, i]() -> net::task<> {
-                    (void)co_await call("u" + std::to_string(i), "/o/x");
-                    ++ended;
-                },
-                net::asio::detached);
+        std::size_t stalled = 0;
+        bool left_out = false;
+        while (!left_out && m_one.running() > 0) {
+            stalled = m_one.arrived().size();
+            co_await run_at_once(6);
+            left_out = m_one.arrived().size() == stalled;
         }
-        co_await m_fleet.eventually("they end", [&] { return ended == 6; });
+        require(left_out && m_one.running() > 0, "an engine that hangs is left out before it ends");
+        co_await run_at_once(6);
         m_two.set_pace(milliseconds(1));
         require(m_one.arrived().size() == stalled,
                 "an engine that has not begun an answer for long gets no other request");
@@ -294,6 +305,7 @@
     }
 
     daemon_fixture m_fleet;
+    int m_last_id = 0;
     scripted_engine& m_one;
     scripted_engine& m_two;
     host::fleet_host& m_daemon;
