Split the link by what it keeps; log malformed datagrams

A bundle, digest, request or transfer that could not be decoded was dropped without a line, as was what stood beside digests in a bundle. A leaving start had two types.

Every datagram that cannot be read gives the event message_dropped with its sender. routing::leaving_start is serialized as it is. digest_relay looks in one place whether asking is due. No decision changes.

--- a/src/fleet/digest_relay.cpp
+++ b/src/fleet/digest_relay.cpp
@@ -48,9 +48,6 @@
 
 void digest_relay::ask(const member_map& members,
                        const std::function<bool(std::string_view host)>& is_heard, time_point now) {
-    if (!is_ask_due(now)) {
-        return;
-    }
     m_asked_at = now;
     std::vector<const member*> heard;
     std::vector<std::string> silent;
--- a/src/fleet/digest_relay.hpp
+++ b/src/fleet/digest_relay.hpp
@@ -28,10 +28,11 @@
     void note_request(const std::string& host, const net::udp::endpoint& from, time_point now);
     /// Relays a digest of \p host to those that asked for it.
     void relay(std::string_view host, std::string_view datagram, time_point now) const;
-    /// Asks for the digests of members that are not heard, when that is due.
+    /// Whether others were last asked long enough ago.
+    [[nodiscard]] bool is_ask_due(time_point now) const;
+    /// Asks for the digests of \p members that are not heard.
     void ask(const member_map& members, const std::function<bool(std::string_view host)>& is_heard,
              time_point now);
-    [[nodiscard]] bool is_ask_due(time_point now) const;
 
 private:
     struct relay_target {
--- a/src/fleet/directory.cpp
+++ b/src/fleet/directory.cpp
@@ -41,14 +41,13 @@
     return m_registered.contains(host) || (lapsed != m_lapsed.end() && lapsed->second.until > now);
 }
 
-bool directory::is_in_zone(std::string_view host, const member& other) const {
+bool directory::is_in_zone(std::string_view host, std::string_view availability_zone) const {
     const auto registered = m_registered.find(host);
     if (registered != m_registered.end()) {
-        return registered->second.availability_zone == other.availability_zone;
+        return registered->second.availability_zone == availability_zone;
     }
     const auto lapsed = m_lapsed.find(host);
-    return lapsed != m_lapsed.end() &&
-           lapsed->second.record.availability_zone == other.availability_zone;
+    return lapsed != m_lapsed.end() && lapsed->second.record.availability_zone == availability_zone;
 }
 
 std::size_t directory::fronts(time_point now) const {
--- a/src/fleet/directory.hpp
+++ b/src/fleet/directory.hpp
@@ -34,8 +34,8 @@
     /// Registered daemons and those that are still counted.
     [[nodiscard]] member_map reachable(time_point now) const;
     [[nodiscard]] bool knows(std::string_view host, time_point now) const;
-    /// Whether a registered or counted daemon is in the zone of \p other.
-    [[nodiscard]] bool is_in_zone(std::string_view host, const member& other) const;
+    /// Whether a registered or counted daemon is in \p availability_zone.
+    [[nodiscard]] bool is_in_zone(std::string_view host, std::string_view availability_zone) const;
     /// Daemons that may admit callers' requests.
     [[nodiscard]] std::size_t fronts(time_point now) const;
 
--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -10,15 +10,9 @@
 
 namespace {
 
-/// A member that was not heard for this long is asked for at other daemons: twice the interval in
-/// which unchanged digests are repeated.
+/// A member that was not heard for this long is asked for at other daemons and is no gateway: twice
+/// the interval in which unchanged digests are repeated.
 constexpr duration silence_before_relay = milliseconds(1000);
-/// An endpoint that was not heard for this long is taken to be out of reach: a lost datagram must
-/// not make it so.
-constexpr duration direct_silence = milliseconds(1100);
-/// Endpoints that are remembered; above this, those that are silent are forgotten.
-constexpr std::size_t max_heard_endpoints = 2048;
-
 net::udp::endpoint to_udp(const net::tcp::endpoint& endpoint) {
     return {endpoint.address(), endpoint.port()};
 }
@@ -58,6 +52,7 @@
            limits::customer_shares& shares)
     : m_executor(std::move(executor)), m_options(std::move(options)), m_clock(std::move(clock)),
       m_log(log), m_loads(loads), m_mirrors(mirrors), m_socket(m_executor), m_wake(m_executor),
+      m_own_zone(m_options.intervals), m_other_zones(m_options.intervals),
       m_seed_endpoints(to_endpoints(m_options.seeds)),
       m_relay(m_options.self.host,
               [this](const net::udp::endpoint& to, std::string_view datagram) {
@@ -113,37 +108,19 @@
 }
 
 void link::note_change() {
-    m_own_zone.changed = true;
-    m_other_zones.changed = true;
+    m_own_zone.note_change();
+    m_other_zones.note_change();
     m_wake.notify();
 }
 
-duration link::interval_for(std::size_t peers) const {
-    const double groups =
-        static_cast<double>(peers) / static_cast<double>(m_options.peers_at_change_interval);
-    return from_seconds(to_seconds(m_options.change_interval) * std::max(1.0, groups));
-}
-
 void link::send_to(const std::vector<net::udp::endpoint>& peers, std::string_view bytes) {
     for (const net::udp::endpoint& endpoint : peers) {
         m_socket.send(bytes, endpoint);
     }
 }
 
-bool link::is_due(peer_group& group) const {
-    const duration age = m_clock() - group.sent_at;
-    const duration interval =
-        group.changed ? interval_for(group.endpoints.size()) : m_options.repeat_interval;
-    if (age < interval) {
-        return false;
-    }
-    group.changed = false;
-    group.sent_at = m_clock();
-    return true;
-}
-
 void link::tell_own_zone() {
-    if (!is_due(m_own_zone)) {
+    if (!m_own_zone.take_turn(m_clock())) {
         return;
     }
     const std::string digest = own_digest();
@@ -155,21 +132,21 @@
 
 void link::tell_other_zones() {
     if (!uses_gateways()) {
-        if (is_due(m_other_zones)) {
+        if (m_other_zones.take_turn(m_clock())) {
             send_to(m_other_zones.endpoints, own_digest());
         }
         return;
     }
     // Their gateways hear of this daemon's load from those of the own zone.
-    m_other_zones.changed = false;
-    if (m_options.self.runs_jobs && is_due(m_other_zones)) {
+    m_other_zones.forget_change();
+    if (m_options.self.runs_jobs && m_other_zones.take_turn(m_clock())) {
         send_to(m_other_zones.endpoints, to_datagram(presence{}));
     }
 }
 
 net::task<> link::run() {
     while (!m_stopped) {
-        if (m_clock() - m_refreshed_at >= m_options.repeat_interval) {
+        if (m_clock() - m_refreshed_at >= m_options.intervals.repeat) {
             refresh_peers();
         }
         if (m_own_zone.endpoints.empty() && m_other_zones.endpoints.empty()) {
@@ -184,10 +161,10 @@
             };
             m_relay.ask(m_directory.reachable(m_clock()), is_heard, m_clock());
         }
-        // A change waits until the last digest is change_interval old.
-        co_await net::sleep_for(m_options.change_interval);
-        if (!m_own_zone.changed && !m_other_zones.changed && !m_gateway.has_news()) {
-            co_await m_wake.wait_until(m_clock() + m_options.repeat_interval);
+        // A change waits until the last digest is that old.
+        co_await net::sleep_for(m_options.intervals.change);
+        if (!m_own_zone.has_change() && !m_other_zones.has_change() && !m_gateway.has_news()) {
+            co_await m_wake.wait_until(m_clock() + m_options.intervals.repeat);
         }
     }
 }
@@ -218,9 +195,7 @@
                                   static_cast<std::uint16_t>(share.batch), to_byte(share.stalled),
                                   to_byte(share.broken)});
     }
-    for (const routing::leaving_start& each : m_loads.leaving()) {
-        digest.leaving.push_back({each.target, each.started_at});
-    }
+    digest.leaving = m_loads.leaving();
     digest.ends = m_stopped;
     digest.reaches_store = reaches_store && reaches_store();
     if (own_waiting) {
@@ -229,22 +204,9 @@
     return to_datagram(digest);
 }
 
-void link::note_heard_from(const net::udp::endpoint& from) {
-    const time_point now = m_clock();
-    if (m_heard_from.size() >= max_heard_endpoints) {
-        std::erase_if(m_heard_from,
-                      [&](const auto& entry) { return now - entry.second > direct_silence; });
-    }
-    m_heard_from[from] = now;
-}
-
 bool link::hears_directly(std::string_view endpoint) const {
     const result<net::tcp::endpoint> parsed = net::parse_endpoint(endpoint);
-    if (!parsed) {
-        return false;
-    }
-    const auto found = m_heard_from.find(to_udp(parsed.value()));
-    return found != m_heard_from.end() && m_clock() - found->second <= direct_silence;
+    return parsed && m_heard_from.contains(to_udp(parsed.value()), m_clock());
 }
 
 void link::receive(std::string_view bytes, const net::udp::endpoint& from) {
@@ -252,10 +214,10 @@
         return;
     }
     if (bytes.size() < 2 || bytes[0] != protocol_version) {
-        m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
+        note_malformed(from);
         return;
     }
-    note_heard_from(from);
+    m_heard_from.note(from, m_clock());
     const std::string_view body = bytes.substr(2);
     switch (static_cast<std::uint8_t>(bytes[1])) {
     case load_digest::kind:
@@ -270,21 +232,24 @@
         receive_token_request(body, from);
         break;
     case token_transfer::kind:
-        if (const auto transfer = peer::decode<token_transfer>(body)) {
-            m_tokens.receive(*transfer);
-        }
+        receive_token_transfer(body, from);
         break;
     case relay_request::kind:
         receive_relay_request(body, from);
         break;
     default:
-        m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
+        note_malformed(from);
     }
 }
 
+void link::note_malformed(const net::udp::endpoint& from) {
+    m_log.write(observe::event::message_dropped, "", {{"from", to_text(from)}});
+}
+
 void link::receive_bundle(std::string_view body, const net::udp::endpoint& from) {
     const auto bundle = peer::decode<digest_bundle>(body);
     if (!bundle) {
+        note_malformed(from);
         return;
     }
     const digest_origin origin{.from = from,
@@ -294,22 +259,24 @@
     for (const std::string& datagram : bundle->datagrams) {
         const bool is_digest = datagram.size() > 2 && datagram[0] == protocol_version &&
                                static_cast<std::uint8_t>(datagram[1]) == load_digest::kind;
-        if (is_digest) {
-            receive_digest(datagram, origin);
+        if (!is_digest) {
+            note_malformed(from);
+            continue;
         }
+        receive_digest(datagram, origin);
     }
 }
 
 void link::receive_digest(std::string_view bytes, const digest_origin& origin) {
     const auto digest = peer::decode<load_digest>(bytes.substr(2));
-    if (!digest || digest->host == m_options.self.host) {
+    if (!digest) {
+        note_malformed(origin.from);
+        return;
+    }
+    if (digest->host == m_options.self.host) {
         return;
     }
-    peer_state& known = m_peers[digest->host];
-    const bool older =
-        digest->incarnation < known.incarnation ||
-        (digest->incarnation == known.incarnation && digest->sequence <= known.sequence);
-    if (older) {
+    if (!m_peers.take_in(*digest, m_clock())) {
         return;
     }
     m_relay.relay(digest->host, bytes, m_clock());
@@ -320,11 +287,9 @@
         return;
     }
     m_directory.note_heard(digest->host, m_clock());
-    known = {digest->incarnation, digest->sequence, m_clock(), digest->reaches_store,
-             digest->waiting};
     m_loads.note_peer(digest->host, told_shares(digest->targets), m_clock());
-    for (const leaving_target& each : digest->leaving) {
-        m_loads.note_leaving({each.target, each.started_at});
+    for (const routing::leaving_start& each : digest->leaving) {
+        m_loads.note_leaving(each);
     }
     if (on_peer_load) {
         on_peer_load();
@@ -343,7 +308,8 @@
     }
     if (origin.from_other_zone) {
         m_gateway.collect_incoming(digest.host, bytes);
-    } else if (!origin.in_bundle && m_directory.is_in_zone(digest.host, m_options.self)) {
+    } else if (!origin.in_bundle &&
+               m_directory.is_in_zone(digest.host, m_options.self.availability_zone)) {
         m_gateway.collect_outgoing(digest.host, bytes);
     }
     if (m_gateway.has_news()) {
@@ -371,15 +337,19 @@
 
 void link::receive_relay_request(std::string_view body, const net::udp::endpoint& from) {
     const auto request = peer::decode<relay_request>(body);
-    if (!request || !m_directory.knows(request->host, m_clock())) {
+    if (!request) {
+        note_malformed(from);
         return;
     }
-    m_relay.note_request(request->host, from, m_clock());
+    if (m_directory.knows(request->host, m_clock())) {
+        m_relay.note_request(request->host, from, m_clock());
+    }
 }
 
 void link::receive_token_request(std::string_view body, const net::udp::endpoint& from) {
     const auto request = peer::decode<token_request>(body);
     if (!request) {
+        note_malformed(from);
         return;
     }
     const std::string transfer = m_tokens.lend(*request);
@@ -388,32 +358,29 @@
     }
 }
 
-std::uint64_t link::waiting_elsewhere(std::uint64_t customer_and_route) const {
-    std::uint64_t sum = 0;
-    for (const auto& [host, peer] : m_peers) {
-        for (const waiting_tokens& each : peer.waiting) {
-            sum += each.customer_and_route == customer_and_route ? each.tokens : 0;
-        }
+void link::receive_token_transfer(std::string_view body, const net::udp::endpoint& from) {
+    const auto transfer = peer::decode<token_transfer>(body);
+    if (!transfer) {
+        note_malformed(from);
+        return;
     }
-    return sum;
+    m_tokens.receive(*transfer);
+}
+
+std::uint64_t link::waiting_elsewhere(std::uint64_t customer_and_route) const {
+    return m_peers.waiting(customer_and_route);
 }
 
 bool link::any_peer_has_store() const {
-    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        return entry.second.reaches_store &&
-               m_clock() - entry.second.heard_at <= routing::fleet_load::peer_load_lifetime;
-    });
+    return m_peers.any_with_store(routing::fleet_load::peer_load_lifetime, m_clock());
 }
 
 bool link::hears_with_store(std::string_view host, duration age) const {
-    const auto found = m_peers.find(host);
-    return found != m_peers.end() && found->second.reaches_store &&
-           m_clock() - found->second.heard_at <= age;
+    return m_peers.hears_with_store(host, age, m_clock());
 }
 
 bool link::heard_within(std::string_view host, duration age) const {
-    const auto found = m_peers.find(host);
-    return found != m_peers.end() && m_clock() - found->second.heard_at <= age;
+    return m_peers.heard_within(host, age, m_clock());
 }
 
 } // namespace eelgrassdoor::fleet
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -6,7 +6,10 @@
 #include "fleet/digest_relay.hpp"
 #include "fleet/directory.hpp"
 #include "fleet/gateway_duty.hpp"
+#include "fleet/heard_endpoints.hpp"
 #include "fleet/message.hpp"
+#include "fleet/peer_group.hpp"
+#include "fleet/peer_table.hpp"
 #include "fleet/token_exchange.hpp"
 #include "limits/customer_shares.hpp"
 #include "net/notification.hpp"
@@ -26,13 +29,7 @@
     member self;
     /// `IP:PORT` of daemons to tell of this one before any member is known.
     std::vector<std::string> seeds;
-    /// Changes of load are told at most this often to a group of up to peers_at_change_interval
-    /// daemons, and less often to a larger one, so that what a daemon sends does not grow with the
-    /// fleet. A third of the time in which a slot frees in a full fleet of the first users' size.
-    duration change_interval = milliseconds(30);
-    std::size_t peers_at_change_interval = 24;
-    /// An unchanged digest is repeated this often.
-    duration repeat_interval = milliseconds(500);
+    tell_intervals intervals;
     /// With more daemons than this in other zones, digests go to them through gateways.
     std::size_t max_direct_peers = 24;
     /// Endpoints (`IP:PORT`) whose datagrams are dropped: cuts of the network, in tests.
@@ -96,12 +93,6 @@
     [[nodiscard]] bool hears_directly(std::string_view endpoint) const;
 
 private:
-    /// Daemons that are told changes equally often: those of the own zone, and all others.
-    struct peer_group {
-        bool changed = true;
-        time_point sent_at{};
-        std::vector<net::udp::endpoint> endpoints;
-    };
     /// How a digest came.
     struct digest_origin {
         net::udp::endpoint from;
@@ -110,20 +101,13 @@
         /// Whether that daemon is of another zone.
         bool from_other_zone = false;
     };
-    struct peer_state {
-        std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
-        time_point heard_at{};
-        bool reaches_store = false;
-        std::vector<waiting_tokens> waiting;
-    };
-
     net::task<> run();
     void receive(std::string_view bytes, const net::udp::endpoint& from);
-    void note_heard_from(const net::udp::endpoint& from);
     void receive_digest(std::string_view bytes, const digest_origin& origin);
     void receive_bundle(std::string_view body, const net::udp::endpoint& from);
     void receive_token_request(std::string_view body, const net::udp::endpoint& from);
+    void receive_token_transfer(std::string_view body, const net::udp::endpoint& from);
+    void note_malformed(const net::udp::endpoint& from);
     /// Keeps a new digest for the daemons that it is to be passed on to.
     void collect(const load_digest& digest, std::string_view bytes, const digest_origin& origin);
     void note_revisions(const load_digest& digest, const digest_origin& origin);
@@ -131,10 +115,7 @@
     [[nodiscard]] std::string own_digest();
     /// Reads the directory into the lists of endpoints.
     void refresh_peers();
-    /// Whether a digest to the group is due; then the group counts as told.
-    [[nodiscard]] bool is_due(peer_group& group) const;
     void send_to(const std::vector<net::udp::endpoint>& peers, std::string_view bytes);
-    [[nodiscard]] duration interval_for(std::size_t peers) const;
     [[nodiscard]] bool uses_gateways() const {
         return m_other_zones.endpoints.size() > m_options.max_direct_peers;
     }
@@ -156,9 +137,8 @@
     std::uint64_t m_sequence = 0;
     directory m_directory;
     std::vector<net::udp::endpoint> m_seed_endpoints;
-    std::map<std::string, peer_state, std::less<>> m_peers;
-    /// When a datagram came from an endpoint last.
-    std::map<net::udp::endpoint, time_point> m_heard_from;
+    peer_table m_peers;
+    heard_endpoints m_heard_from;
     digest_relay m_relay;
     token_exchange m_tokens;
     /// Daemons that may hold tokens of customers' rates.
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -4,11 +4,20 @@
 
 #include "peer/bounded.hpp"
 #include "peer/codec.hpp"
+#include "routing/leaving_targets.hpp"
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
+namespace eelgrassdoor::routing {
+
+template <typename Archive> void serialize(Archive& ar, leaving_start& start) {
+    ar(start.target, start.started_at);
+}
+
+} // namespace eelgrassdoor::routing
+
 namespace eelgrassdoor::fleet {
 
 /// Requests of the sender at one target.
@@ -27,16 +36,6 @@
     }
 };
 
-/// A start of a target that has said that it leaves.
-struct leaving_target {
-    /// stable_hash() of the target's id.
-    std::uint64_t target = 0;
-    /// Unix milliseconds.
-    std::uint64_t started_at = 0;
-
-    template <typename Archive> void serialize(Archive& ar) { ar(target, started_at); }
-};
-
 /// Tokens of one customer's accepted items on one route that wait at the sender.
 struct waiting_tokens {
     std::uint64_t customer_and_route = 0;
@@ -60,7 +59,7 @@
     std::vector<target_count> targets;
     std::vector<waiting_tokens> waiting;
     /// Listed targets that have said to any daemon that they leave.
-    std::vector<leaving_target> leaving;
+    std::vector<routing::leaving_start> leaving;
 
     template <typename Archive> void serialize(Archive& ar) {
         peer::text(ar, host);
