Tell two changes of a job's record apart

Cause: a change whose answer is lost is recognised by the record that it wrote. Two changes of one job can write the same record beside different results, so that one that the store executes late passed for the other, and results were listed that no caller had been shown (or shown ones replaced). Change: each change of a record draws a number. Shown by: check_late_change, which fails in both its cases without the number and passes with it.

--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -31,7 +31,8 @@
 }
 
 /// Whether the current record is the one that \p wanted writes: then an earlier copy of the change
-/// took effect and its answer was lost.
+/// took effect and its answer was lost. No other change writes the same record, see
+/// job_state::change, so the first record answers for the whole change.
 bool is_written(const store::kv_conflict& conflict, const store::kv_write& wanted) {
     return std::any_of(
         conflict.current.begin(), conflict.current.end(), [&](const store::kv_item& item) {
@@ -76,6 +77,7 @@
                                                          std::vector<std::string> item_values,
                                                          time_point deadline,
                                                          std::uint64_t& revision) {
+    state.change = m_random.next();
     store::kv_transaction change;
     change.conditions.push_back({state_key(state.job), 0});
     change.writes.push_back({state_key(state.job), encode(state)});
@@ -177,6 +179,7 @@
         job_state state = batch.before.state;
         const std::uint64_t position = state.listed;
         state.listed += batch.results.size();
+        state.change = m_random.next();
         change.conditions.push_back({state_key(state.job), batch.before.revision});
         change.writes.push_back({state_key(state.job), encode(state)});
         change.writes.push_back({results_key(state.job, position), encode(batch.results)});
@@ -196,8 +199,9 @@
     co_return change_outcome::done;
 }
 
-net::task<result<change_outcome>>
-job_repository::replace(const job_state& next, std::uint64_t& revision, time_point deadline) {
+net::task<result<change_outcome>> job_repository::replace(job_state next, std::uint64_t& revision,
+                                                          time_point deadline) {
+    next.change = m_random.next();
     store::kv_transaction change;
     change.conditions.push_back({state_key(next.job), revision});
     change.writes.push_back({state_key(next.job), encode(next)});
@@ -227,6 +231,7 @@
         }
         job_state next = found.value()->state;
         next.ended = true;
+        next.change = m_random.next();
         store::kv_transaction change;
         change.conditions.push_back({state_key(job), found.value()->revision});
         change.writes.push_back({state_key(job), encode(next)});
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -2,6 +2,7 @@
 /// Defines how batch jobs are kept in the key-value service.
 #pragma once
 
+#include "base/random_source.hpp"
 #include "jobs/job_state.hpp"
 #include "observe/decision_log.hpp"
 #include "store/kv_store.hpp"
@@ -57,7 +58,7 @@
     net::task<result<change_outcome>> append(std::vector<result_batch>& batches,
                                              time_point deadline);
     /// Replaces the record when it still has the revision. Updates \p revision when done.
-    net::task<result<change_outcome>> replace(const job_state& next, std::uint64_t& revision,
+    net::task<result<change_outcome>> replace(job_state next, std::uint64_t& revision,
                                               time_point deadline);
     /// Marks a job as ended by its caller, for whoever owns it. False when the customer has no
     /// such job.
@@ -79,6 +80,7 @@
     store::kv_store& m_store;
     clock_fn m_clock;
     observe::decision_log& m_log;
+    random_source m_random{secure_number()};
 };
 
 /// The results that fit into one answer, from position \p after on.
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -42,7 +42,7 @@
 
 template <typename Archive> void serialize(Archive& ar, job_state& s) {
     ar(s.job, s.customer, s.route, s.host, s.owner, s.owner_incarnation, s.epoch, s.items, s.listed,
-       s.ended, s.tokens, s.submitted_at);
+       s.ended, s.tokens, s.submitted_at, s.change);
 }
 
 namespace {
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -33,6 +33,9 @@
     std::uint64_t tokens = 0;
     /// Unix milliseconds of the submission, by the clock of the daemon that took it.
     std::int64_t submitted_at = 0;
+    /// Drawn anew for each change of the record. Two changes may otherwise write the same record
+    /// beside different results, and one that takes effect late would pass for the other.
+    std::uint64_t change = 0;
 
     bool operator==(const job_state&) const = default;
     [[nodiscard]] bool finished() const { return ended || listed == items; }
--- a/test/correctness/job_repository.cpp
+++ b/test/correctness/job_repository.cpp
@@ -94,6 +94,64 @@
     });
 }
 
+/// The store executes a change whose answer never came after the next change was sent for the first
+/// time: neither may be taken for the other, although both write the same count of results.
+void check_late_change() {
+    using results = std::vector<serving::listed_result>;
+    const serving::listed_result one{"one", true, "1"};
+    const serving::listed_result two{"two", true, "2"};
+    const serving::listed_result three{"three", true, "3"};
+    struct sequence {
+        const char* what;
+        results early_b;
+        results late_b;
+    };
+    const std::vector<sequence> sequences{
+        {"a later change with more results of another job", {two}, {two, three}},
+        {"a later change with another result at the same position", {two}, {three}}};
+    for (const sequence& each : sequences) {
+        fixture f;
+        const auto commit = f.store.commit;
+        std::vector<store::kv_transaction> sent;
+        bool hold = false;
+        f.store.commit =
+            [&](store::kv_transaction change) -> store::kv_store::reply<store::commit_outcome> {
+            if (hold) {
+                sent.push_back(std::move(change));
+                // The first one arrives when the second is on its way for the first time.
+                if (sent.size() == 2) {
+                    hold = false;
+                    const auto executed = co_await commit(sent.front());
+                    require(executed.has_value(), "the late change takes effect");
+                }
+                co_return error{error_code::unavailable, "no answer", run_state::unknown};
+            }
+            co_return co_await commit(std::move(change));
+        };
+        f.run([&]() -> net::task<> {
+            const std::vector<std::string> values{"items"};
+            job_state a = new_job();
+            job_state b = new_job();
+            b.job = "k";
+            std::uint64_t revision_a = 0;
+            std::uint64_t revision_b = 0;
+            (void)co_await f.repository.create(a, values, soon(), revision_a);
+            (void)co_await f.repository.create(b, values, soon(), revision_b);
+            hold = true;
+            std::vector<result_batch> early{{{a, revision_a}, {one}},
+                                            {{b, revision_b}, each.early_b}};
+            const auto given_up = co_await f.repository.append(early, steady_clock()());
+            require(!given_up && given_up.error().run == run_state::unknown,
+                    "a change without an answer has no known outcome");
+            std::vector<result_batch> late{{{a, revision_a}, {one}},
+                                           {{b, revision_b}, each.late_b}};
+            const auto outcome = co_await f.repository.append(late, soon());
+            require(outcome && outcome.value() == change_outcome::lost_race,
+                    std::string("is not taken for done: ") + each.what);
+        });
+    }
+}
+
 void check_codec() {
     std::vector<serving::submitted_item> items;
     for (int i = 0; i < 30; ++i) {
@@ -128,6 +186,7 @@
 int main() {
     check_appends();
     check_races();
+    check_late_change();
     check_codec();
     check_pages();
     return eelgrassdoor::test::finish();
