Take turns at slots that have become free

All daemons that run jobs saw a free slot at once, took it, and heard of each other 30 ms later. Change: each daemon has a rank at each target, those of its zone first, and takes a slot after it has been free for as many times of news as its rank asks.

--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -107,6 +107,13 @@
     }
 }
 
+duration link::news_time() const {
+    const duration own = m_own_zone.change_interval();
+    // Gateways collect what their zone tells and pass it on to those of other zones, which tell it
+    // in turn.
+    return uses_gateways() ? 3 * own : std::max(own, m_other_zones.change_interval());
+}
+
 void link::note_change() {
     m_own_zone.note_change();
     m_other_zones.note_change();
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] const member_map& members() const { return m_directory.registered(); }
     /// Daemons that may admit callers' requests, also when their registration has just ended.
     [[nodiscard]] std::size_t fronts() const { return m_directory.fronts(m_clock()); }
+    /// How long a change of load here takes until the other daemons know it.
+    [[nodiscard]] duration news_time() const;
     /// Tells the others soon that something in the digest has changed.
     void note_change();
 
--- a/src/fleet/peer_group.hpp
+++ b/src/fleet/peer_group.hpp
@@ -32,6 +32,8 @@
     /// The change is told in another way.
     void forget_change() { m_changed = false; }
     [[nodiscard]] bool has_change() const { return m_changed; }
+    /// The least time between two changes that the group is told.
+    [[nodiscard]] duration change_interval() const;
     /// Whether the group is to be told now; then it counts as told.
     [[nodiscard]] bool take_turn(time_point now);
 
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -39,8 +39,11 @@
         m_table.forget_old();
         m_table.give_up_late_items();
         stop_streams();
+        m_turns.forget_next_turn();
         dispatch();
-        co_await m_table.dispatch_wake.wait_until(m_context.clock() + dispatch_interval);
+        const time_point latest = m_context.clock() + dispatch_interval;
+        const time_point next = std::min(latest, m_turns.next_turn());
+        co_await m_table.dispatch_wake.wait_until(next);
     }
 }
 
@@ -48,11 +51,25 @@
     if (!may_dispatch() || m_table.releasing || !m_context.plan) {
         return;
     }
+    m_turns.configure(job_daemons(), m_options.self.host, m_context.link.news_time());
     std::set<std::string, std::less<>> full_services;
     while (start_next(full_services)) {
     }
 }
 
+std::vector<job_daemon> item_dispatcher::job_daemons() const {
+    std::vector<job_daemon> daemons;
+    for (const auto& [host, each] : m_context.link.members()) {
+        const bool lives =
+            host == m_options.self.host ||
+            m_context.link.heard_within(host, routing::fleet_load::peer_load_lifetime);
+        if (each.runs_jobs && lives) {
+            daemons.push_back({host, each.availability_zone});
+        }
+    }
+    return daemons;
+}
+
 std::vector<item_dispatcher::candidate>
 item_dispatcher::candidates(const std::set<std::string, std::less<>>& full_services) {
     std::vector<candidate> found;
@@ -94,10 +111,14 @@
     if (!job->item(index).last_failed_target.empty()) {
         excluded.insert(job->item(index).last_failed_target);
     }
-    std::optional<routing::fleet_target> target =
-        m_context.loads.pick_batch(service, excluded, m_context.clock(), m_context.random);
-    if (!target) {
-        target = m_context.loads.pick_batch(service, {}, m_context.clock(), m_context.random);
+    const auto may_start = [this](const routing::fleet_target& each, int free) {
+        return m_turns.may_start(each, free, m_context.clock());
+    };
+    std::optional<routing::fleet_target> target = m_context.loads.pick_batch(
+        service, excluded, m_context.clock(), m_context.random, may_start);
+    if (!target && !excluded.empty()) {
+        target =
+            m_context.loads.pick_batch(service, {}, m_context.clock(), m_context.random, may_start);
     }
     if (!target) {
         full_services.insert(service);
@@ -110,6 +131,7 @@
     running->exchange =
         std::make_shared<serving::target_exchange>(m_context, *target, serving::work_kind::batch);
     job->note_started(index);
+    m_turns.note_started(target->id);
     m_table.running.push_back(running);
     net::asio::co_spawn(m_context.executor, run_item(running, *target), net::asio::detached);
     return true;
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "batch/scheduler.hpp"
 #include "jobs/item_forecast.hpp"
 #include "jobs/job_table.hpp"
+#include "jobs/start_turns.hpp"
 
 #include <set>
 #include <string>
@@ -37,12 +38,15 @@
     void stop_streams();
     void stop_streams_at(const std::string& target, int count);
     [[nodiscard]] bool may_dispatch() const;
+    /// The daemons that run jobs and live, this one among them.
+    [[nodiscard]] std::vector<job_daemon> job_daemons() const;
 
     serving::host_context& m_context;
     const runner_options& m_options;
     job_table& m_table;
     batch::scheduler m_scheduler;
     item_forecast m_forecast;
+    start_turns m_turns;
 };
 
 } // namespace eelgrassdoor::jobs
--- /dev/null
+++ b/src/jobs/start_turns.cpp
@@ -0,0 +1,73 @@
+#include "jobs/start_turns.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace eelgrassdoor::jobs {
+
+namespace {
+
+/// How long a slot stays free before the first daemon takes it, and before each further one does,
+/// in times that a change of load takes to be known: one to learn of it, one to tell of the start.
+constexpr int news_per_turn = 2;
+
+} // namespace
+
+void start_turns::configure(std::vector<job_daemon> daemons, std::string_view own_host,
+                            duration news_time) {
+    m_news_time = news_time;
+    if (daemons == m_daemons && own_host == m_own_host) {
+        return;
+    }
+    m_daemons = std::move(daemons);
+    m_own_host = own_host;
+    for (auto& [id, slots] : m_targets) {
+        slots.ranked = false;
+    }
+}
+
+std::size_t start_turns::rank_at(const routing::fleet_target& target) const {
+    const std::uint64_t key = stable_hash(target.id);
+    const auto order = [&](const job_daemon& each) {
+        return std::pair(each.availability_zone == target.availability_zone,
+                         rendezvous_weight(key, each.host));
+    };
+    const auto own = std::find_if(m_daemons.begin(), m_daemons.end(),
+                                  [&](const job_daemon& each) { return each.host == m_own_host; });
+    if (own == m_daemons.end()) {
+        return m_daemons.size();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(m_daemons.begin(), m_daemons.end(),
+                      [&](const job_daemon& each) { return order(each) > order(*own); }));
+}
+
+bool start_turns::may_start(const routing::fleet_target& target, int free, time_point now) {
+    target_slots& slots = m_targets[target.id];
+    if (!slots.ranked) {
+        slots.rank = rank_at(target);
+        slots.ranked = true;
+    }
+    slots.free_since.resize(static_cast<std::size_t>(std::max(free, 0)), now);
+    if (slots.free_since.empty()) {
+        return false;
+    }
+    const auto turns = static_cast<std::int64_t>(slots.rank) + 1;
+    const time_point turn = slots.free_since.front() + turns * news_per_turn * m_news_time;
+    if (now < turn) {
+        m_next_turn = std::min(m_next_turn, turn);
+        return false;
+    }
+    return true;
+}
+
+void start_turns::note_started(std::string_view target) {
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end() && !found->second.free_since.empty()) {
+        found->second.free_since.erase(found->second.free_since.begin());
+    }
+}
+
+} // namespace eelgrassdoor::jobs
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -275,14 +275,16 @@
 
 std::optional<fleet_target> fleet_load::pick_batch(std::string_view service,
                                                    const excluded_ids& excluded, time_point now,
-                                                   random_source& random) {
+                                                   random_source& random,
+                                                   const may_start_fn& may_start) {
     const fleet_target* best = nullptr;
     double best_free = 0;
     for (const target_state* state : candidates(service, excluded, now)) {
         const fleet_target& target = state->target;
         const target_share load = state->load();
         const int free = target.slots - m_options.batch_reserve - load.online - load.batch;
-        if (free <= 0) {
+        const bool allowed = may_start(target, free);
+        if (free <= 0 || !allowed) {
             continue;
         }
         const double worth = free + random.unit();
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -140,10 +141,13 @@
     [[nodiscard]] std::optional<fleet_target>
     pick_online(std::string_view service, const std::set<std::string, std::less<>>& excluded,
                 time_point now, random_source& random);
-    /// Picks a target with a slot that neither online nor batch work uses.
+    /// Whether a batch item may start at a target with so many free slots.
+    using may_start_fn = std::function<bool(const fleet_target& target, int free)>;
+    /// Picks a target with a slot that neither online nor batch work uses, of those that
+    /// \p may_start allows. It is asked for every target that may be used at all.
     [[nodiscard]] std::optional<fleet_target>
     pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
-               time_point now, random_source& random);
+               time_point now, random_source& random, const may_start_fn& may_start);
     /// How many of this daemon's batch streams at \p id have to make room for online requests. Of
     /// several daemons with batch streams there, the one with the most makes room first.
     [[nodiscard]] int batch_to_stop(std::string_view id, std::string_view own_name, time_point now);
