Remember who owns a job; gather news of targets

Change: a daemon names the owner that it read last, while that start of it lives; a redirected call goes by the store. Watches of targets gather for 200 ms, of ended jobs for 500 ms. The tests are not built by this commit.

--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -21,6 +21,8 @@
 constexpr duration store_timeout = seconds(2);
 /// Daemons of each kind that are asked before the store is read.
 constexpr std::size_t max_asked = 2;
+/// Owners that are asked one after the other: the second one is by the store's record.
+constexpr int max_hops = 2;
 /// Owners that are remembered.
 constexpr std::size_t max_owners = 4096;
 /// When a caller may come back after a call that no daemon could answer: a registration of a daemon
@@ -144,8 +146,8 @@
     co_return reply ? std::move(*reply) : failed;
 }
 
-net::task<jobs::job_reply> job_front::ask_owner(const std::string& endpoint,
-                                                const jobs::job_call& call) {
+net::task<jobs::job_reply> job_front::ask_owner(const std::string& endpoint, jobs::job_call call) {
+    call.redirected = true;
     if (m_owners.size() >= max_owners) {
         m_owners.clear();
     }
@@ -164,7 +166,7 @@
     const std::vector<helper> all = helpers(call.job, how);
     for (const helper& whom : all) {
         last = co_await ask_one(whom, call);
-        if (last.status == jobs::reply_status::moved) {
+        for (int hop = 0; hop < max_hops && last.status == jobs::reply_status::moved; ++hop) {
             const std::string owner = last.owner_endpoint;
             last = co_await ask_owner(owner, call);
         }
--- a/src/entry/job_front.hpp
+++ b/src/entry/job_front.hpp
@@ -58,7 +58,7 @@
     net::task<jobs::job_reply> ask(jobs::job_call call, call_path how);
     net::task<jobs::job_reply> ask_one(const helper& whom, const jobs::job_call& call);
     /// Asks the owner that another daemon has named.
-    net::task<jobs::job_reply> ask_owner(const std::string& endpoint, const jobs::job_call& call);
+    net::task<jobs::job_reply> ask_owner(const std::string& endpoint, jobs::job_call call);
     net::task<jobs::job_reply> read_from_store(jobs::job_call call);
     net::task<jobs::job_reply> end_in_store(jobs::job_call call);
     /// Answers a call about an existing job: \p when_ok, or why it failed.
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -21,6 +21,11 @@
 constexpr duration delegate_silence = milliseconds(1300);
 /// Registrations that come one after the other are fetched together.
 constexpr duration member_gather_time = milliseconds(500);
+/// Targets come and go in groups. A tenth of the shortest time in which a leaving one must be
+/// known.
+constexpr duration target_gather_time = milliseconds(200);
+/// A sixth of the time in which an ended job must stop. Its owner mostly hears of it at once.
+constexpr duration ended_gather_time = milliseconds(500);
 /// Entry hosts own nothing that another daemon would take over, so they renew seldom.
 constexpr duration entry_ttl = seconds(8);
 constexpr duration entry_renew_interval = milliseconds(2500);
@@ -194,7 +199,9 @@
     // Daemons that run jobs must know who else does; they are few.
     m_feed.set_options(fleet::member_prefix,
                        {.gather_time = member_gather_time, .always_watched = m_settings.runs_jobs});
-    m_feed.set_options(jobs::ended_prefix, {.always_watched = true});
+    m_feed.set_options(m_adapter.target_prefix, {.gather_time = target_gather_time});
+    m_feed.set_options(jobs::ended_prefix,
+                       {.gather_time = ended_gather_time, .always_watched = true});
 }
 
 fleet::heard_state fleet_host::heard_state(std::string_view host) const {
--- a/src/jobs/job_call.cpp
+++ b/src/jobs/job_call.cpp
@@ -24,7 +24,7 @@
 
 template <typename Archive> void serialize(Archive& ar, job_call& call) {
     ar(call.kind, call.job, call.customer, call.route, call.host, call.body, call.after,
-       call.wait_ms, call.item);
+       call.wait_ms, call.item, call.redirected);
 }
 
 std::string encode(const job_call& call) {
--- a/src/jobs/job_call.hpp
+++ b/src/jobs/job_call.hpp
@@ -26,6 +26,9 @@
     std::uint64_t after = 0;
     std::uint32_t wait_ms = 0;
     std::string item;
+    /// Whether another daemon has named the one that is asked as the owner. What is remembered of
+    /// owners may be old, so the store decides then.
+    bool redirected = false;
 };
 
 enum class reply_status : std::uint8_t {
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -10,6 +10,9 @@
 /// itself: an answer mostly takes a few milliseconds.
 constexpr duration commit_wait = milliseconds(250);
 
+/// Owners of other daemons' jobs that are remembered.
+constexpr std::size_t max_owners = 4096;
+
 job_reply reply_of(reply_status status) {
     job_reply reply;
     reply.status = status;
@@ -143,6 +146,11 @@
             co_await m_table.wait_for_results(commit_until);
             continue;
         }
+        if (!job && !call.redirected) {
+            if (const std::optional<job_reply> moved = moved_to(call.job)) {
+                co_return *moved;
+            }
+        }
         if (!job || !m_table.is_certain(*job)) {
             co_return co_await read_from_store(std::move(call));
         }
@@ -159,6 +167,31 @@
     }
 }
 
+std::optional<job_reply> job_runner::moved_to(const std::string& job) const {
+    const auto known = m_owners.find(job);
+    if (known == m_owners.end()) {
+        return std::nullopt;
+    }
+    const fleet::member_map& members = m_context.link.members();
+    const auto owner = members.find(known->second.host);
+    const bool lives =
+        owner != members.end() && owner->second.incarnation == known->second.incarnation &&
+        m_context.link.heard_within(known->second.host, routing::fleet_load::peer_load_lifetime);
+    if (!lives || known->second.host == m_options.self.host) {
+        return std::nullopt;
+    }
+    job_reply reply = reply_of(reply_status::moved);
+    reply.owner_endpoint = owner->second.endpoint;
+    return reply;
+}
+
+void job_runner::remember_owner(const job_state& state) {
+    if (m_owners.size() >= max_owners) {
+        m_owners.clear();
+    }
+    m_owners[state.job] = {state.owner, state.owner_incarnation};
+}
+
 net::task<job_reply> job_runner::read_from_store(job_call call) {
     const result<std::optional<versioned_state>> known = co_await m_repository.read(call.job);
     if (!known) {
@@ -168,13 +201,9 @@
         co_return reply_of(reply_status::not_found);
     }
     const job_state& state = known.value()->state;
-    const auto owner = m_context.link.members().find(state.owner);
-    const bool owner_lives = owner != m_context.link.members().end() &&
-                             owner->second.incarnation == state.owner_incarnation;
-    if (!state.finished() && owner_lives && state.owner != m_options.self.host) {
-        job_reply reply = reply_of(reply_status::moved);
-        reply.owner_endpoint = owner->second.endpoint;
-        co_return reply;
+    remember_owner(state);
+    if (const std::optional<job_reply> moved = moved_to(call.job)) {
+        co_return *moved;
     }
     const result<std::vector<serving::listed_result>> results =
         co_await m_repository.read_results(call.job);
@@ -196,6 +225,9 @@
         reply.body = item->content.body;
         co_return reply;
     }
+    if (const std::optional<job_reply> moved = moved_to(call.job); moved && !call.redirected) {
+        co_return *moved;
+    }
     const result<std::optional<versioned_state>> known = co_await m_repository.read(call.job);
     if (!known) {
         co_return reply_of(reply_status::unavailable);
@@ -203,6 +235,10 @@
     if (!known.value() || known.value()->state.customer != call.customer) {
         co_return reply_of(reply_status::not_found);
     }
+    remember_owner(known.value()->state);
+    if (const std::optional<job_reply> moved = moved_to(call.job)) {
+        co_return *moved;
+    }
     const result<std::vector<serving::submitted_item>> items =
         co_await m_repository.read_items(call.job);
     if (!items) {
--- a/src/jobs/job_runner.hpp
+++ b/src/jobs/job_runner.hpp
@@ -9,6 +9,9 @@
 #include "jobs/job_table.hpp"
 #include "jobs/result_committer.hpp"
 
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,11 +47,23 @@
     net::task<job_reply> read_item(job_call call);
     net::task<job_reply> end(job_call call);
     net::task<job_reply> read_from_store(job_call call);
+    /// The reply that names the owner of a job, if another daemon owned it when its record was last
+    /// read here, and lives.
+    [[nodiscard]] std::optional<job_reply> moved_to(const std::string& job) const;
+    void remember_owner(const job_state& state);
 
     serving::host_context& m_context;
     job_repository& m_repository;
+    /// One start of a daemon.
+    struct owner {
+        std::string host;
+        std::uint64_t incarnation = 0;
+    };
+
     runner_options m_options;
     job_table m_table;
+    /// Who owned the jobs of other daemons, by job.
+    std::map<std::string, owner, std::less<>> m_owners;
     job_ownership m_ownership;
     result_committer m_committer;
     item_dispatcher m_dispatcher;
--- a/src/limits/customer_shares.cpp
+++ b/src/limits/customer_shares.cpp
@@ -10,6 +10,10 @@
 
 /// The part of a share that is lent at once. What stays covers the lender's own next requests.
 constexpr double lent_part = 0.75;
+/// Needs of one daemon that are asked for at once, in tokens.
+constexpr double most_needed = 8;
+/// What is asked for, in needs.
+constexpr double ask_margin = 1.5;
 /// A daemon that ran out of its own tokens lends none for this time, so that two daemons in need
 /// do not pass the same tokens to and fro.
 constexpr duration need_time = milliseconds(200);
@@ -38,14 +42,13 @@
         if (known != m_shares.end()) {
             known->second.limit = limit;
             known->second.part.set_share(wanted, now);
-            known->second.received = std::min(known->second.received, limit.burst);
             continue;
         }
         // A customer that is new to a running daemon is new to the fleet.
         const bool full = m_begins_full || m_configured;
         m_shares.emplace(
             customer,
-            share{limit, token_part(wanted, full ? wanted.capacity : 0, now), 0, {}, 0, {}});
+            share{.limit = limit, .part = token_part(wanted, full ? wanted.capacity : 0, now)});
     }
     m_configured = true;
     m_daemons = daemons;
@@ -58,19 +61,47 @@
     }
     share& own = found->second;
     own.recent_need += 1;
+    own.settle_loans(now);
     if (own.part.take(1, true, now) > 0) {
         return true;
     }
     const double balance = own.part.balance(now);
-    if (own.received + balance < 1) {
+    if (own.lent() + balance < 1) {
         own.needed_until = now + need_time;
         return false;
     }
     own.part.take(balance, false, now);
-    own.received -= 1 - balance;
+    own.use_lent(1 - balance);
     return true;
 }
 
+void customer_shares::share::settle_loans(time_point now) {
+    while (!received.empty() && received.front().expires <= now) {
+        part.add(received.front().amount, now);
+        received.pop_front();
+    }
+}
+
+double customer_shares::share::lent() const {
+    double sum = 0;
+    for (const loan& each : received) {
+        sum += each.amount;
+    }
+    return sum;
+}
+
+void customer_shares::share::use_lent(double amount) {
+    while (amount > 0 && !received.empty()) {
+        loan& oldest = received.front();
+        const double used = std::min(amount, oldest.amount);
+        oldest.amount -= used;
+        amount -= used;
+        if (oldest.amount <= 0) {
+            received.pop_front();
+        }
+    }
+}
+
 bool customer_shares::may_ask(std::string_view customer, time_point now) {
     const auto found = m_shares.find(customer);
     if (found == m_shares.end() || now - found->second.asked_at < ask_interval) {
@@ -84,9 +115,13 @@
     return std::max<duration>(shortest_ask_pause, m_daemons * ask_pause_per_daemon);
 }
 
-double customer_shares::tokens_to_ask(std::string_view customer) const {
+double customer_shares::tokens_to_ask(std::string_view customer, std::size_t lenders) const {
     const auto found = m_shares.find(customer);
-    return found == m_shares.end() ? 0 : std::clamp(found->second.recent_need, 1.0, 4.0);
+    if (found == m_shares.end() || lenders == 0) {
+        return 0;
+    }
+    const double need = std::clamp(found->second.recent_need, 1.0, most_needed);
+    return ask_margin * need / static_cast<double>(lenders);
 }
 
 double customer_shares::lend(std::string_view customer, double want, time_point now) {
@@ -94,11 +129,10 @@
     if (found == m_shares.end() || now < found->second.needed_until) {
         return 0;
     }
-    share& own = found->second;
-    const double from_received = std::min(want, own.received);
-    own.received -= from_received;
-    const double rest = std::min(want - from_received, own.part.balance(now) * lent_part);
-    return from_received + own.part.take(rest, false, now);
+    found->second.settle_loans(now);
+    token_part& part = found->second.part;
+    const double most = part.balance(now) * lent_part;
+    return part.lend(++m_last_loan, std::min(want, most), now, now + loan_room);
 }
 
 void customer_shares::receive(std::string_view customer, double amount, time_point now) {
@@ -106,10 +140,11 @@
     if (found == m_shares.end()) {
         return;
     }
-    found->second.received = std::min(found->second.received + amount, found->second.limit.burst);
-    found->second.recent_need = 0;
-    found->second.loan_rate = found->second.loans(now) + amount / loan_memory_s;
-    found->second.loans_at = now;
+    share& own = found->second;
+    own.received.push_back({amount, now + loan_life});
+    own.recent_need = 0;
+    own.loan_rate = own.loans(now) + amount / loan_memory_s;
+    own.loans_at = now;
 }
 
 double customer_shares::share::loans(time_point now) const {
@@ -128,7 +163,8 @@
         return duration::zero();
     }
     share& own = found->second;
-    const double missing = static_cast<double>(ahead + 1) - own.received - own.part.balance(now);
+    own.settle_loans(now);
+    const double missing = static_cast<double>(ahead + 1) - own.lent() - own.part.balance(now);
     return from_seconds(std::max(0.0, missing) * seconds_per_token(own, now));
 }
 
--- a/src/limits/customer_shares.hpp
+++ b/src/limits/customer_shares.hpp
@@ -8,6 +8,8 @@
 #include "limits/token_part.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -15,14 +17,19 @@
 namespace eelgrassdoor::limits {
 
 /// Each daemon that serves callers fills an equal share of each customer's bucket. A daemon whose
-/// callers need more asks the others, which give away what they have and do not need now. Tokens
-/// only move or vanish, so all shares together never admit more than the rate and burst, without
-/// any agreement on time and also while daemons are cut off from each other.
+/// callers need more asks the others, which lend what they have and do not need now. A loan lapses
+/// soon, and its lender keeps room for it until then, so that all shares together never hold more
+/// than the burst: no span of time admits more than the rate and burst, without any agreement on
+/// time and also while daemons are cut off from each other.
 class customer_shares {
 public:
     /// A daemon asks the others for one customer's tokens at most this often. Twice the round trip
     /// between the most distant zones with a margin for a busy host.
     static constexpr duration ask_interval = milliseconds(50);
+    /// How long a loan counts beside the own share, and how long its lender keeps room for it. The
+    /// difference covers the way of the datagram.
+    static constexpr duration loan_life = milliseconds(100);
+    static constexpr duration loan_room = milliseconds(200);
 
     /// \p begins_full: whether no daemon has used the tokens before, as at the first start of the
     /// fleet. Otherwise shares begin empty, because an earlier start may have used them.
@@ -38,11 +45,12 @@
     /// The pause between two asks of a request that goes on waiting. It grows with the fleet, as
     /// each ask goes to all daemons.
     [[nodiscard]] duration ask_pause() const;
-    /// How many tokens to ask for: what this daemon needed lately, at least one.
-    [[nodiscard]] double tokens_to_ask(std::string_view customer) const;
-    /// Gives tokens away for another daemon; returns how many.
+    /// How many tokens to ask each of \p lenders for: together somewhat more than this daemon
+    /// needed lately, as some have none.
+    [[nodiscard]] double tokens_to_ask(std::string_view customer, std::size_t lenders) const;
+    /// Lends tokens to another daemon; returns how many.
     double lend(std::string_view customer, double want, time_point now);
-    /// Takes in what another daemon gave.
+    /// Takes in what another daemon lent.
     void receive(std::string_view customer, double amount, time_point now);
     /// When this daemon's own share has a token again.
     duration until_next(std::string_view customer, time_point now);
@@ -54,11 +62,16 @@
     duration promise_return(std::string_view customer, duration predicted, time_point now);
 
 private:
+    /// Tokens that another daemon has lent.
+    struct loan {
+        double amount = 0;
+        time_point expires{};
+    };
     struct share {
         customer_limit limit;
         token_part part;
-        /// Tokens from other daemons; at most the burst.
-        double received = 0;
+        /// Tokens from other daemons, the oldest first.
+        std::deque<loan> received;
         time_point asked_at{};
         /// Requests since the others were asked last.
         double recent_need = 0;
@@ -70,6 +83,10 @@
         /// The last time that a caller was told to come back.
         time_point last_return{};
 
+        /// Puts loans that lapse into the own share, as far as it has room.
+        void settle_loans(time_point now);
+        [[nodiscard]] double lent() const;
+        void use_lent(double amount);
         /// The rate of loans at \p now, fading when none come.
         [[nodiscard]] double loans(time_point now) const;
     };
@@ -79,6 +96,7 @@
     const bool m_begins_full;
     bool m_configured = false;
     std::size_t m_daemons = 0;
+    std::uint64_t m_last_loan = 0;
     std::map<std::string, share, std::less<>> m_shares;
 };
 
--- a/src/limits/token_part.cpp
+++ b/src/limits/token_part.cpp
@@ -51,6 +51,12 @@
     return taken;
 }
 
+void token_part::add(double amount, time_point now) {
+    refill(now);
+    const double room = std::max(0.0, m_share.capacity - m_lent - m_balance);
+    m_balance += std::min(room, amount);
+}
+
 double token_part::lend(std::uint64_t grant_id, double want, time_point now, time_point expires) {
     const double taken = take(want, false, now);
     if (taken > 0) {
--- a/src/limits/token_part.hpp
+++ b/src/limits/token_part.hpp
@@ -30,6 +30,9 @@
     /// Takes up to \p want tokens. With \p all_or_nothing, takes \p want or none.
     double take(double want, bool all_or_nothing, time_point now);
 
+    /// Takes in tokens of another part, as far as there is room.
+    void add(double amount, time_point now);
+
     /// Like take(), but part of what is taken may come back until \p expires.
     double lend(std::uint64_t grant_id, double want, time_point now, time_point expires);
 
