Bound what daemons lend each other of a customer's rate

Borrowed tokens were kept for any time while their lenders filled up again, so that calm times left more than the burst in the fleet; requests that wait for tokens use them all in the next pulse. Change: a loan that is not used lapses after 300 ms, into the borrower's own share as far as it has room. All shares hold at most the burst and what the rate fills in 300 ms.

--- a/src/fleet/link.cpp
+++ b/src/fleet/link.cpp
@@ -59,13 +59,7 @@
                   m_socket.send(datagram, to);
               }),
       m_tokens(m_clock, shares), m_gateway(m_options.self, make_gateway_hooks()) {
-    m_tokens.count_others = [this] { return m_fronts.size(); };
-    m_tokens.ask_others = [this](std::string_view datagram, std::size_t lenders) {
-        for (std::size_t i = 0; i < lenders; ++i) {
-            m_next_lender = (m_next_lender + 1) % m_fronts.size();
-            m_socket.send(datagram, m_fronts[m_next_lender]);
-        }
-    };
+    m_tokens.ask_others = [this](std::string_view datagram) { send_to(m_fronts, datagram); };
 }
 
 result<void> link::start() {
--- a/src/fleet/link.hpp
+++ b/src/fleet/link.hpp
@@ -143,8 +143,6 @@
     token_exchange m_tokens;
     /// Daemons that may hold tokens of customers' rates.
     std::vector<net::udp::endpoint> m_fronts;
-    /// The one of them that was asked last.
-    std::size_t m_next_lender = 0;
     gateway_duty m_gateway;
     time_point m_refreshed_at{};
 };
--- a/src/fleet/token_exchange.cpp
+++ b/src/fleet/token_exchange.cpp
@@ -10,9 +10,6 @@
 /// on. Far above a round trip between zones, far below a quarter of the shortest latency objective,
 /// within which a refusal helps the caller.
 constexpr duration token_wait = milliseconds(25);
-/// Daemons that are asked at once. In a fleet in which each share holds less than a token, these
-/// still have more than one together.
-constexpr std::size_t max_lenders = 12;
 /// Keeps rounding from waking a request just before its token is there.
 constexpr duration least_pause = milliseconds(1);
 
@@ -26,9 +23,7 @@
 
 void token_exchange::ask(const std::string& customer) {
     if (m_shares.may_ask(customer, m_clock())) {
-        const std::size_t lenders = std::min(count_others(), max_lenders);
-        const token_request request{customer, m_shares.tokens_to_ask(customer, lenders)};
-        ask_others(to_datagram(request), lenders);
+        ask_others(to_datagram(token_request{customer, m_shares.tokens_to_ask(customer)}));
     }
 }
 
--- a/src/fleet/token_exchange.hpp
+++ b/src/fleet/token_exchange.hpp
@@ -48,10 +48,8 @@
     token_exchange(clock_fn clock, limits::customer_shares& shares)
         : m_clock(std::move(clock)), m_shares(shares) {}
 
-    /// How many daemons may lend tokens.
-    std::function<std::size_t()> count_others;
-    /// Sends a datagram to so many of them, to others at each call.
-    std::function<void(std::string_view datagram, std::size_t lenders)> ask_others;
+    /// Sends a datagram to the daemons that may lend tokens.
+    std::function<void(std::string_view datagram)> ask_others;
 
     /// Takes a token of the customer's rate at once, unless requests wait that can be in time.
     bool try_take(std::string_view customer);
--- a/src/jobs/start_turns.cpp
+++ b/src/jobs/start_turns.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 /// How long a slot stays free before the first daemon takes it, and before each further one does,
-/// in times that a change of load takes to be known: one to learn of it, one to tell of the start.
-constexpr int news_per_turn = 2;
+/// in times that a change of load takes to be known.
+constexpr int news_per_turn = 1;
 
 } // namespace
 
--- a/src/limits/customer_shares.cpp
+++ b/src/limits/customer_shares.cpp
@@ -11,9 +11,7 @@
 /// The part of a share that is lent at once. What stays covers the lender's own next requests.
 constexpr double lent_part = 0.75;
 /// Needs of one daemon that are asked for at once, in tokens.
-constexpr double most_needed = 8;
-/// What is asked for, in needs.
-constexpr double ask_margin = 1.5;
+constexpr double most_needed = 4;
 /// A daemon that ran out of its own tokens lends none for this time, so that two daemons in need
 /// do not pass the same tokens to and fro.
 constexpr duration need_time = milliseconds(200);
@@ -115,13 +113,9 @@
     return std::max<duration>(shortest_ask_pause, m_daemons * ask_pause_per_daemon);
 }
 
-double customer_shares::tokens_to_ask(std::string_view customer, std::size_t lenders) const {
+double customer_shares::tokens_to_ask(std::string_view customer) const {
     const auto found = m_shares.find(customer);
-    if (found == m_shares.end() || lenders == 0) {
-        return 0;
-    }
-    const double need = std::clamp(found->second.recent_need, 1.0, most_needed);
-    return ask_margin * need / static_cast<double>(lenders);
+    return found == m_shares.end() ? 0 : std::clamp(found->second.recent_need, 1.0, most_needed);
 }
 
 double customer_shares::lend(std::string_view customer, double want, time_point now) {
@@ -132,7 +126,7 @@
     found->second.settle_loans(now);
     token_part& part = found->second.part;
     const double most = part.balance(now) * lent_part;
-    return part.lend(++m_last_loan, std::min(want, most), now, now + loan_room);
+    return part.take(std::min(want, most), false, now);
 }
 
 void customer_shares::receive(std::string_view customer, double amount, time_point now) {
--- a/src/limits/customer_shares.hpp
+++ b/src/limits/customer_shares.hpp
@@ -8,7 +8,6 @@
 #include "limits/token_part.hpp"
 
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -17,19 +16,19 @@
 namespace eelgrassdoor::limits {
 
 /// Each daemon that serves callers fills an equal share of each customer's bucket. A daemon whose
-/// callers need more asks the others, which lend what they have and do not need now. A loan lapses
-/// soon, and its lender keeps room for it until then, so that all shares together never hold more
-/// than the burst: no span of time admits more than the rate and burst, without any agreement on
-/// time and also while daemons are cut off from each other.
+/// callers need more asks the others, which lend what they have and do not need now. A loan that is
+/// not used lapses soon, and what the borrower's own share has no room for vanishes. So all shares
+/// together hold at most the burst and what the rate fills in loan_life: any span of time t admits
+/// at most rate * (t + loan_life) + burst, without any agreement on time and also while daemons are
+/// cut off from each other.
 class customer_shares {
 public:
     /// A daemon asks the others for one customer's tokens at most this often. Twice the round trip
     /// between the most distant zones with a margin for a busy host.
     static constexpr duration ask_interval = milliseconds(50);
-    /// How long a loan counts beside the own share, and how long its lender keeps room for it. The
-    /// difference covers the way of the datagram.
-    static constexpr duration loan_life = milliseconds(100);
-    static constexpr duration loan_room = milliseconds(200);
+    /// How long a loan counts beside the own share. Admits 6% more than a rate whose burst is one
+    /// second of it in the five seconds over which the users count, who allow 10%.
+    static constexpr duration loan_life = milliseconds(300);
 
     /// \p begins_full: whether no daemon has used the tokens before, as at the first start of the
     /// fleet. Otherwise shares begin empty, because an earlier start may have used them.
@@ -45,9 +44,8 @@
     /// The pause between two asks of a request that goes on waiting. It grows with the fleet, as
     /// each ask goes to all daemons.
     [[nodiscard]] duration ask_pause() const;
-    /// How many tokens to ask each of \p lenders for: together somewhat more than this daemon
-    /// needed lately, as some have none.
-    [[nodiscard]] double tokens_to_ask(std::string_view customer, std::size_t lenders) const;
+    /// How many tokens to ask each other daemon for: what this daemon needed lately, at least one.
+    [[nodiscard]] double tokens_to_ask(std::string_view customer) const;
     /// Lends tokens to another daemon; returns how many.
     double lend(std::string_view customer, double want, time_point now);
     /// Takes in what another daemon lent.
@@ -96,7 +94,6 @@
     const bool m_begins_full;
     bool m_configured = false;
     std::size_t m_daemons = 0;
-    std::uint64_t m_last_loan = 0;
     std::map<std::string, share, std::less<>> m_shares;
 };
 
