Move every request that is late behind the others

Cause: found by reading. Requests of routes with a shorter latency objective became late behind one with a longer objective and were not moved; their coroutine then woke without a pause until that one had left, at the cost of the whole processor. Targets that are gone were remembered without bound. Change: all late requests are moved; at most 4096 targets are remembered. Shown by: rate_pulses, a request of a shorter objective (failed before).

--- a/src/jobs/start_turns.cpp
+++ b/src/jobs/start_turns.cpp
@@ -12,6 +12,9 @@
 /// How long a slot stays free before the first daemon takes it, and before each further one does,
 /// in times that a change of load takes to be known.
 constexpr int news_per_turn = 1;
+/// Targets that are remembered. Several times the 870 of the design size, as ones that are gone
+/// stay.
+constexpr std::size_t max_targets = 4096;
 
 } // namespace
 
@@ -45,6 +48,9 @@
 }
 
 bool start_turns::may_start(const routing::fleet_target& target, int free, time_point now) {
+    if (m_targets.size() >= max_targets && !m_targets.contains(target.id)) {
+        m_targets.clear();
+    }
     target_slots& slots = m_targets[target.id];
     if (!slots.ranked) {
         slots.rank = rank_at(target);
--- a/src/limits/token_line.cpp
+++ b/src/limits/token_line.cpp
@@ -24,15 +24,20 @@
 }
 
 bool token_line::note_time(time_point now) {
-    bool moved = false;
-    while (!m_in_time.empty() && m_in_time.front()->late_at <= now) {
-        const waiter_ptr waiter = m_in_time.front();
-        m_in_time.pop_front();
+    // Requests of routes with other objectives are not late in the order in which they came.
+    std::list<waiter_ptr> late;
+    for (auto it = m_in_time.begin(); it != m_in_time.end();) {
+        const auto next = std::next(it);
+        if ((*it)->late_at <= now) {
+            late.splice(late.end(), m_in_time, it);
+        }
+        it = next;
+    }
+    for (const waiter_ptr& waiter : late) {
         waiter->is_late = true;
         insert_late(waiter);
-        moved = true;
     }
-    return moved;
+    return !late.empty();
 }
 
 std::size_t token_line::ahead_of(const waiter_ptr& waiter) const {
--- a/test/correctness/rate_pulses.cpp
+++ b/test/correctness/rate_pulses.cpp
@@ -225,6 +225,10 @@
     require(line.note_time(time_point() + milliseconds(200)), "two of them are late then");
     require(line.first() == c && line.ahead_of(b) == 1 && line.ahead_of(a) == 2,
             "late ones go behind, the one with the least time first");
+    const auto d = make(milliseconds(300), seconds(6));
+    require(line.note_time(time_point() + milliseconds(300)) && d->is_late && !c->is_late,
+            "a request of a shorter objective is late before one that came earlier");
+    line.remove(d);
     line.keep_until(b, time_point() + seconds(9));
     line.remove(c);
     require(line.first() == a, "a longer bound moves a late request back");
