--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+std::string to_ms(duration d) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
+}
+
 error no_configuration() {
     return {error_code::unavailable, "no configuration is in force yet", run_state::not_run,
             seconds(1)};
@@ -92,9 +96,17 @@
                                       const std::string& customer) {
     const auto waiter = std::make_shared<fleet::waiting_caller>(m_context.executor);
     caller.on_caller_left([waiter] { waiter->leave(); });
+    const time_point asked_at = m_context.clock();
     const routing::waiting_request terms = waiting_terms(m_context, request, route);
     const fleet::token_outcome outcome =
         co_await m_context.link.tokens().wait(customer, terms, waiter);
+    m_context.log.write(observe::event::request_waited, request.id,
+                        {{"customer", customer},
+                         {"token", outcome.taken ? "taken" : "none"},
+                         {"waited_ms", to_ms(m_context.clock() - asked_at)},
+                         {"predicted_ms", to_ms(outcome.predicted)},
+                         {"time_left_ms", to_ms(terms.time_left)},
+                         {"passed_ms", to_ms(terms.passed)}});
     if (caller.caller_left()) {
         m_context.log.write(observe::event::caller_left, request.id, {{"customer", customer}});
         co_return false;
--- a/src/fleet/token_exchange.cpp
+++ b/src/fleet/token_exchange.cpp
@@ -59,6 +59,7 @@
         if (now >= waiter->until) {
             const duration predicted = m_shares.predict(customer, line.ahead_of(waiter), now);
             const routing::wait_decision decision = routing::decide_wait(request, predicted);
+            outcome.predicted = predicted;
             if (decided || !decision.waits) {
                 outcome.retry_after = m_shares.promise_return(customer, predicted, now);
                 break;
--- a/src/fleet/token_exchange.hpp
+++ b/src/fleet/token_exchange.hpp
@@ -38,6 +38,8 @@
 /// How a wait for a token ended.
 struct token_outcome {
     bool taken = false;
+    /// The wait that was predicted when it was decided whether the request waits; zero before.
+    duration predicted{};
     /// When an attempt is likely to succeed, unless a token was taken.
     duration retry_after{};
 };
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -70,6 +70,8 @@
                "The answer to a caller has ended."},
     event_info{event::stream_ended_by_key, "stream_ended_by_key", info,
                "A stream was ended because its key was withdrawn."},
+    event_info{event::request_waited, "request_waited", info,
+               "A request found no token of its customer's rate; how long it waited for one."},
     event_info{event::claim_created, "claim_created", info,
                "A non-idempotent call was claimed before it is sent."},
     event_info{event::claim_replayed, "claim_replayed", info,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -48,6 +48,7 @@
     request_retried = 505,
     request_finished = 506,
     stream_ended_by_key = 507,
+    request_waited = 508,
     claim_created = 510,
     claim_replayed = 511,
     stream_resumed = 512,
