Split the host and the job runner by what they keep; one mechanism for each thing

A waiter is woken by a hook instead of a downcast; the wait for a token is split into joining, deciding and looking again. A multiplier of 1 is gone. A route that has become a job route while a request waited for a token takes it as a job. The comment on loan_life gave a wrong share. Service times are learnt from whole answers as well as from streams.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -18,6 +18,10 @@
     return std::chrono::duration<double>(d).count();
 }
 
+std::int64_t to_ms(duration d) {
+    return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 duration from_seconds(double s) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
 }
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -42,6 +42,9 @@
 /// The seconds in \p d, with fractions.
 double to_seconds(duration d);
 
+/// The whole milliseconds in \p d.
+std::int64_t to_ms(duration d);
+
 /// A duration of \p s seconds, with fractions.
 duration from_seconds(double s);
 
--- a/src/entry/front.cpp
+++ b/src/entry/front.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-std::string to_ms(duration d) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
-}
-
 error no_configuration() {
     return {error_code::unavailable, "no configuration is in force yet", run_state::not_run,
             seconds(1)};
@@ -94,19 +90,19 @@
 net::task<bool> front::wait_for_token(net::server_exchange& caller, const caller_request& request,
                                       const config::serving_route& route,
                                       const std::string& customer) {
-    const auto waiter = std::make_shared<fleet::waiting_caller>(m_context.executor);
-    caller.on_caller_left([waiter] { waiter->leave(); });
+    const auto presence = std::make_shared<fleet::caller_presence>(m_context.executor);
+    caller.on_caller_left([presence] { presence->leave(); });
     const time_point asked_at = m_context.clock();
     const routing::waiting_request terms = waiting_terms(m_context, request, route);
     const fleet::token_outcome outcome =
-        co_await m_context.link.tokens().wait(customer, terms, waiter);
+        co_await m_context.link.tokens().wait(customer, terms, presence);
     m_context.log.write(observe::event::request_waited, request.id,
                         {{"customer", customer},
                          {"token", outcome.taken ? "taken" : "none"},
-                         {"waited_ms", to_ms(m_context.clock() - asked_at)},
-                         {"predicted_ms", to_ms(outcome.predicted)},
-                         {"time_left_ms", to_ms(terms.time_left)},
-                         {"passed_ms", to_ms(terms.passed)}});
+                         {"waited_ms", std::to_string(to_ms(m_context.clock() - asked_at))},
+                         {"predicted_ms", std::to_string(to_ms(outcome.predicted))},
+                         {"time_left_ms", std::to_string(to_ms(terms.time_left))},
+                         {"passed_ms", std::to_string(to_ms(terms.passed))}});
     if (caller.caller_left()) {
         m_context.log.write(observe::event::caller_left, request.id, {{"customer", customer}});
         co_return false;
@@ -122,7 +118,7 @@
 }
 
 net::task<> front::handle_request(net::server_exchange& caller, caller_request request) {
-    // The plan stays the same for the whole request, also when a newer one comes into force.
+    // A request that runs keeps its plan, also when a newer one comes into force.
     config::serving_plan_ptr plan = m_context.plan;
     result<admission> admitted =
         plan ? admit(*plan, request) : result<admission>(no_configuration());
@@ -130,19 +126,15 @@
         co_await refuse(caller, request.id, admitted.error());
         co_return;
     }
-    if (admitted.value().route->takes_jobs) {
-        const admission job = admitted.value();
-        co_await m_jobs.submit(caller, std::move(request), *job.route, job.customer);
-        co_return;
-    }
     const std::string customer = admitted.value().customer;
-    if (!customer.empty() && !m_context.link.tokens().try_take(customer)) {
+    const bool counts = !customer.empty() && !admitted.value().route->takes_jobs;
+    if (counts && !m_context.link.tokens().try_take(customer)) {
         const bool inside_rate =
             co_await wait_for_token(caller, request, *admitted.value().route, customer);
         if (!inside_rate) {
             co_return;
         }
-        // The key may have been withdrawn while the request waited.
+        // The key or the route may be gone since.
         plan = m_context.plan;
         admitted = admit(*plan, request);
         if (!admitted) {
@@ -151,6 +143,10 @@
         }
     }
     const admission run = admitted.value();
+    if (run.route->takes_jobs) {
+        co_await m_jobs.submit(caller, std::move(request), *run.route, run.customer);
+        co_return;
+    }
     co_await m_online.run(caller, std::move(request), *run.route, run.customer);
 }
 
--- a/src/entry/job_front.cpp
+++ b/src/entry/job_front.cpp
@@ -23,8 +23,6 @@
 constexpr std::size_t max_asked = 2;
 /// Owners that are asked one after the other: the second one is by the store's record.
 constexpr int max_hops = 2;
-/// Owners that are remembered.
-constexpr std::size_t max_owners = 4096;
 /// When a caller may come back after a call that no daemon could answer: a registration of a daemon
 /// that is gone lapses within three seconds, and another one answers mostly at once.
 constexpr duration unavailable_retry = milliseconds(500);
@@ -71,8 +69,8 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<std::string> out;
-    if (const auto known = m_owners.find(job); known != m_owners.end()) {
-        out.push_back(known->second);
+    if (const std::string* known = m_owners.find(job)) {
+        out.push_back(*known);
     }
     for (const auto& [weight, endpoint] : ranked) {
         if (std::find(out.begin(), out.end(), endpoint) == out.end()) {
@@ -148,10 +146,7 @@
 
 net::task<jobs::job_reply> job_front::ask_owner(const std::string& endpoint, jobs::job_call call) {
     call.redirected = true;
-    if (m_owners.size() >= max_owners) {
-        m_owners.clear();
-    }
-    m_owners[call.job] = endpoint;
+    m_owners.at(call.job) = endpoint;
     if (!m_context.link.hears_directly(endpoint)) {
         // Another front is asked next.
         co_return jobs::job_reply{};
--- a/src/entry/job_front.hpp
+++ b/src/entry/job_front.hpp
@@ -2,8 +2,10 @@
 /// Defines how a front answers callers' calls about jobs.
 #pragma once
 
+#include "base/bounded_map.hpp"
 #include "jobs/job_call.hpp"
 #include "jobs/job_repository.hpp"
+#include "jobs/owner_memory.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "serving/host_context.hpp"
@@ -76,7 +78,7 @@
     jobs::job_repository& m_repository;
     net::http_client m_client;
     /// Owners that differ from the first choice, by job.
-    std::map<std::string, std::string, std::less<>> m_owners;
+    bounded_map<std::string> m_owners{jobs::owner_memory::max_jobs};
 };
 
 } // namespace eelgrassdoor::entry
--- a/src/entry/online_service.cpp
+++ b/src/entry/online_service.cpp
@@ -19,10 +19,6 @@
 /// A request is not tried anew with less time than this left.
 constexpr duration least_time = milliseconds(50);
 
-std::string to_ms(duration d) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(d).count());
-}
-
 net::http_response passed_on(const net::http_response& answer) {
     net::http_response out;
     out.status = answer.status;
@@ -104,7 +100,7 @@
         run.begun ? observe::event::stream_resumed : observe::event::target_chosen, run.request.id,
         {{"target", target.id},
          {"online", std::to_string(m_context.loads.total(target.id, m_context.clock()).online)},
-         {"left_ms", to_ms(*call.time_left)}});
+         {"left_ms", std::to_string(to_ms(*call.time_left))}});
     run.sent_at = m_context.clock();
     run.active = std::make_shared<target_exchange>(m_context, target, work_kind::online);
     const std::shared_ptr<target_exchange> exchange = run.active;
@@ -289,11 +285,11 @@
                          {"customer", run.customer},
                          {"runs", std::to_string(run.runs)},
                          {"events", std::to_string(run.events)},
-                         {"first_ms", to_ms(run.first_event_after)},
-                         {"whole_ms", to_ms(whole)}});
+                         {"first_ms", std::to_string(to_ms(run.first_event_after))},
+                         {"whole_ms", std::to_string(to_ms(whole))}});
     m_context.numbers.count(
         str_cat("requests_total{outcome=\"", outcome == "answered" ? "answered" : "other", "\"}"));
-    if (outcome == "answered" && run.route.streaming) {
+    if (outcome == "answered") {
         m_context.times.note(run.service, m_context.clock() - run.sent_at);
     }
     if (run.events > 0) {
--- a/src/fleet/token_exchange.hpp
+++ b/src/fleet/token_exchange.hpp
@@ -17,12 +17,12 @@
 
 namespace eelgrassdoor::fleet {
 
-/// A request that waits for a token, as its coroutine sees it.
-class waiting_caller : public limits::token_waiter {
+/// Ends the wait of a caller that has gone.
+class caller_presence {
 public:
-    explicit waiting_caller(const net::asio::any_io_executor& executor) : m_wake(executor) {}
+    explicit caller_presence(const net::asio::any_io_executor& executor) : m_wake(executor) {}
 
-    /// The caller has gone: the wait ends.
+    /// The caller has gone.
     void leave() {
         m_left = true;
         m_wake.notify();
@@ -58,16 +58,28 @@
     /// Waits for a token in the order of limits::token_line, if routing::decide_wait() lets the
     /// request.
     net::task<token_outcome> wait(std::string customer, routing::waiting_request request,
-                                  std::shared_ptr<waiting_caller> waiter);
+                                  std::shared_ptr<caller_presence> caller);
     /// The datagram that answers another daemon's request; empty when nothing is lent.
     std::string lend(const token_request& request);
     void receive(const token_transfer& transfer);
 
 private:
+    using waiter_ptr = limits::token_line::waiter_ptr;
+
     void ask(const std::string& customer);
-    static void wake_first(const limits::token_line& waiting);
-    /// When the first of a line may succeed, or has to ask the others again.
-    [[nodiscard]] time_point next_try(const std::string& customer);
+    /// Puts a request into the line; it is decided after a moment whether it stays.
+    waiter_ptr join(limits::token_line& line, const routing::waiting_request& request,
+                    const std::shared_ptr<caller_presence>& caller);
+    /// What decides whether a request goes on waiting, once its time to wait for loans is over.
+    [[nodiscard]] routing::wait_decision decide(const std::string& customer,
+                                                const limits::token_line& line,
+                                                const waiter_ptr& waiter,
+                                                const routing::waiting_request& request);
+    /// When the request has to look again, if nothing wakes it before. Asks the others for tokens
+    /// if it is the first.
+    [[nodiscard]] time_point next_look(const std::string& customer, const limits::token_line& line,
+                                       const waiter_ptr& waiter);
+    void leave(const std::string& customer, const waiter_ptr& waiter);
 
     clock_fn m_clock;
     limits::customer_shares& m_shares;
--- /dev/null
+++ b/src/host/evacuation.cpp
@@ -0,0 +1,41 @@
+#include "host/evacuation.hpp"
+
+#include "net/notification.hpp"
+
+namespace eelgrassdoor::host {
+
+namespace {
+
+/// The pause between two looks whether jobs are left, and between two attempts to report.
+constexpr duration report_interval = milliseconds(250);
+
+} // namespace
+
+void evacuation::begin(jobs::job_runner& runner) {
+    if (m_begun) {
+        return;
+    }
+    m_begun = true;
+    runner.release_all();
+    net::asio::co_spawn(m_executor, report(runner), net::asio::detached);
+}
+
+net::task<> evacuation::report(jobs::job_runner& runner) {
+    bool reported_active = false;
+    for (;;) {
+        const bool complete = runner.owns_nothing();
+        if (complete || !reported_active) {
+            store::kv_transaction change;
+            change.writes.push_back(m_adapter.evacuation_status(m_host, complete));
+            const auto written = co_await m_adapter.store.commit(std::move(change));
+            reported_active = reported_active || written.has_value();
+            if (complete && written) {
+                m_log.write(observe::event::host_emptied, m_host);
+                co_return;
+            }
+        }
+        co_await net::sleep_for(report_interval);
+    }
+}
+
+} // namespace eelgrassdoor::host
--- a/src/host/fleet_host.cpp
+++ b/src/host/fleet_host.cpp
@@ -79,6 +79,7 @@
                    : nullptr),
       m_job_front(m_context, m_repository, {.is_cut_off = m_settings.is_cut_off}),
       m_front(m_context, m_job_front),
+      m_evacuation(m_context.executor, m_settings.host, adapter, log),
       m_peer_api(m_context, m_mirror, m_runner.get(), m_job_front) {}
 
 fleet_host::~fleet_host() = default;
@@ -303,28 +304,8 @@
 
 void fleet_host::check_evacuation() {
     const bool asked = m_mirror.find(m_adapter.evacuation_key(m_settings.host)) != nullptr;
-    if (asked && m_runner && !m_evacuating) {
-        m_evacuating = true;
-        m_runner->release_all();
-        net::asio::co_spawn(m_context.executor, evacuate(), net::asio::detached);
-    }
-}
-
-net::task<> fleet_host::evacuate() {
-    bool reported_active = false;
-    for (;;) {
-        const bool complete = m_runner->owns_nothing();
-        if (complete || !reported_active) {
-            store::kv_transaction change;
-            change.writes.push_back(m_adapter.evacuation_status(m_settings.host, complete));
-            const auto written = co_await m_adapter.store.commit(std::move(change));
-            reported_active = reported_active || written.has_value();
-            if (complete && written) {
-                m_log.write(observe::event::host_emptied, m_settings.host);
-                co_return;
-            }
-        }
-        co_await net::sleep_for(tick_interval);
+    if (asked && m_runner) {
+        m_evacuation.begin(*m_runner);
     }
 }
 
--- a/src/host/fleet_host.hpp
+++ b/src/host/fleet_host.hpp
@@ -8,6 +8,7 @@
 #include "fleet/registration.hpp"
 #include "fleet/store_presence.hpp"
 #include "fleet/watch_duty.hpp"
+#include "host/evacuation.hpp"
 #include "host/host_adapter.hpp"
 #include "host/host_settings.hpp"
 #include "host/peer_api.hpp"
@@ -52,7 +53,6 @@
     void check_evacuation();
 
     net::task<> tick_loop();
-    net::task<> evacuate();
     net::task<> shutdown();
     net::task<> answer_readiness(net::server_exchange& caller);
     net::task<> answer_metrics(net::server_exchange& caller);
@@ -78,6 +78,7 @@
     std::unique_ptr<jobs::job_runner> m_runner;
     entry::job_front m_job_front;
     entry::front m_front;
+    evacuation m_evacuation;
     peer_api m_peer_api;
     std::unique_ptr<net::http_server> m_caller_server;
     std::unique_ptr<net::http_server> m_readiness_server;
@@ -87,7 +88,6 @@
     std::uint64_t m_plan_revision = 0;
     bool m_started_ready = false;
     bool m_shutting_down = false;
-    bool m_evacuating = false;
 };
 
 } // namespace eelgrassdoor::host
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -11,10 +11,6 @@
 /// Items are offered to targets at least this often.
 constexpr duration dispatch_interval = milliseconds(200);
 
-std::int64_t to_ms(duration d) {
-    return std::chrono::duration_cast<milliseconds>(d).count();
-}
-
 } // namespace
 
 item_dispatcher::item_dispatcher(serving::host_context& context, const runner_options& options,
@@ -39,7 +35,7 @@
         m_table.forget_old();
         m_table.give_up_late_items();
         stop_streams();
-        m_turns.forget_next_turn();
+        m_turns.begin_round();
         dispatch();
         const time_point latest = m_context.clock() + dispatch_interval;
         const time_point next = std::min(latest, m_turns.next_turn());
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -73,14 +73,19 @@
     }
 }
 
+void job_repository::add_record(store::kv_transaction& change, job_state& state,
+                                std::uint64_t revision) {
+    state.change = m_random.next();
+    change.conditions.push_back({state_key(state.job), revision});
+    change.writes.push_back({state_key(state.job), encode(state)});
+}
+
 net::task<result<change_outcome>> job_repository::create(job_state state,
                                                          std::vector<std::string> item_values,
                                                          time_point deadline,
                                                          std::uint64_t& revision) {
-    state.change = m_random.next();
     store::kv_transaction change;
-    change.conditions.push_back({state_key(state.job), 0});
-    change.writes.push_back({state_key(state.job), encode(state)});
+    add_record(change, state, 0);
     for (std::size_t part = 0; part < item_values.size(); ++part) {
         change.writes.push_back({items_key(state.job, part), std::move(item_values[part])});
     }
@@ -179,9 +184,7 @@
         job_state state = batch.before.state;
         const std::uint64_t position = state.listed;
         state.listed += batch.results.size();
-        state.change = m_random.next();
-        change.conditions.push_back({state_key(state.job), batch.before.revision});
-        change.writes.push_back({state_key(state.job), encode(state)});
+        add_record(change, state, batch.before.revision);
         change.writes.push_back({results_key(state.job, position), encode(batch.results)});
         next.push_back(std::move(state));
     }
@@ -201,10 +204,8 @@
 
 net::task<result<change_outcome>> job_repository::replace(job_state next, std::uint64_t& revision,
                                                           time_point deadline) {
-    next.change = m_random.next();
     store::kv_transaction change;
-    change.conditions.push_back({state_key(next.job), revision});
-    change.writes.push_back({state_key(next.job), encode(next)});
+    add_record(change, next, revision);
     result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
     if (!outcome) {
         co_return outcome.error();
@@ -231,10 +232,8 @@
         }
         job_state next = found.value()->state;
         next.ended = true;
-        next.change = m_random.next();
         store::kv_transaction change;
-        change.conditions.push_back({state_key(job), found.value()->revision});
-        change.writes.push_back({state_key(job), encode(next)});
+        add_record(change, next, found.value()->revision);
         change.writes.push_back({ended_key(job), "1"});
         result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
         if (!outcome) {
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -65,6 +65,9 @@
     net::task<result<bool>> end(std::string job, std::string customer, time_point deadline);
 
 private:
+    /// Adds a job's record to a change, on condition that it still has \p revision, and numbers the
+    /// change. It is the first write of the job in the transaction.
+    void add_record(store::kv_transaction& change, job_state& state, std::uint64_t revision);
     /// All pages of a prefix.
     net::task<result<std::vector<store::kv_item>>> list_all(std::string prefix,
                                                             store::consistency how);
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -10,9 +10,6 @@
 /// itself: an answer mostly takes a few milliseconds.
 constexpr duration commit_wait = milliseconds(250);
 
-/// Owners of other daemons' jobs that are remembered.
-constexpr std::size_t max_owners = 4096;
-
 job_reply reply_of(reply_status status) {
     job_reply reply;
     reply.status = status;
@@ -24,7 +21,8 @@
 job_runner::job_runner(serving::host_context& context, job_repository& repository,
                        runner_options options)
     : m_context(context), m_repository(repository), m_options(std::move(options)),
-      m_table(context, m_options), m_ownership(context, m_options, repository, m_table),
+      m_table(context, m_options), m_owners(m_options.self.host),
+      m_ownership(context, m_options, repository, m_table),
       m_committer(context, m_options, repository, m_table),
       m_dispatcher(context, m_options, m_table) {
     m_committer.release = [this] { return m_ownership.release_jobs(); };
@@ -146,10 +144,9 @@
             co_await m_table.wait_for_results(commit_until);
             continue;
         }
-        if (!job && !call.redirected) {
-            if (const std::optional<job_reply> moved = moved_to(call.job)) {
-                co_return *moved;
-            }
+        if (const std::optional<job_reply> moved = moved_to(call.job);
+            moved && !job && !call.redirected) {
+            co_return *moved;
         }
         if (!job || !m_table.is_certain(*job)) {
             co_return co_await read_from_store(std::move(call));
@@ -168,42 +165,40 @@
 }
 
 std::optional<job_reply> job_runner::moved_to(const std::string& job) const {
-    const auto known = m_owners.find(job);
-    if (known == m_owners.end()) {
-        return std::nullopt;
-    }
-    const fleet::member_map& members = m_context.link.members();
-    const auto owner = members.find(known->second.host);
-    const bool lives =
-        owner != members.end() && owner->second.incarnation == known->second.incarnation &&
-        m_context.link.heard_within(known->second.host, routing::fleet_load::peer_load_lifetime);
-    if (!lives || known->second.host == m_options.self.host) {
+    const auto is_heard = [this](std::string_view host) {
+        return m_context.link.heard_within(host, routing::fleet_load::peer_load_lifetime);
+    };
+    std::optional<std::string> endpoint =
+        m_owners.endpoint_of(job, m_context.link.members(), is_heard);
+    if (!endpoint) {
         return std::nullopt;
     }
     job_reply reply = reply_of(reply_status::moved);
-    reply.owner_endpoint = owner->second.endpoint;
+    reply.owner_endpoint = std::move(*endpoint);
     return reply;
 }
 
-void job_runner::remember_owner(const job_state& state) {
-    if (m_owners.size() >= max_owners) {
-        m_owners.clear();
-    }
-    m_owners[state.job] = {state.owner, state.owner_incarnation};
-}
-
-net::task<job_reply> job_runner::read_from_store(job_call call) {
+net::task<job_runner::lookup> job_runner::look_up(job_call call) {
+    lookup found;
     const result<std::optional<versioned_state>> known = co_await m_repository.read(call.job);
     if (!known) {
-        co_return reply_of(reply_status::unavailable);
+        found.reply = reply_of(reply_status::unavailable);
+        co_return found;
     }
     if (!known.value() || known.value()->state.customer != call.customer) {
-        co_return reply_of(reply_status::not_found);
+        found.reply = reply_of(reply_status::not_found);
+        co_return found;
     }
-    const job_state& state = known.value()->state;
-    remember_owner(state);
-    if (const std::optional<job_reply> moved = moved_to(call.job)) {
-        co_return *moved;
+    found.state = known.value()->state;
+    m_owners.note(found.state);
+    found.reply = moved_to(call.job);
+    co_return found;
+}
+
+net::task<job_reply> job_runner::read_from_store(job_call call) {
+    const lookup found = co_await look_up(call);
+    if (found.reply) {
+        co_return *found.reply;
     }
     const result<std::vector<serving::listed_result>> results =
         co_await m_repository.read_results(call.job);
@@ -211,7 +206,7 @@
         co_return reply_of(reply_status::unavailable);
     }
     job_reply reply = reply_of(reply_status::ok);
-    reply.page = make_page(state, results.value(), call.after);
+    reply.page = make_page(found.state, results.value(), call.after);
     co_return reply;
 }
 
@@ -228,16 +223,9 @@
     if (const std::optional<job_reply> moved = moved_to(call.job); moved && !call.redirected) {
         co_return *moved;
     }
-    const result<std::optional<versioned_state>> known = co_await m_repository.read(call.job);
-    if (!known) {
-        co_return reply_of(reply_status::unavailable);
-    }
-    if (!known.value() || known.value()->state.customer != call.customer) {
-        co_return reply_of(reply_status::not_found);
-    }
-    remember_owner(known.value()->state);
-    if (const std::optional<job_reply> moved = moved_to(call.job)) {
-        co_return *moved;
+    const lookup found = co_await look_up(call);
+    if (found.reply) {
+        co_return *found.reply;
     }
     const result<std::vector<serving::submitted_item>> items =
         co_await m_repository.read_items(call.job);
--- a/src/jobs/job_runner.hpp
+++ b/src/jobs/job_runner.hpp
@@ -7,10 +7,9 @@
 #include "jobs/job_ownership.hpp"
 #include "jobs/job_repository.hpp"
 #include "jobs/job_table.hpp"
+#include "jobs/owner_memory.hpp"
 #include "jobs/result_committer.hpp"
 
-#include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,23 +46,21 @@
     net::task<job_reply> read_item(job_call call);
     net::task<job_reply> end(job_call call);
     net::task<job_reply> read_from_store(job_call call);
-    /// The reply that names the owner of a job, if another daemon owned it when its record was last
-    /// read here, and lives.
+    /// What the store says of a job that this daemon does not answer for from memory.
+    struct lookup {
+        /// The reply, unless the job's contents have to be read for it.
+        std::optional<job_reply> reply;
+        job_state state;
+    };
+    net::task<lookup> look_up(job_call call);
+    /// The reply that names another daemon as the owner, if one is remembered.
     [[nodiscard]] std::optional<job_reply> moved_to(const std::string& job) const;
-    void remember_owner(const job_state& state);
 
     serving::host_context& m_context;
     job_repository& m_repository;
-    /// One start of a daemon.
-    struct owner {
-        std::string host;
-        std::uint64_t incarnation = 0;
-    };
-
     runner_options m_options;
     job_table m_table;
-    /// Who owned the jobs of other daemons, by job.
-    std::map<std::string, owner, std::less<>> m_owners;
+    owner_memory m_owners;
     job_ownership m_ownership;
     result_committer m_committer;
     item_dispatcher m_dispatcher;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -14,10 +14,6 @@
 /// Difference that the clocks of hosts may have.
 constexpr std::int64_t clock_margin_ms = 3000;
 
-std::int64_t to_ms(duration d) {
-    return std::chrono::duration_cast<milliseconds>(d).count();
-}
-
 } // namespace
 
 void running_item::stop() {
--- a/src/jobs/start_turns.cpp
+++ b/src/jobs/start_turns.cpp
@@ -7,17 +7,6 @@
 
 namespace eelgrassdoor::jobs {
 
-namespace {
-
-/// How long a slot stays free before the first daemon takes it, and before each further one does,
-/// in times that a change of load takes to be known.
-constexpr int news_per_turn = 1;
-/// Targets that are remembered. Several times the 870 of the design size, as ones that are gone
-/// stay.
-constexpr std::size_t max_targets = 4096;
-
-} // namespace
-
 void start_turns::configure(std::vector<job_daemon> daemons, std::string_view own_host,
                             duration news_time) {
     m_news_time = news_time;
@@ -26,9 +15,7 @@
     }
     m_daemons = std::move(daemons);
     m_own_host = own_host;
-    for (auto& [id, slots] : m_targets) {
-        slots.ranked = false;
-    }
+    ++m_order;
 }
 
 std::size_t start_turns::rank_at(const routing::fleet_target& target) const {
@@ -48,20 +35,17 @@
 }
 
 bool start_turns::may_start(const routing::fleet_target& target, int free, time_point now) {
-    if (m_targets.size() >= max_targets && !m_targets.contains(target.id)) {
-        m_targets.clear();
-    }
-    target_slots& slots = m_targets[target.id];
-    if (!slots.ranked) {
+    target_slots& slots = m_targets.at(target.id);
+    if (slots.order != m_order) {
+        slots.order = m_order;
         slots.rank = rank_at(target);
-        slots.ranked = true;
     }
     slots.free_since.resize(static_cast<std::size_t>(std::max(free, 0)), now);
     if (slots.free_since.empty()) {
         return false;
     }
     const auto turns = static_cast<std::int64_t>(slots.rank) + 1;
-    const time_point turn = slots.free_since.front() + turns * news_per_turn * m_news_time;
+    const time_point turn = slots.free_since.front() + turns * m_news_time;
     if (now < turn) {
         m_next_turn = std::min(m_next_turn, turn);
         return false;
@@ -70,9 +54,9 @@
 }
 
 void start_turns::note_started(std::string_view target) {
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end() && !found->second.free_since.empty()) {
-        found->second.free_since.erase(found->second.free_since.begin());
+    target_slots* slots = m_targets.find(target);
+    if (slots != nullptr && !slots->free_since.empty()) {
+        slots->free_since.erase(slots->free_since.begin());
     }
 }
 
--- a/src/limits/customer_shares.cpp
+++ b/src/limits/customer_shares.cpp
@@ -21,8 +21,6 @@
 constexpr duration ask_pause_per_daemon = milliseconds(2);
 /// Loans of about this time count for the prediction.
 constexpr double loan_memory_s = 1;
-/// Without a rate no token ever comes.
-constexpr double far_future_s = 3600;
 
 part_share share_of(const customer_limit& limit, std::size_t daemons) {
     const auto count = static_cast<double>(std::max<std::size_t>(daemons, 1));
--- a/src/limits/customer_shares.hpp
+++ b/src/limits/customer_shares.hpp
@@ -26,8 +26,9 @@
     /// A daemon asks the others for one customer's tokens at most this often. Twice the round trip
     /// between the most distant zones with a margin for a busy host.
     static constexpr duration ask_interval = milliseconds(50);
-    /// How long a loan counts beside the own share. Admits 6% more than a rate whose burst is one
-    /// second of it in the five seconds over which the users count, who allow 10%.
+    /// How long a loan counts beside the own share. In the five seconds over which the users count,
+    /// loans admit 0.3 s of the rate beyond rate and burst; the users allow a tenth, 0.5 s of the
+    /// rate and more.
     static constexpr duration loan_life = milliseconds(300);
 
     /// \p begins_full: whether no daemon has used the tokens before, as at the first start of the
--- a/src/limits/token_line.cpp
+++ b/src/limits/token_line.cpp
@@ -40,6 +40,12 @@
     return !late.empty();
 }
 
+void token_line::wake_first() const {
+    if (!empty()) {
+        first()->wake();
+    }
+}
+
 std::size_t token_line::ahead_of(const waiter_ptr& waiter) const {
     const std::list<waiter_ptr>& own = waiter->is_late ? m_late : m_in_time;
     const auto place = std::find(own.begin(), own.end(), waiter);
--- a/src/limits/token_line.hpp
+++ b/src/limits/token_line.hpp
@@ -5,6 +5,7 @@
 #include "base/clock.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <list>
 #include <memory>
 
@@ -17,6 +18,8 @@
     /// When it gives up, or when it is decided whether it waits on.
     time_point until{};
     bool is_late = false;
+    /// Called when the waiter may be the one that gets the next token.
+    std::function<void()> wake;
 };
 
 /// Requests that can be in time go first, in the order in which they came. Those that are late
@@ -39,6 +42,8 @@
     [[nodiscard]] const waiter_ptr& first() const {
         return m_in_time.empty() ? m_late.front() : m_in_time.front();
     }
+    /// Wakes the first one, if any waits.
+    void wake_first() const;
     /// How many get a token before \p waiter, if no others come.
     [[nodiscard]] std::size_t ahead_of(const waiter_ptr& waiter) const;
 
--- a/src/limits/token_part.cpp
+++ b/src/limits/token_part.cpp
@@ -8,7 +8,6 @@
 
 /// Absorbs the rounding of sums of fractions, so that eight eighths make a whole token.
 constexpr double rounding = 1e-9;
-constexpr double far_future_s = 3600;
 
 } // namespace
 
--- a/src/limits/token_part.hpp
+++ b/src/limits/token_part.hpp
@@ -17,6 +17,9 @@
     bool operator==(const part_share&) const = default;
 };
 
+/// Seconds to a token where no rate fills it.
+inline constexpr double far_future_s = 3600;
+
 /// A part of a token bucket. Tokens only move or vanish: what is lent leaves the balance before
 /// the answer goes out, and room for it is kept while it may still come back, so that all parts
 /// together never hold more than the burst.
--- a/src/routing/wait_rules.cpp
+++ b/src/routing/wait_rules.cpp
@@ -19,7 +19,7 @@
 wait_decision decide_wait(const waiting_request& request, duration predicted) {
     wait_decision decision;
     decision.at_most = std::max(duration::zero(), request.time_left - request.service_time);
-    decision.retry_after = predicted;
+    decision.predicted = predicted;
     const bool in_time = predicted <= longest_wait_in_time(request.objective);
     // No caller is sent away for less than this.
     const bool has_come_back = request.passed >= longest_wait_in_time(request.objective);
--- a/src/routing/wait_rules.hpp
+++ b/src/routing/wait_rules.hpp
@@ -24,8 +24,8 @@
     bool waits = false;
     /// How long it may wait at most. Behind that it cannot be served in full any more.
     duration at_most{};
-    /// When an attempt is likely to succeed, for a caller that is sent away.
-    duration retry_after{};
+    /// The wait by which it was decided.
+    duration predicted{};
 };
 
 /// How long a request may wait and still begin in time.
--- a/test/correctness/rate_pulses.cpp
+++ b/test/correctness/rate_pulses.cpp
@@ -7,7 +7,7 @@
 #include "routing/wait_rules.hpp"
 
 #include <algorithm>
-#include <functional>
+#include <cmath>
 #include <memory>
 #include <vector>
 
@@ -199,7 +199,7 @@
     const routing::waiting_request first{seconds(5), {}, objective, service_time};
     require(routing::decide_wait(first, milliseconds(100)).waits, "what begins in time waits");
     const auto sent_away = routing::decide_wait(first, seconds(1));
-    require(!sent_away.waits && sent_away.retry_after == seconds(1),
+    require(!sent_away.waits && sent_away.predicted == seconds(1),
             "a first attempt that would be late is told when to come back");
     const routing::waiting_request back{seconds(4), seconds(1), objective, service_time};
     require(routing::decide_wait(back, seconds(1)).waits, "one that has come back waits");
--- a/test/correctness/start_turns.cpp
+++ b/test/correctness/start_turns.cpp
@@ -87,7 +87,7 @@
     const time_point now = time_point() + seconds(1);
     require(!turns.may_start(target("t"), 1, now), "one slot is free");
     require(!turns.may_start(target("t"), 0, now + milliseconds(20)), "an online request takes it");
-    turns.forget_next_turn();
+    turns.begin_round();
     require(!turns.may_start(target("t"), 1, now + milliseconds(40)), "when it is free again");
     require(turns.next_turn() == now + milliseconds(70), "its time begins anew");
     require(turns.may_start(target("t"), 1, now + milliseconds(70)), "and then it is used");
