--- a/src/entry/online_service.cpp
+++ b/src/entry/online_service.cpp
@@ -290,7 +290,7 @@
     m_context.numbers.count(
         str_cat("requests_total{outcome=\"", outcome == "answered" ? "answered" : "other", "\"}"));
     if (outcome == "answered") {
-        m_context.times.note(run.service, m_context.clock() - run.sent_at);
+        m_context.times.note(run.route.name, m_context.clock() - run.sent_at);
     }
     if (run.events > 0) {
         m_context.numbers.observe("first_event_seconds", to_seconds(run.first_event_after));
--- a/src/entry/waiting_terms.hpp
+++ b/src/entry/waiting_terms.hpp
@@ -14,14 +14,10 @@
                                               const serving::caller_request& request,
                                               const config::serving_route& route) {
     const duration time_left = std::min(route.timeout, request.time_left.value_or(route.timeout));
-    duration service_time{};
-    for (const config::weighted_service& each : route.services) {
-        service_time = std::max(service_time, context.times.mean(each.service));
-    }
     return {.time_left = time_left,
             .passed = route.timeout - time_left,
             .objective = route.latency_objective,
-            .service_time = service_time};
+            .service_time = context.times.mean(route.name)};
 }
 
 } // namespace eelgrassdoor::entry
--- a/src/routing/service_times.hpp
+++ b/src/routing/service_times.hpp
@@ -10,20 +10,21 @@
 
 namespace eelgrassdoor::routing {
 
-/// Learns from requests that were answered in full.
+/// Learns from requests that were answered in full, route by route: one service may run long
+/// streams and short calls.
 class service_times {
 public:
     /// Takes in the time from the sending of a request to the end of its answer.
-    void note(std::string_view service, duration time) {
-        const auto [known, first] = m_seconds.try_emplace(std::string(service), to_seconds(time));
+    void note(std::string_view route, duration time) {
+        const auto [known, first] = m_seconds.try_emplace(std::string(route), to_seconds(time));
         if (!first) {
             known->second += learning_rate * (to_seconds(time) - known->second);
         }
     }
 
-    /// The mean of a service; zero while none is known.
-    [[nodiscard]] duration mean(std::string_view service) const {
-        const auto known = m_seconds.find(service);
+    /// The mean of a route; zero while none is known.
+    [[nodiscard]] duration mean(std::string_view route) const {
+        const auto known = m_seconds.find(route);
         return known == m_seconds.end() ? duration::zero() : from_seconds(known->second);
     }
 
--- a/src/serving/host_context.hpp
+++ b/src/serving/host_context.hpp
@@ -27,7 +27,7 @@
     const caller_wire& wire;
     /// The configuration in force; null before the first one.
     config::serving_plan_ptr plan;
-    /// How long online requests run, by service.
+    /// How long online requests run, by route.
     routing::service_times times;
 };
 
