Send nothing to evacuated zones, and limit requests to cold targets

Cause: nothing read the operator's evacuation records, nor coldRemainingMs, coldS and coldPerS.

Change: the adapter decodes the records once. fleet_load takes the set of evacuated zones and offers their targets for no kind of work; their requests run to their end. routing/slow_start limits the requests to cold targets over the fleet without messages: eight daemons for each target, chosen by rendezvous hashing, each with an eighth of the rate, half of which is burst. A target is cold by its entry, after an evacuation, and after it could not be reached until a newer entry says otherwise. Batch items wait until a target is warm. Event evacuated_zones_changed, metrics evacuated_zones and cold_targets, both in the reason of a refusal.

--- a/src/config/serving_plan.hpp
+++ b/src/config/serving_plan.hpp
@@ -78,6 +78,10 @@
     int slots = 0;
     /// Capacity of one target's KV cache in tokens; 0 when unknown.
     std::uint64_t kv_cache_tokens = 0;
+    /// How long a target is cold after its start.
+    duration cold_time{};
+    /// Requests per second that a cold target tolerates; 0 for no limit.
+    double cold_requests_per_second = 0;
 };
 
 /// The rate limit and priority of a customer.
--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -121,7 +121,7 @@
         error open_error = response.error();
         co_return co_await handle_failure(run, std::move(open_error));
     }
-    m_context.loads.record_success(target.id);
+    m_context.loads.record_success(target.id, m_context.clock());
     co_return co_await relay(run, std::move(response.value()));
 }
 
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -79,6 +79,8 @@
     void set_members(const std::vector<member>& members);
     /// The registered daemons; only these may own jobs.
     [[nodiscard]] const member_map& members() const { return m_directory.registered(); }
+    /// The registered daemons and those whose registration has lapsed recently.
+    [[nodiscard]] member_map active_members() const { return m_directory.active_members(m_clock()); }
     /// Number of daemons that admit callers' requests, including recently lapsed ones.
     [[nodiscard]] std::size_t frontend_count() const {
         return m_directory.frontend_count(m_clock());
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -178,6 +178,9 @@
     m_messenger.on_newer_revision = [this](const fleet::newer_revision& newer) {
         m_peer_api.pull(newer);
     };
+    m_target_discovery.on_entry = [this](const routing::fleet_target& target) {
+        m_loads.cold_targets().record_entry(target, m_clock());
+    };
     m_messenger.reaches_store = [this] { return m_feed.connected_since() != time_point::max(); };
     m_registration.on_store_call = [this](bool answered, std::string_view reason) {
         m_feed.record_call_result(answered, reason);
@@ -228,6 +231,7 @@
     m_messenger.schedule_digest();
     if (prefix == m_adapter.operator_prefix) {
         apply_plan();
+        apply_evacuated_zones();
         check_evacuation();
     } else if (prefix == m_adapter.target_prefix) {
         apply_targets();
@@ -268,6 +272,34 @@
                  {"revision", std::to_string(item->revision)}});
     m_context.plan = std::make_shared<const config::serving_plan>(std::move(plan.value()));
     apply_limits();
+    apply_cold_limits();
+}
+
+void fleet_daemon::apply_cold_limits() {
+    routing::cold_limits limits;
+    for (const auto& [name, service] : m_context.plan->services) {
+        limits[name] = {service.cold_time, service.cold_requests_per_second};
+    }
+    m_loads.cold_targets().set_limits(std::move(limits), m_clock());
+}
+
+void fleet_daemon::apply_evacuated_zones() {
+    routing::zone_set zones;
+    for (const auto& [key, item] : m_mirror.items(m_adapter.operator_prefix)) {
+        if (std::optional<std::string> zone = m_adapter.evacuated_zone(key)) {
+            zones.insert(std::move(*zone));
+        }
+    }
+    if (zones == m_loads.evacuated_zones()) {
+        return;
+    }
+    const std::string before = str_join(m_loads.evacuated_zones(), ",");
+    const std::string after = str_join(zones, ",");
+    m_log.write(observe::event::evacuated_zones_changed, m_settings.host,
+                {{"before", before},
+                 {"now", after},
+                 {"revision", std::to_string(m_mirror.revision(m_adapter.operator_prefix))}});
+    m_loads.set_evacuated_zones(std::move(zones), m_clock());
 }
 
 void fleet_daemon::apply_limits() {
@@ -298,11 +330,22 @@
     }
     m_messenger.set_members(members);
     apply_limits();
+    apply_senders();
     if (m_runner) {
         m_runner->on_membership_change();
     }
 }
 
+void fleet_daemon::apply_senders() {
+    std::vector<routing::sending_daemon> senders;
+    for (const auto& [host, each] : m_messenger.active_members()) {
+        if (each.serves_callers) {
+            senders.push_back({host, each.availability_zone});
+        }
+    }
+    m_loads.cold_targets().set_daemons(std::move(senders), m_settings.host);
+}
+
 void fleet_daemon::apply_cancelled_jobs() {
     for (const auto& [key, item] : m_mirror.items(jobs::cancelled_prefix)) {
         m_runner->mark_cancelled(key.substr(jobs::cancelled_prefix.size()));
@@ -322,6 +365,7 @@
         apply_targets();
         // Daemons whose registration has ended stop counting for rate limits after a while.
         apply_limits();
+        apply_senders();
         if (tick % ticks_per_reload == 0 && m_adapter.reload) {
             m_adapter.reload();
         }
@@ -344,6 +388,8 @@
     m_metrics.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
     m_metrics.gauge("configuration_version",
                     m_context.plan ? static_cast<double>(m_context.plan->version) : 0);
+    m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
+    m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
 }
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -52,9 +52,14 @@
     void apply_plan();
     void apply_targets();
     void apply_members();
+    /// Takes over which daemons may send requests to cold targets.
+    void apply_senders();
     /// Stops this daemon's jobs that the store lists as cancelled.
     void apply_cancelled_jobs();
     void apply_limits();
+    void apply_cold_limits();
+    /// Takes over which availability zones the operator evacuates.
+    void apply_evacuated_zones();
     void check_evacuation();
 
     net::task<> tick_loop();
--- a/src/host/target_discovery.cpp
+++ b/src/host/target_discovery.cpp
@@ -19,6 +19,9 @@
             {{"reason", target.error().message}, {"revision", std::to_string(item.revision)}});
         return {item.revision, std::nullopt};
     }
+    if (on_entry) {
+        on_entry(target.value());
+    }
     return {item.revision, std::move(target.value())};
 }
 
--- a/src/host/target_discovery.hpp
+++ b/src/host/target_discovery.hpp
@@ -23,6 +23,9 @@
     using decoder = std::function<result<routing::fleet_target>(const store::kv_item&)>;
     using entries = std::map<std::string, store::kv_item, std::less<>>;
 
+    /// Called with each valid entry when it is first read; optional.
+    std::function<void(const routing::fleet_target&)> on_entry;
+
     target_discovery(decoder decode, observe::decision_log& log)
         : m_decode(std::move(decode)), m_log(log) {}
 
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -68,7 +68,7 @@
                           {{"target", target.id}, {"reason", response_head.error().message}});
         co_return item_outcome::interrupted;
     }
-    context.loads.record_success(target.id);
+    context.loads.record_success(target.id, context.clock());
     if (response_head.value().not_run) {
         co_return item_outcome::interrupted;
     }
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -55,6 +55,9 @@
     event_info{event::target_stalled, "target_stalled", warning,
                "A target has not started a response within the stall timeout; it receives no other "
                "requests until it does."},
+    event_info{event::evacuated_zones_changed, "evacuated_zones_changed", info,
+               "The operator changed which availability zones are evacuated; their targets receive "
+               "no requests."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -36,6 +36,7 @@
     platform_lost = 310,
     platform_back = 311,
     target_stalled = 312,
+    evacuated_zones_changed = 313,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -57,6 +57,23 @@
     }
 }
 
+void fleet_load::set_evacuated_zones(zone_set zones, time_point now) {
+    for (const auto& [id, state] : m_targets) {
+        const std::string& zone = state.target.availability_zone;
+        if (m_evacuated_zones.contains(zone) && !zones.contains(zone)) {
+            m_cold_targets.mark_cold(state.target, now);
+        }
+    }
+    m_evacuated_zones = std::move(zones);
+}
+
+std::size_t fleet_load::cold_count(time_point now) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
+            return m_cold_targets.is_cold(entry.second.target, now);
+        }));
+}
+
 const fleet_target* fleet_load::find(std::string_view id) const {
     const auto found = m_targets.find(id);
     return found == m_targets.end() ? nullptr : &found->second.target;
@@ -176,6 +193,7 @@
         state.backoff.begin(now);
     }
     if (how == target_failure::unreachable) {
+        m_cold_targets.record_unreachable(id, now);
         record_unreachable(state.target, now);
     }
 }
@@ -188,16 +206,23 @@
     }
     zone_state& zone = m_zones[target.availability_zone];
     zone.unreachable.insert(target.id);
-    if (zone.unreachable.size() >= 2) {
-        zone.backoff.begin(now);
+    if (zone.unreachable.size() < 2) {
+        return;
+    }
+    zone.backoff.begin(now);
+    for (const auto& [id, state] : m_targets) {
+        if (state.target.availability_zone == target.availability_zone) {
+            m_cold_targets.record_unreachable(id, now);
+        }
     }
 }
 
-void fleet_load::record_success(std::string_view id) {
+void fleet_load::record_success(std::string_view id, time_point now) {
     const auto found = m_targets.find(id);
     if (found == m_targets.end()) {
         return;
     }
+    m_cold_targets.record_response(id, now);
     found->second.consecutive_failures = 0;
     found->second.backoff = {};
     m_zones[found->second.target.availability_zone] = {};
@@ -223,8 +248,17 @@
     return now < state.zone->backoff.until || now < state.backoff.until;
 }
 
+bool fleet_load::is_eligible(const fleet_target& target, work kind, time_point now) {
+    if (target.leaving || m_evacuated_zones.contains(target.availability_zone)) {
+        return false;
+    }
+    return kind == work::online ? m_cold_targets.may_send(target, now)
+                                : !m_cold_targets.is_cold(target, now);
+}
+
 const std::vector<const fleet_load::target_state*>&
-fleet_load::candidates(std::string_view service, const excluded_ids& excluded, time_point now) {
+fleet_load::candidates(std::string_view service, const excluded_ids& excluded, work kind,
+                       time_point now) {
     expire_peers(now);
     expire_failures(now);
     m_healthy.clear();
@@ -235,7 +269,7 @@
         return m_healthy;
     }
     for (const target_state* state : listed->second) {
-        if (state->target.leaving || excluded.contains(state->target.id)) {
+        if (excluded.contains(state->target.id) || !is_eligible(state->target, kind, now)) {
             continue;
         }
         if (is_backing_off(*state, now)) {
@@ -260,7 +294,7 @@
                                                     random_source& random) {
     const fleet_target* best = nullptr;
     double best_cost = 0;
-    for (const target_state* state : candidates(service, excluded, now)) {
+    for (const target_state* state : candidates(service, excluded, work::online, now)) {
         const fleet_target& target = state->target;
         const target_load load = state->load();
         if (load.online >= target.slots + m_options.max_queued_at_target) {
@@ -275,7 +309,11 @@
             best_cost = cost;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(*best);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    m_cold_targets.record_sent(*best, now);
+    return *best;
 }
 
 std::optional<fleet_target> fleet_load::pick_batch(std::string_view service,
@@ -284,7 +322,7 @@
                                                    const may_start_fn& may_start) {
     const fleet_target* best = nullptr;
     double best_score = 0;
-    for (const target_state* state : candidates(service, excluded, now)) {
+    for (const target_state* state : candidates(service, excluded, work::batch, now)) {
         const fleet_target& target = state->target;
         const target_load load = state->load();
         const int free = target.slots - m_options.batch_reserve - load.online - load.batch;
@@ -334,6 +372,8 @@
     int targets = 0;
     int backing_off = 0;
     int degraded = 0;
+    int evacuated = 0;
+    int cold = 0;
     int slots = 0;
     target_load load;
     for (const auto& [id, state] : m_targets) {
@@ -344,6 +384,8 @@
         ++targets;
         backing_off += is_backing_off(state, now) ? 1 : 0;
         degraded += state.is_degraded() ? 1 : 0;
+        evacuated += m_evacuated_zones.contains(state.target.availability_zone) ? 1 : 0;
+        cold += m_cold_targets.is_cold(state.target, now) ? 1 : 0;
         slots += state.target.slots;
         load.online += at.online;
         load.batch += at.batch;
@@ -353,7 +395,7 @@
         oldest = std::max(oldest, now - peer.received_at);
     }
     return str_cat("targets ", targets, ", in backoff ", backing_off, ", degraded ", degraded,
-                   ", slots ", slots, ", online ", load.online, ", batch ", load.batch,
+                   ", evacuated ", evacuated, ", cold ", cold, ", slots ", slots, ", online ", load.online, ", batch ", load.batch,
                    ", reporting daemons ", m_peers.size(), ", oldest report ",
                    std::chrono::duration_cast<milliseconds>(oldest).count(), " ms");
 }
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -5,7 +5,9 @@
 
 #include "base/clock.hpp"
 #include "base/random_source.hpp"
+#include "routing/fleet_target.hpp"
 #include "routing/leaving_targets.hpp"
+#include "routing/slow_start.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -22,23 +24,6 @@
 
 namespace eelgrassdoor::routing {
 
-/// One run of a target process.
-struct fleet_target {
-    std::string id;
-    std::string service;
-    /// `IP:PORT`.
-    std::string endpoint;
-    std::string availability_zone;
-    /// Requests that the target runs concurrently.
-    int slots = 1;
-    /// Whether the target is shutting down and accepts no new requests.
-    bool leaving = false;
-    /// Start time in Unix milliseconds; distinguishes a restarted target from its earlier instance.
-    std::uint64_t started_at = 0;
-
-    bool operator==(const fleet_target&) const = default;
-};
-
 /// Requests of one daemon at one target, and the problems seen with them.
 struct target_load {
     int online = 0;
@@ -70,6 +55,9 @@
     response_failed,
 };
 
+/// Names of availability zones.
+using zone_set = std::set<std::string, std::less<>>;
+
 /// Parameters of target selection.
 struct placement_options {
     std::string local_zone;
@@ -111,6 +99,14 @@
     /// Replaces the target list. Request counts are kept; failures and backoff are kept for targets
     /// with an unchanged start time.
     void set_targets(std::vector<fleet_target> targets);
+    /// Replaces the set of availability zones whose targets get no requests. Targets of a zone that
+    /// leaves the set are cold, as they may have been idle or restarted meanwhile.
+    void set_evacuated_zones(zone_set zones, time_point now);
+    [[nodiscard]] const zone_set& evacuated_zones() const { return m_evacuated_zones; }
+    /// Number of listed targets that are, or may be, cold.
+    [[nodiscard]] std::size_t cold_count(time_point now) const;
+    /// The limit on requests to cold targets.
+    slow_start& cold_targets() { return m_cold_targets; }
     /// The listed target with this id, or null. Valid until the next set_targets().
     [[nodiscard]] const fleet_target* find(std::string_view id) const;
 
@@ -148,11 +144,12 @@
     /// none has responded in between, since the zone is then likely to be partitioned.
     void record_failure(std::string_view id, target_failure how, time_point now);
     /// Records a successful response, which ends the backoff of the target and of its zone.
-    void record_success(std::string_view id);
+    void record_success(std::string_view id, time_point now);
 
     /// Picks a target of \p service for an online request, or none when every target is leaving,
-    /// excluded or full. Targets in backoff are picked only when no other target is left. Batch
-    /// streams can be preempted and do not count as load.
+    /// evacuated, excluded, full, or cold and at its limit. Targets in backoff are picked only when
+    /// no other target is left. Batch streams can be preempted and do not count as load. The caller
+    /// must send the request, since it counts towards the limit of a cold target.
     [[nodiscard]] std::optional<fleet_target>
     pick_online(std::string_view service, const std::set<std::string, std::less<>>& excluded,
                 time_point now, random_source& random);
@@ -160,7 +157,7 @@
     /// be zero or negative.
     using may_start_fn = std::function<bool(const fleet_target& target, int free)>;
     /// Picks a target for a batch item among those with a free slot beyond the batch reserve that
-    /// \p may_start accepts, or none. \p may_start is called for every candidate, also for full
+    /// \p may_start accepts, or none. Cold targets get no batch items. \p may_start is called for every candidate, also for full
     /// ones.
     [[nodiscard]] std::optional<fleet_target>
     pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
@@ -218,6 +215,7 @@
         }
     };
     using excluded_ids = std::set<std::string, std::less<>>;
+    enum class work { online, batch };
 
     /// Adds \p by to this daemon's load at target \p id. Entries that become zero are removed.
     void adjust_local_load(std::string_view id, target_load by);
@@ -227,10 +225,12 @@
     void expire_peers(time_point now);
     /// Stops counting failed responses of this daemon older than failure_window.
     void expire_failures(time_point now);
+    /// Whether \p target may get a request of this kind, whatever its load and failures.
+    [[nodiscard]] bool is_eligible(const fleet_target& target, work kind, time_point now);
     /// The targets that may get a request: the healthy ones, else the degraded ones, else those in
     /// backoff. Valid until the next call.
     [[nodiscard]] const std::vector<const target_state*>&
-    candidates(std::string_view service, const excluded_ids& excluded, time_point now);
+    candidates(std::string_view service, const excluded_ids& excluded, work kind, time_point now);
     [[nodiscard]] static bool is_backing_off(const target_state& state, time_point now);
     /// Counts \p target as unreachable in its zone, and starts the zone's backoff at the second
     /// one.
@@ -253,6 +253,8 @@
     /// By availability zone.
     std::map<std::string, zone_state, std::less<>> m_zones;
     leaving_targets m_leaving;
+    zone_set m_evacuated_zones;
+    slow_start m_cold_targets;
     /// Failed responses of this daemon's requests, oldest first.
     std::deque<std::pair<time_point, std::string>> m_recent_failures;
     /// Results of candidates(), kept to reuse their memory.
--- /dev/null
+++ b/src/routing/fleet_target.hpp
@@ -0,0 +1,33 @@
+/// \file
+/// Defines a target as the fleet knows it from the target's own entry.
+#pragma once
+
+#include "base/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace eelgrassdoor::routing {
+
+/// One run of a target process.
+struct fleet_target {
+    std::string id;
+    std::string service;
+    /// `IP:PORT`.
+    std::string endpoint;
+    std::string availability_zone;
+    /// Requests that the target runs concurrently.
+    int slots = 1;
+    /// Whether the target is shutting down and accepts no new requests.
+    bool leaving = false;
+    /// Start time in Unix milliseconds; distinguishes a restarted target from its earlier instance.
+    std::uint64_t started_at = 0;
+    /// How much longer the target was cold when it wrote its entry; nothing when the entry does not
+    /// say.
+    std::optional<duration> cold_remaining;
+
+    bool operator==(const fleet_target&) const = default;
+};
+
+} // namespace eelgrassdoor::routing
--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -60,6 +60,53 @@
             "only targets of the requested service are picked");
 }
 
+void check_evacuated_zones() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    loads.set_evacuated_zones({"a"}, now);
+    for (int i = 0; i < 3; ++i) {
+        require(loads.pick_online("s", no_exclusions, now, random)->id == "y",
+                "an evacuated zone gets no online request while another zone has targets");
+        loads.record_online_sent("y");
+    }
+    require(!loads.pick_online("s", no_exclusions, now, random),
+            "an evacuated zone gets no online request although the other zone is full");
+    loads.record_failure("y", target_failure::unreachable, now);
+    loads.record_failure("y", target_failure::unreachable, now);
+    require(!loads.pick_online("s", {"y"}, now, random),
+            "an evacuated zone gets no retry of a request that failed elsewhere");
+    require(!loads.pick_batch("s", {"y"}, now, random, any_target),
+            "an evacuated zone gets no batch item");
+    loads.set_targets({target("x", "a"), target("y", "b"), target("z", "a")});
+    require(!loads.pick_online("s", {"y"}, now, random),
+            "a target that appears in an evacuated zone gets no request");
+    loads.set_evacuated_zones({}, now);
+    require(loads.pick_online("s", {"y"}, now, random).has_value(),
+            "a zone gets requests again when its evacuation ends");
+}
+
+void check_cold_after_evacuation() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads = two_targets();
+    // One of two senders, which has half of the burst of 2.
+    loads.cold_targets().set_limits({{"s", {seconds(3), 4}}}, now);
+    loads.cold_targets().set_daemons({{"h", "a"}, {"other", "b"}}, "h");
+    loads.set_evacuated_zones({"a"}, now);
+    loads.set_evacuated_zones({}, now + seconds(5));
+    require(!loads.pick_batch("s", {"y"}, now + seconds(6), random, any_target),
+            "a target that may be cold gets no batch item");
+    int sent = 0;
+    while (sent < 100 && loads.pick_online("s", {"y"}, now + seconds(6), random)) {
+        ++sent;
+    }
+    require(sent == 1, "a target that may be cold gets this daemon's share, not " +
+                           std::to_string(sent) + " requests at once");
+    require(loads.pick_batch("s", {"y"}, now + seconds(8), random, any_target).has_value(),
+            "targets are warm when the cold time after the evacuation is over");
+}
+
 void check_failures() {
     const time_point now{};
     random_source random(1);
@@ -73,7 +120,7 @@
     loads.record_failure("y", target_failure::unreachable, now);
     require(loads.pick_online("s", no_exclusions, now, random).has_value(),
             "targets in backoff are picked when there are no others");
-    loads.record_success("x");
+    loads.record_success("x", now);
     require(loads.pick_online("s", no_exclusions, now, random)->id == "x",
             "a successful response ends the backoff");
     const time_point later = now + fleet_load::initial_backoff;
@@ -120,7 +167,7 @@
         loads.pick_online("s", no_exclusions, now + 2 * fleet_load::initial_backoff, random)->id ==
             "own",
         "the next failure doubles the backoff of the zone");
-    loads.record_success("b3");
+    loads.record_success("b3", now);
     require(loads.pick_online("s", no_exclusions, now + 2 * fleet_load::initial_backoff, random)
                     ->availability_zone == "b",
             "a successful response ends the backoff of the zone");
@@ -181,7 +228,7 @@
 
     loads.record_failure("t2", target_failure::response_failed, now);
     loads.update_peer_load("p", peer_loads({{"t2", {.failures = 1}}}), now);
-    loads.record_success("t2");
+    loads.record_success("t2", now);
     require(picks("t2", now) > 0, "two failed responses do not make a target degraded");
     loads.update_peer_load("q", peer_loads({{"t2", {.failures = 1}}}), now);
     require(picks("t2", now) == 0,
@@ -316,6 +363,8 @@
 
 int main() {
     check_online();
+    check_evacuated_zones();
+    check_cold_after_evacuation();
     check_failures();
     check_zones();
     check_batch();
--- a/test/platform/adapter_records.cpp
+++ b/test/platform/adapter_records.cpp
@@ -58,7 +58,7 @@
  "weightedServices":[{"service":"s","weight":90},{"service":"t","weight":10}]},
 {"name":"r3","host":"b.example","pathPrefix":"/j/","kind":"batch","service":"s","cap":1000,
  "completionTargetMs":18000,"queueTtlS":60,"maxAttempts":3}],
-"services":[{"name":"s","maxConnections":370,"engine":{"slots":8,"kvCapacityTokens":119674}}],
+"services":[{"name":"s","maxConnections":370,"coldS":3.0,"coldPerS":23.0,"engine":{"slots":8,"kvCapacityTokens":119674}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"c","apiKeys":["k1","k2"],"priority":1,"ratePerS":34,"burst":30}]})";
 
@@ -86,6 +86,9 @@
     require(p.find_route("r3")->accepts_jobs && jobs.max_waiting_tokens == 1000 &&
                 jobs.completion_target == seconds(18) && jobs.item_lifetime == seconds(60),
             "the job rules of the batch route are decoded");
+    require(p.services.at("s").cold_time == seconds(3) &&
+                p.services.at("s").cold_requests_per_second == 23,
+            "the cold time and the cold rate of a service are decoded");
     require(p.limits.sizes.max_body_bytes == 4194304 && p.limits.idle_timeout == seconds(15),
             "maxBodyBytes and idleTimeoutMs are decoded");
     for (const char* bad : {"", "[]", "{}", R"({"version":-1,"routes":[]})",
@@ -108,6 +111,17 @@
     require(target && target.value().id == "i-7f" && target.value().slots == 8 &&
                 target.value().started_at == 1771312557044 && !target.value().leaving,
             "the example entry is decoded to target i-7f with its slots and start time");
+    require(target.value().cold_remaining == seconds(0), "a warm engine is decoded as warm");
+    std::string cold = entry;
+    cold.replace(cold.find("Ms\":0"), 5, "Ms\":2500");
+    require(decode(cold).value().cold_remaining == milliseconds(2500),
+            "the remaining cold time of an engine is decoded");
+    cold.replace(cold.find("2500"), 4, "\"x\"");
+    require(decode(cold).has_value() && !decode(cold).value().cold_remaining,
+            "a cold time of another type is decoded as unknown");
+    require(evacuated_zone("op/evacuate/z") == "z" && !evacuated_zone("op/evacuate/") &&
+                !evacuated_zone("op/config") && !evacuated_zone("op/retire/z"),
+            "only evacuation records name an evacuated zone");
     std::string draining = entry;
     draining.replace(draining.find("ready"), 5, "draining");
     require(decode(draining).value().leaving, "an engine in state draining is decoded as leaving");
