Keep each customer's tokens at two daemons instead of dividing them over all

Cause: 78 customers of some 4 tokens a second over 60 entry hosts. A share filled a token in 14 s, so that nearly each request asked all other hosts for a loan, waited for it or was refused, although no customer was over its rate. The loans were not bounded by the lender's room, so that rate * t + burst did not hold in every span (rate_any_span, red).

Change: limits/token_holders assigns each customer a primary holder with three quarters of the rate and a secondary one in another zone with the rest, by rendezvous hashing over the entry hosts that are heard. A request takes its token by one datagram to the primary (fleet/token_client, token_server), where it also waits in the one queue of its customer; while the primary does not answer, the secondary serves with its part. Holders lend each other tokens, and the lender keeps room for a loan until it ends. A side that is cut off has the part of the rate that is due to its hosts; a share shrinks at once and grows after 750 ms. Suspended processes give their tokens up.

--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Shorter waits are the round trip to the daemon that holds the customer's tokens.
+constexpr duration min_logged_wait = milliseconds(20);
+
 error no_configuration_error() {
     return {error_code::unavailable, "no configuration is in force yet", run_state::not_run,
             seconds(1)};
@@ -98,13 +101,16 @@
     const routing::waiting_request waiting = make_waiting_request(m_context, request, route);
     const fleet::token_outcome outcome =
         co_await m_context.messenger.tokens().wait(customer, waiting, cancellation);
-    m_context.log.write(observe::event::request_waited, request.id,
-                        {{"customer", customer},
-                         {"token", outcome.taken ? "taken" : "none"},
-                         {"waited_ms", std::to_string(to_ms(m_context.clock() - asked_at))},
-                         {"predicted_ms", std::to_string(to_ms(outcome.predicted))},
-                         {"time_left_ms", std::to_string(to_ms(waiting.time_left))},
-                         {"passed_ms", std::to_string(to_ms(waiting.elapsed))}});
+    const duration waited = m_context.clock() - asked_at;
+    if (!outcome.taken || waited >= min_logged_wait) {
+        m_context.log.write(observe::event::request_waited, request.id,
+                            {{"customer", customer},
+                             {"token", outcome.taken ? "taken" : "none"},
+                             {"waited_ms", std::to_string(to_ms(waited))},
+                             {"predicted_ms", std::to_string(to_ms(outcome.predicted))},
+                             {"time_left_ms", std::to_string(to_ms(waiting.time_left))},
+                             {"passed_ms", std::to_string(to_ms(waiting.elapsed))}});
+    }
     if (exchange.client_disconnected()) {
         m_context.log.write(observe::event::caller_left, request.id, {{"customer", customer}});
         co_return false;
--- a/src/fleet/member_directory.cpp
+++ b/src/fleet/member_directory.cpp
@@ -50,10 +50,4 @@
     return lapsed != m_lapsed.end() && lapsed->second.record.availability_zone == availability_zone;
 }
 
-std::size_t member_directory::frontend_count(time_point now) const {
-    const member_map all = active_members(now);
-    return static_cast<std::size_t>(std::count_if(
-        all.begin(), all.end(), [](const auto& entry) { return entry.second.serves_callers; }));
-}
-
 } // namespace eelgrassdoor::fleet
--- a/src/fleet/member_directory.hpp
+++ b/src/fleet/member_directory.hpp
@@ -15,8 +15,8 @@
 
 /// Holds the registered daemons and those whose registration has lapsed recently. A daemon that
 /// loses its connection to the key-value service loses its registration but keeps serving callers
-/// with its share of the rate limits, so it still receives load digests and is still included in
-/// frontend_count(). Ownership of jobs ends with the registration. Not thread-safe.
+/// with its share of the rate limits, so it still receives load digests and remains an active
+/// member. Ownership of jobs ends with the registration. Not thread-safe.
 class member_directory {
 public:
     /// How long a daemon remains an active member after its registration has ended or it was last
@@ -37,8 +37,6 @@
     [[nodiscard]] bool knows(std::string_view host, time_point now) const;
     /// Whether \p host is a registered or lapsed daemon in \p availability_zone.
     [[nodiscard]] bool is_in_zone(std::string_view host, std::string_view availability_zone) const;
-    /// Number of active_members() that admit callers' requests.
-    [[nodiscard]] std::size_t frontend_count(time_point now) const;
 
 private:
     struct lapsed_member {
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -77,7 +77,61 @@
     }
 };
 
-/// Requests tokens of a customer's rate limit from other daemons.
+/// Requests a token for one request from the holder of the customer's tokens. Sent again with the
+/// same number when no answer arrives; the holder repeats its answer.
+struct token_acquire {
+    static constexpr std::uint8_t kind = 7;
+    /// Unique among the requests of the sender's process.
+    std::uint64_t number = 0;
+    std::string customer;
+    /// The fields of routing::waiting_request, in milliseconds.
+    std::uint32_t time_left_ms = 0;
+    std::uint32_t elapsed_ms = 0;
+    std::uint32_t objective_ms = 0;
+    std::uint32_t service_ms = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        peer::serialize_string(ar, customer);
+        ar(number, time_left_ms, elapsed_ms, objective_ms, service_ms);
+    }
+};
+
+/// How a holder answers a token_acquire.
+enum class token_status : std::uint8_t {
+    /// The request may run; the token is spent.
+    granted = 1,
+    /// The request waits at the holder, which will answer again.
+    queued = 2,
+    /// The request is over the customer's rate.
+    refused = 3,
+    /// The receiver does not hold the customer's tokens.
+    not_holder = 4,
+};
+
+/// Answers a token_acquire.
+struct token_verdict {
+    static constexpr std::uint8_t kind = 8;
+    std::uint64_t number = 0;
+    token_status status = token_status::not_holder;
+    /// The predicted wait and, of a refused request, the time after which a retry is likely to
+    /// succeed, in milliseconds.
+    std::uint32_t predicted_ms = 0;
+    std::uint32_t retry_after_ms = 0;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(number, status, predicted_ms, retry_after_ms);
+    }
+};
+
+/// Withdraws a token_acquire whose caller has left.
+struct token_cancel {
+    static constexpr std::uint8_t kind = 9;
+    std::uint64_t number = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(number); }
+};
+
+/// Requests a loan of a customer's tokens from the other holders.
 struct token_request {
     static constexpr std::uint8_t kind = 2;
     std::string customer;
@@ -90,7 +144,7 @@
     }
 };
 
-/// Lends tokens to the daemon that requested them.
+/// Lends tokens to the holder that requested them.
 struct token_transfer {
     static constexpr std::uint8_t kind = 3;
     std::string customer;
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -54,17 +54,19 @@
                                routing::fleet_load& loads, store::mirror& mirrors,
                                limits::customer_shares& shares)
     : m_executor(std::move(executor)), m_options(std::move(options)), m_clock(std::move(clock)),
-      m_log(log), m_loads(loads), m_mirrors(mirrors), m_socket(m_executor), m_wake(m_executor),
-      m_own_zone(m_options.intervals), m_other_zones(m_options.intervals),
+      m_log(log), m_loads(loads), m_mirrors(mirrors), m_shares(shares), m_socket(m_executor),
+      m_wake(m_executor), m_own_zone(m_options.intervals), m_other_zones(m_options.intervals),
       m_seed_endpoints(to_endpoints(m_options.seeds)),
       m_relay(m_options.self.host,
               [this](const net::udp::endpoint& to, std::string_view datagram) {
                   m_socket.send(datagram, to);
               }),
-      m_tokens(m_clock, shares), m_gateway(m_options.self, make_gateway_hooks()) {
-    m_tokens.broadcast_request = [this](std::string_view datagram) {
-        send_to(m_frontends, datagram);
-    };
+      m_limiter(m_executor, m_clock, boot_clock(), m_options.self, shares,
+                [this](std::string_view datagram, const net::udp::endpoint& to) {
+                    m_socket.send(datagram, to);
+                }),
+      m_gateway(m_options.self, make_gateway_hooks()) {
+    m_limiter.request_update = [this] { apply_limits(m_limits); };
 }
 
 result<void> peer_messenger::start() {
@@ -97,7 +99,6 @@
     m_gateway.set_members(all);
     m_own_zone.endpoints.clear();
     m_other_zones.endpoints.clear();
-    m_frontends.clear();
     for (const auto& [host, each] : all) {
         const result<net::tcp::endpoint> parsed = net::parse_endpoint(each.endpoint);
         if (host == m_options.self.host || !parsed) {
@@ -106,12 +107,21 @@
         const net::udp::endpoint endpoint = to_udp(parsed.value());
         const bool same_zone = each.availability_zone == m_options.self.availability_zone;
         (same_zone ? m_own_zone : m_other_zones).endpoints.push_back(endpoint);
-        if (each.serves_callers) {
-            m_frontends.push_back(endpoint);
-        }
     }
 }
 
+void peer_messenger::apply_limits(const limits::customer_limits& limits) {
+    m_limits = limits;
+    // A daemon that does not know the other members would take the whole rates for its own.
+    if (m_mirrors.revision(member_prefix) == 0) {
+        m_shares.set_limits(limits);
+        return;
+    }
+    m_limiter.update(limits, active_members(), [this](std::string_view host) {
+        return heard_within(host, peer_silence_timeout);
+    });
+}
+
 duration peer_messenger::load_propagation_delay() const {
     const duration own = m_own_zone.change_interval();
     // Three hops: to the gateways of the own zone, those of the other zones, and the daemons there.
@@ -239,17 +249,13 @@
         break;
     case heartbeat::kind:
         break;
-    case token_request::kind:
-        receive_token_request(body, from);
-        break;
-    case token_transfer::kind:
-        receive_token_transfer(body, from);
-        break;
     case relay_request::kind:
         receive_relay_request(body, from);
         break;
     default:
-        log_malformed(from);
+        if (!m_limiter.receive(static_cast<std::uint8_t>(bytes[1]), body, from)) {
+            log_malformed(from);
+        }
     }
 }
 
@@ -359,27 +365,6 @@
     }
 }
 
-void peer_messenger::receive_token_request(std::string_view body, const net::udp::endpoint& from) {
-    const auto request = peer::decode<token_request>(body);
-    if (!request) {
-        log_malformed(from);
-        return;
-    }
-    const std::string transfer = m_tokens.lend(*request);
-    if (!transfer.empty()) {
-        m_socket.send(transfer, from);
-    }
-}
-
-void peer_messenger::receive_token_transfer(std::string_view body, const net::udp::endpoint& from) {
-    const auto transfer = peer::decode<token_transfer>(body);
-    if (!transfer) {
-        log_malformed(from);
-        return;
-    }
-    m_tokens.receive(*transfer);
-}
-
 std::uint64_t peer_messenger::peer_waiting_tokens(std::uint64_t customer_and_route) const {
     return m_peers.sum_waiting_tokens(customer_and_route);
 }
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -9,8 +9,8 @@
 #include "fleet/message.hpp"
 #include "fleet/peer_group.hpp"
 #include "fleet/peer_table.hpp"
+#include "fleet/rate_limiter.hpp"
 #include "fleet/recent_senders.hpp"
-#include "fleet/token_exchange.hpp"
 #include "limits/customer_shares.hpp"
 #include "net/notification.hpp"
 #include "net/udp_socket.hpp"
@@ -80,11 +80,13 @@
     /// The registered daemons; only these may own jobs.
     [[nodiscard]] const member_map& members() const { return m_directory.registered(); }
     /// The registered daemons and those whose registration has lapsed recently.
-    [[nodiscard]] member_map active_members() const { return m_directory.active_members(m_clock()); }
-    /// Number of daemons that admit callers' requests, including recently lapsed ones.
-    [[nodiscard]] std::size_t frontend_count() const {
-        return m_directory.frontend_count(m_clock());
+    [[nodiscard]] member_map active_members() const {
+        return m_directory.active_members(m_clock());
     }
+    /// Applies the customers' rate limits to the daemons that are active and heard now. Until the
+    /// members are known, no request of these customers is admitted here. Call it when the limits
+    /// or the members change and a few times a second.
+    void apply_limits(const limits::customer_limits& limits);
     /// Estimated time until a change of load at this daemon is known to the whole fleet.
     [[nodiscard]] duration load_propagation_delay() const;
     /// Schedules a digest to all other daemons because its content has changed. It is sent as soon
@@ -92,8 +94,8 @@
     /// unchanged digest would have been repeated.
     void schedule_digest();
 
-    /// The exchange of tokens of customers' rate limits.
-    token_exchange& tokens() { return m_tokens; }
+    /// Obtains the tokens of customers' rate limits.
+    token_client& tokens() { return m_limiter.tokens(); }
 
     /// Sum of the waiting tokens of a customer and route at all other daemons; see
     /// peer_table::sum_waiting_tokens().
@@ -123,8 +125,6 @@
     void receive(std::string_view bytes, const net::udp::endpoint& from);
     void receive_digest(std::string_view bytes, const digest_origin& origin);
     void receive_bundle(std::string_view body, const net::udp::endpoint& from);
-    void receive_token_request(std::string_view body, const net::udp::endpoint& from);
-    void receive_token_transfer(std::string_view body, const net::udp::endpoint& from);
     /// Logs that a malformed datagram was discarded.
     void log_malformed(const net::udp::endpoint& from);
     /// Queues a new digest at the gateway if this daemon may have to forward it.
@@ -155,6 +155,7 @@
     observe::decision_log& m_log;
     routing::fleet_load& m_loads;
     store::mirror& m_mirrors;
+    limits::customer_shares& m_shares;
     net::udp_socket m_socket;
     net::notification m_wake;
     peer_group m_own_zone;
@@ -166,9 +167,8 @@
     peer_table m_peers;
     recent_senders m_recent_senders;
     digest_relay m_relay;
-    token_exchange m_tokens;
-    /// Endpoints of the other daemons that may hold tokens of customers' rate limits.
-    std::vector<net::udp::endpoint> m_frontends;
+    rate_limiter m_limiter;
+    limits::customer_limits m_limits;
     digest_gateway m_gateway;
     time_point m_refreshed_at{};
 };
--- a/src/fleet/token_exchange.cpp
+++ b/src/fleet/token_exchange.cpp
@@ -23,7 +23,8 @@
 
 void token_exchange::request_tokens(const std::string& customer) {
     if (m_shares.try_begin_borrow(customer, m_clock())) {
-        broadcast_request(to_datagram(token_request{customer, m_shares.borrow_amount(customer)}));
+        request_loan(customer,
+                     to_datagram(token_request{customer, m_shares.borrow_amount(customer)}));
     }
 }
 
@@ -61,7 +62,7 @@
     const time_point now = m_clock();
     const duration until_own_token =
         std::max<duration>(m_shares.time_to_next_token(customer, now), min_pause);
-    return std::min(end, now + std::min(until_own_token, m_shares.borrow_retry_interval()));
+    return std::min(end, now + std::min(until_own_token, m_shares.borrow_retry_interval));
 }
 
 void token_exchange::remove_waiter(const std::string& customer, const waiter_ptr& waiter) {
--- a/src/fleet/token_exchange.hpp
+++ b/src/fleet/token_exchange.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Defines how a daemon obtains tokens of customers' rate limits and how requests wait for them.
+/// Defines how requests wait for tokens of customers' rate limits at the daemon that holds them.
 #pragma once
 
 #include "base/clock.hpp"
@@ -30,6 +30,7 @@
 
 private:
     friend class token_exchange;
+    friend class token_client;
 
     net::notification m_wake;
     bool m_cancelled = false;
@@ -45,15 +46,16 @@
     duration retry_after{};
 };
 
-/// Takes tokens for requests from the own share of the rate limit, and borrows from other daemons
-/// when it has none. Not thread-safe.
+/// Takes tokens for requests from the own share of the rate limit, and borrows from the other
+/// holders when it has none. Not thread-safe.
 class token_exchange {
 public:
     token_exchange(clock_fn clock, limits::customer_shares& shares)
         : m_clock(std::move(clock)), m_shares(shares) {}
 
-    /// Sends a datagram to all daemons that may lend tokens; to be set before the first wait().
-    std::function<void(std::string_view datagram)> broadcast_request;
+    /// Sends a datagram to the other holders of the customer's tokens; to be set before the first
+    /// wait().
+    std::function<void(std::string_view customer, std::string_view datagram)> request_loan;
 
     /// Takes a token without waiting. Fails if the own share has none, or if requests are queued
     /// that can still meet their latency objective.
@@ -71,7 +73,7 @@
 private:
     using waiter_ptr = limits::token_wait_queue::waiter_ptr;
 
-    /// Broadcasts a token request, unless the last one was too recent.
+    /// Requests a loan, unless the last request was too recent.
     void request_tokens(const std::string& customer);
     /// Queues a request. Whether it keeps waiting is decided after the time to borrow a token.
     waiter_ptr enqueue_request(limits::token_wait_queue& queue,
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -109,7 +109,8 @@
 }
 
 bool fleet_daemon::ready() const {
-    return !m_shutting_down && m_context.plan && m_mirror.revision(m_adapter.target_prefix) > 0;
+    return !m_shutting_down && m_context.plan && m_mirror.revision(m_adapter.target_prefix) > 0 &&
+           m_mirror.revision(fleet::member_prefix) > 0;
 }
 
 void fleet_daemon::create_servers() {
@@ -310,7 +311,7 @@
     for (const auto& [name, customer] : m_context.plan->customers) {
         limits[name] = {customer.rate_per_second, customer.burst};
     }
-    m_shares.configure(limits, m_messenger.frontend_count(), m_clock());
+    m_messenger.apply_limits(limits);
 }
 
 void fleet_daemon::apply_targets() {
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -395,9 +395,10 @@
         oldest = std::max(oldest, now - peer.received_at);
     }
     return str_cat("targets ", targets, ", in backoff ", backing_off, ", degraded ", degraded,
-                   ", evacuated ", evacuated, ", cold ", cold, ", slots ", slots, ", online ", load.online, ", batch ", load.batch,
-                   ", reporting daemons ", m_peers.size(), ", oldest report ",
-                   std::chrono::duration_cast<milliseconds>(oldest).count(), " ms");
+                   ", evacuated ", evacuated, ", cold ", cold, ", slots ", slots, ", online ",
+                   load.online, ", batch ", load.batch, ", reporting daemons ", m_peers.size(),
+                   ", oldest report ", std::chrono::duration_cast<milliseconds>(oldest).count(),
+                   " ms");
 }
 
 bool fleet_load::serves(std::string_view service) const {
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -157,8 +157,8 @@
     /// be zero or negative.
     using may_start_fn = std::function<bool(const fleet_target& target, int free)>;
     /// Picks a target for a batch item among those with a free slot beyond the batch reserve that
-    /// \p may_start accepts, or none. Cold targets get no batch items. \p may_start is called for every candidate, also for full
-    /// ones.
+    /// \p may_start accepts, or none. Cold targets get no batch items. \p may_start is called for
+    /// every candidate, also for full ones.
     [[nodiscard]] std::optional<fleet_target>
     pick_batch(std::string_view service, const std::set<std::string, std::less<>>& excluded,
                time_point now, random_source& random, const may_start_fn& may_start);
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -111,8 +111,8 @@
     if (now < state.cold_until) {
         return true;
     }
-    const bool may_have_restarted = state.unreachable_at >= state.entry_read_at &&
-                                    state.unreachable_at != time_point::min();
+    const bool may_have_restarted =
+        state.unreachable_at >= state.entry_read_at && state.unreachable_at != time_point::min();
     return may_have_restarted &&
            (!state.response_at || now < *state.response_at + limit->cold_time);
 }
@@ -122,8 +122,8 @@
     const double rate = fill_fraction * limit.requests_per_second;
     const double burst = (1 - fill_fraction) * limit.requests_per_second * to_seconds(limit_window);
     // Each sender needs a burst of a whole request.
-    const auto senders = static_cast<std::size_t>(
-        std::clamp(burst, 1.0, static_cast<double>(max_senders)));
+    const auto senders =
+        static_cast<std::size_t>(std::clamp(burst, 1.0, static_cast<double>(max_senders)));
     const std::uint64_t key = stable_hash(target.id);
     const auto is_near = [&](const sending_daemon& each) {
         return each.availability_zone == target.availability_zone;
--- a/src/routing/slow_start.hpp
+++ b/src/routing/slow_start.hpp
@@ -37,16 +37,16 @@
     bool operator==(const sending_daemon&) const = default;
 };
 
-/// Limits the requests to cold targets, which crash when they get too many. The load pattern that it
-/// is meant for is a zone whose targets return together: every daemon sees them idle at the same
+/// Limits the requests to cold targets, which crash when they get too many. The load pattern that
+/// it is meant for is a zone whose targets return together: every daemon sees them idle at the same
 /// moment. The limit holds over the whole fleet without messages: a few daemons are chosen for each
-/// target by rendezvous hashing, only these send to it while it is cold, and each has an equal share
-/// of the rate. Half of the rate fills the shares and the other half is their burst, so any second
-/// admits at most the whole. Daemons that know different members may choose different senders; the
-/// limit is then exceeded by at most the shares of the additional ones.
+/// target by rendezvous hashing, only these send to it while it is cold, and each has an equal
+/// share of the rate. Half of the rate fills the shares and the other half is their burst, so any
+/// second admits at most the whole. Daemons that know different members may choose different
+/// senders; the limit is then exceeded by at most the shares of the additional ones.
 ///
-/// A target is cold while its entry says so, after its zone was evacuated, and after it could not be
-/// reached, until a newer entry says otherwise. Not thread-safe.
+/// A target is cold while its entry says so, after its zone was evacuated, and after it could not
+/// be reached, until a newer entry says otherwise. Not thread-safe.
 class slow_start {
 public:
     /// Number of daemons that may send to a cold target: enough that the loss of some leaves it in
