Wait for new holders of a customer's tokens instead of returning too early

Cause: in a zone that is cut off, and after a primary and a secondary holder were lost together, a request was refused after 90 ms with a Retry-After of 250 ms. Its only retry came back before the remaining daemons had new holders (1 s of silence, 750 ms until a share grows) and was refused again.

Change: the refusal names the time until then, and a retry, which may wait as long as it can still be served, looks for a holder every 250 ms. Metric rate_limit_customers_held.

--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -94,6 +94,8 @@
     /// unchanged digest would have been repeated.
     void schedule_digest();
 
+    /// Number of customers whose tokens this daemon holds as the primary holder.
+    [[nodiscard]] std::size_t held_customers() { return m_limiter.held_customers(); }
     /// Obtains the tokens of customers' rate limits.
     token_client& tokens() { return m_limiter.tokens(); }
 
--- a/src/fleet/rate_limiter.cpp
+++ b/src/fleet/rate_limiter.cpp
@@ -2,6 +2,8 @@
 
 #include "net/endpoint.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::fleet {
 
 namespace {
@@ -35,8 +37,7 @@
     m_client.holders_of = [this](std::string_view customer) { return other_holders(customer); };
     m_client.is_primary = [this](std::string_view customer) {
         check_interruption();
-        const std::vector<std::string>& hosts = m_holders.holders_of(customer);
-        return !hosts.empty() && hosts.front() == m_self.host;
+        return is_primary(customer);
     };
 }
 
@@ -65,6 +66,17 @@
         m_clock());
 }
 
+bool rate_limiter::is_primary(std::string_view customer) {
+    const std::vector<std::string>& hosts = m_holders.holders_of(customer);
+    return !hosts.empty() && hosts.front() == m_self.host;
+}
+
+std::size_t rate_limiter::held_customers() {
+    return static_cast<std::size_t>(
+        std::count_if(m_limits.begin(), m_limits.end(),
+                      [&](const auto& entry) { return is_primary(entry.first); }));
+}
+
 void rate_limiter::check_interruption() {
     const duration elapsed = m_clock() - m_updated_at;
     const duration elapsed_boot_time = m_boot_clock() - m_updated_at_boot_time;
--- a/src/fleet/rate_limiter.hpp
+++ b/src/fleet/rate_limiter.hpp
@@ -38,6 +38,8 @@
     /// did not run; to be set before the first update().
     std::function<void()> request_update;
 
+    /// Number of customers whose primary holder this daemon is.
+    [[nodiscard]] std::size_t held_customers();
     /// Obtains the tokens for callers' requests.
     token_client& tokens() { return m_client; }
 
@@ -46,6 +48,7 @@
     bool receive(std::uint8_t kind, std::string_view body, const net::udp::endpoint& from);
 
 private:
+    [[nodiscard]] bool is_primary(std::string_view customer);
     /// The endpoints of the holders of \p customer other than this daemon.
     [[nodiscard]] std::vector<net::udp::endpoint> other_holders(std::string_view customer);
     void lend(const token_request& request, const net::udp::endpoint& to);
--- a/src/fleet/token_client.cpp
+++ b/src/fleet/token_client.cpp
@@ -11,8 +11,11 @@
 constexpr duration answer_timeout = milliseconds(45);
 /// Interval at which a waiting request makes sure that its holder still runs.
 constexpr duration queued_repeat_interval = milliseconds(250);
-/// Delay after which a caller may retry when no holder answered.
-constexpr duration unanswered_retry_delay = milliseconds(250);
+/// Interval at which a request that may wait looks for holders that answer.
+constexpr duration search_interval = milliseconds(250);
+/// Time until the remaining daemons have new holders with tokens: they find that the old ones are
+/// silent within a second.
+constexpr duration takeover_time = seconds(1) + limits::customer_shares::growth_delay;
 
 std::uint32_t to_milliseconds(duration value) {
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_ms(value)));
@@ -36,16 +39,26 @@
 
 net::task<token_outcome> token_client::wait(std::string customer, routing::waiting_request request,
                                             std::shared_ptr<wait_cancellation> cancellation) {
-    if (!is_primary(customer)) {
-        const time_point started_at = m_clock();
+    const time_point started_at = m_clock();
+    const routing::waiting_request at_start = request;
+    while (!is_primary(customer)) {
         const std::optional<token_outcome> outcome =
             co_await ask_holders(customer, request, cancellation);
-        if (outcome || !m_shares.holds(customer)) {
-            co_return outcome.value_or(token_outcome{.retry_after = unanswered_retry_delay});
+        if (outcome) {
+            co_return *outcome;
         }
         const duration waited = m_clock() - started_at;
-        request.time_left -= waited;
-        request.elapsed += waited;
+        request.time_left = at_start.time_left - waited;
+        request.elapsed = at_start.elapsed + waited;
+        if (m_shares.holds(customer)) {
+            break;
+        }
+        const duration predicted = std::max<duration>(takeover_time - waited, search_interval);
+        const bool should_wait = routing::decide_wait(request, predicted).should_wait;
+        if (!should_wait || cancellation->m_cancelled) {
+            co_return token_outcome{.predicted = predicted, .retry_after = predicted};
+        }
+        co_await cancellation->m_wake.wait_until(m_clock() + search_interval);
     }
     co_return co_await m_own.wait(customer, request, cancellation);
 }
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -389,6 +389,7 @@
     m_metrics.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
     m_metrics.gauge("configuration_version",
                     m_context.plan ? static_cast<double>(m_context.plan->version) : 0);
+    m_metrics.gauge("rate_limit_customers_held", static_cast<double>(m_messenger.held_customers()));
     m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
     m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
     response.body = m_metrics.text();
