Leave old builds out of the holders of tokens

A daemon of a build that divides the rates over all hosts answers no token_acquire. Registrations now say whether a daemon can hold tokens; new daemons choose holders among themselves and have the part of the rate that they are of all. Test: mirrors reads records of both builds.

--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -16,6 +16,7 @@
                           {"endpoint", record.endpoint},
                           {"incarnation", record.incarnation},
                           {"callers", record.serves_callers},
+                          {"tokens", record.holds_tokens},
                           {"jobs", record.runs_jobs}}
         .dump();
 }
@@ -23,8 +24,13 @@
 std::optional<member> member_from_json(std::string_view text) {
     const auto json = nlohmann::json::parse(text, nullptr, false);
     try {
-        return member{json.at("host"),        json.at("zone"),    json.at("endpoint"),
-                      json.at("incarnation"), json.at("callers"), json.at("jobs")};
+        return member{.host = json.at("host"),
+                      .availability_zone = json.at("zone"),
+                      .endpoint = json.at("endpoint"),
+                      .incarnation = json.at("incarnation"),
+                      .serves_callers = json.at("callers"),
+                      .holds_tokens = json.value("tokens", false),
+                      .runs_jobs = json.at("jobs")};
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
     }
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -19,6 +19,9 @@
     std::uint64_t incarnation = 0;
     /// Whether the daemon admits callers' requests.
     bool serves_callers = false;
+    /// Whether the daemon can hold customers' tokens for others. Builds before this field divide
+    /// the rates over all daemons and answer no token_acquire.
+    bool holds_tokens = false;
     /// Whether the daemon may own and run batch jobs.
     bool runs_jobs = false;
 
--- a/src/fleet/rate_limiter.cpp
+++ b/src/fleet/rate_limiter.cpp
@@ -53,7 +53,7 @@
         if (host == m_self.host || !each.serves_callers || !endpoint) {
             continue;
         }
-        frontends.push_back({host, each.availability_zone, is_heard(host)});
+        frontends.push_back({host, each.availability_zone, each.holds_tokens && is_heard(host)});
         m_endpoints[host] = {endpoint.value().address(), endpoint.value().port()};
     }
     if (m_self.serves_callers) {
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -105,6 +105,7 @@
             .endpoint = m_settings.peer_endpoint,
             .incarnation = m_incarnation,
             .serves_callers = m_settings.serves_callers,
+            .holds_tokens = m_settings.serves_callers,
             .runs_jobs = m_settings.runs_jobs};
 }
 
--- a/src/host/platform_interface.hpp
+++ b/src/host/platform_interface.hpp
@@ -26,8 +26,8 @@
     std::string target_prefix;
     /// Decodes the entry of a target; an error says why it is malformed.
     std::function<result<routing::fleet_target>(const store::kv_item&)> decode_target;
-    /// The availability zone that may get no requests as long as the operator's record with this key
-    /// exists; nothing for other records.
+    /// The availability zone that may get no requests as long as the operator's record with this
+    /// key exists; nothing for other records.
     std::function<std::optional<std::string>(std::string_view key)> evacuated_zone;
     /// The key whose presence requests the evacuation of a host.
     std::function<std::string(std::string_view host)> evacuation_key;
--- a/src/limits/token_holders.hpp
+++ b/src/limits/token_holders.hpp
@@ -13,7 +13,7 @@
 struct frontend_host {
     std::string host;
     std::string availability_zone;
-    /// Whether the daemon was heard recently; always true for the local one.
+    /// Whether the daemon was heard recently and can hold tokens; always true for the local one.
     bool is_heard = false;
 
     bool operator==(const frontend_host&) const = default;
--- a/test/correctness/mirrors.cpp
+++ b/test/correctness/mirrors.cpp
@@ -85,6 +85,21 @@
             "a missing target is dropped after an outage too short to expire entries");
 }
 
+void check_member_record() {
+    const fleet::member record{.host = "f",
+                               .availability_zone = "z",
+                               .endpoint = "127.0.0.1:1",
+                               .incarnation = 7,
+                               .serves_callers = true,
+                               .holds_tokens = true};
+    require(fleet::member_from_json(fleet::to_json(record)) == record,
+            "a registration is read as it was written");
+    const auto older = fleet::member_from_json(
+        R"({"host":"f","zone":"z","endpoint":"127.0.0.1:1","incarnation":7,"callers":true,"jobs":false})");
+    require(older && older->serves_callers && !older->holds_tokens,
+            "a daemon of a build without the field holds no tokens for others");
+}
+
 void check_directory() {
     fleet::member_directory directory;
     const fleet::member front{.host = "f", .incarnation = 1, .serves_callers = true};
@@ -181,6 +196,7 @@
 int main() {
     check_watch_delegates();
     check_reachability();
+    check_member_record();
     check_directory();
     check_stale_changes();
     check_snapshots();
