Let requests leave a holder that has lost its tokens

Cause, by reading: a request that waited at a daemon which stopped being a holder, or became one whose share had not grown yet, was woken every millisecond until its wait ended.

Change: the wait ends when the tokens are not held; the asking daemon goes on to the present holders, and a new primary without tokens asks the secondary.

--- a/src/fleet/token_client.cpp
+++ b/src/fleet/token_client.cpp
@@ -41,17 +41,24 @@
                                             std::shared_ptr<wait_cancellation> cancellation) {
     const time_point started_at = m_clock();
     const routing::waiting_request at_start = request;
-    while (!is_primary(customer)) {
-        const std::optional<token_outcome> outcome =
-            co_await ask_holders(customer, request, cancellation);
-        if (outcome) {
-            co_return *outcome;
+    for (;;) {
+        // A new primary has no tokens until its share has grown.
+        if (!is_primary(customer) || !m_shares.holds(customer)) {
+            const std::optional<token_outcome> outcome =
+                co_await ask_holders(customer, request, cancellation);
+            if (outcome) {
+                co_return *outcome;
+            }
         }
         const duration waited = m_clock() - started_at;
         request.time_left = at_start.time_left - waited;
         request.elapsed = at_start.elapsed + waited;
         if (m_shares.holds(customer)) {
-            break;
+            const token_outcome outcome = co_await m_own.wait(customer, request, cancellation);
+            if (!outcome.not_held) {
+                co_return outcome;
+            }
+            continue;
         }
         const duration predicted = std::max<duration>(takeover_time - waited, search_interval);
         const bool should_wait = routing::decide_wait(request, predicted).should_wait;
@@ -60,7 +67,6 @@
         }
         co_await cancellation->m_wake.wait_until(m_clock() + search_interval);
     }
-    co_return co_await m_own.wait(customer, request, cancellation);
 }
 
 net::task<std::optional<token_outcome>>
@@ -86,14 +92,13 @@
             ++asked;
             continue;
         }
-        if (pending.verdict->status == token_status::queued) {
-            const time_point repeat_at = m_clock() + queued_repeat_interval;
-            while (pending.verdict->status == token_status::queued && !cancellation->m_cancelled &&
-                   m_clock() < repeat_at) {
-                co_await cancellation->m_wake.wait_until(repeat_at);
-            }
+        const time_point repeat_at = m_clock() + queued_repeat_interval;
+        while (pending.verdict->status == token_status::queued && !cancellation->m_cancelled &&
+               m_clock() < repeat_at) {
+            co_await cancellation->m_wake.wait_until(repeat_at);
         }
-        is_decided = pending.verdict->status != token_status::queued;
+        is_decided = pending.verdict->status == token_status::granted ||
+                     pending.verdict->status == token_status::refused;
     }
     if (is_decided) {
         outcome = token_outcome{.taken = pending.verdict->status == token_status::granted,
--- a/src/fleet/token_exchange.cpp
+++ b/src/fleet/token_exchange.cpp
@@ -83,6 +83,10 @@
     bool decided = false;
     token_outcome outcome;
     while (!cancellation->m_cancelled) {
+        if (!m_shares.holds(customer)) {
+            outcome.not_held = true;
+            break;
+        }
         const time_point now = m_clock();
         if (queue.demote_late(now)) {
             queue.wake_first();
--- a/src/fleet/token_exchange.hpp
+++ b/src/fleet/token_exchange.hpp
@@ -40,6 +40,8 @@
 struct token_outcome {
     /// Whether a token was taken.
     bool taken = false;
+    /// Whether the wait ended because this daemon does not hold the customer's tokens any more.
+    bool not_held = false;
     /// The predicted wait on which the decision to wait was based; zero if none was made.
     duration predicted{};
     /// Delay after which a retry is likely to succeed; set only if no token was taken.
@@ -61,7 +63,8 @@
     /// that can still meet their latency objective.
     bool try_take(std::string_view customer);
     /// Waits for a token in the order of limits::token_wait_queue for as long as
-    /// routing::decide_wait() allows, or until \p cancellation is cancelled.
+    /// routing::decide_wait() allows and this daemon holds the customer's tokens, or until
+    /// \p cancellation is cancelled.
     net::task<token_outcome> wait(std::string customer, routing::waiting_request request,
                                   std::shared_ptr<wait_cancellation> cancellation);
     /// Takes tokens from the own share for another daemon. Returns the token_transfer datagram for
--- a/src/fleet/token_server.cpp
+++ b/src/fleet/token_server.cpp
@@ -54,9 +54,10 @@
                                std::shared_ptr<wait_cancellation> cancellation) {
     const token_outcome outcome =
         co_await m_exchange.wait(request.customer, to_waiting_request(request), cancellation);
+    const token_status refusal =
+        outcome.not_held ? token_status::not_holder : token_status::refused;
     const token_verdict verdict{.number = request.number,
-                                .status =
-                                    outcome.taken ? token_status::granted : token_status::refused,
+                                .status = outcome.taken ? token_status::granted : refusal,
                                 .predicted_ms = to_milliseconds(outcome.predicted),
                                 .retry_after_ms = to_milliseconds(outcome.retry_after)};
     m_requests[key] = {verdict, nullptr};
