Number token requests from a random start; keep entries read before the configuration

A restarted daemon counted its requests from 1 again and could get the answer that its earlier run had got, within 2 s. An entry of a cold target that was read before the configuration was forgotten. A status of a later build is taken for a daemon that holds no tokens, in place of asking it without end. By reading; slow_start has a check for the second.

--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -81,7 +81,7 @@
 /// same number when no answer arrives; the holder repeats its answer.
 struct token_acquire {
     static constexpr std::uint8_t kind = 7;
-    /// Unique among the requests of the sender's process.
+    /// Unique among the requests of the sender.
     std::uint64_t number = 0;
     std::string customer;
     /// The fields of routing::waiting_request, in milliseconds.
--- a/src/fleet/token_client.cpp
+++ b/src/fleet/token_client.cpp
@@ -21,6 +21,13 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_ms(value)));
 }
 
+/// Whether the sender of \p status holds the customer's tokens. Values of later builds do not
+/// count.
+bool is_from_holder(token_status status) {
+    return status == token_status::granted || status == token_status::queued ||
+           status == token_status::refused;
+}
+
 token_acquire make_acquire(std::uint64_t number, const std::string& customer,
                            const routing::waiting_request& request, duration waited) {
     return {.number = number,
@@ -88,7 +95,7 @@
         while (!pending.verdict && !cancellation->m_cancelled && m_clock() < answer_by) {
             co_await cancellation->m_wake.wait_until(answer_by);
         }
-        if (!pending.verdict || pending.verdict->status == token_status::not_holder) {
+        if (!pending.verdict || !is_from_holder(pending.verdict->status)) {
             ++asked;
             continue;
         }
--- a/src/fleet/token_client.hpp
+++ b/src/fleet/token_client.hpp
@@ -2,6 +2,7 @@
 /// Defines how a daemon obtains tokens of customers' rate limits for its callers' requests.
 #pragma once
 
+#include "base/random_source.hpp"
 #include "fleet/token_exchange.hpp"
 #include "fleet/token_server.hpp"
 #include "limits/customer_shares.hpp"
@@ -57,7 +58,8 @@
     token_exchange& m_own;
     send_datagram_fn m_send;
     std::map<std::uint64_t, pending_request> m_pending;
-    std::uint64_t m_last_number = 0;
+    /// Starts at random, so that a restarted daemon does not get answers to its earlier requests.
+    std::uint64_t m_last_number = secure_random_uint64();
 };
 
 } // namespace eelgrassdoor::fleet
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -63,19 +63,17 @@
 }
 
 void slow_start::record_entry(const fleet_target& target, time_point now) {
-    const cold_limit* limit = limit_of(target);
-    if (limit == nullptr) {
-        return;
-    }
     if (m_states.size() >= max_known_targets) {
         m_states.clear();
     }
     const bool is_new = !m_states.contains(target.id);
     target_state& state = m_states[target.id];
     state.entry_read_at = now;
+    // The limits may not be known yet.
+    const cold_limit* limit = limit_of(target);
     if (target.cold_remaining) {
         state.cold_until = std::max(state.cold_until, now + *target.cold_remaining);
-    } else if (is_new) {
+    } else if (is_new && limit != nullptr) {
         state.cold_until = now + limit->cold_time;
     }
 }
--- a/test/correctness/slow_start.cpp
+++ b/test/correctness/slow_start.cpp
@@ -167,6 +167,11 @@
     other.record_entry(cold_target(std::nullopt), start);
     require(other.is_cold(warm, start + seconds(2)) && !other.is_cold(warm, start + seconds(3)),
             "a new target whose entry does not say is cold for the whole cold time");
+    slow_start early;
+    early.record_entry(cold_target(seconds(3)), start);
+    early.set_limits(limits_of_s, start + seconds(1));
+    require(early.is_cold(warm, start + seconds(2)),
+            "an entry that was read before the configuration counts");
     slow_start unlimited;
     unlimited.record_entry(cold_target(seconds(3)), start);
     require(!unlimited.is_cold(warm, start), "a service without a cold rate has no limit");
