Log failed fetches between daemons, and tell how current each prefix is

Cause: a fetch of a prefix from another daemon that failed left no line, so that the hypotheses on the configuration incident could not be told apart; no metric told how old the knowledge of a prefix is, or since when a call to the store is outstanding. No logic changes.

--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -66,6 +66,8 @@
     net::task<> shutdown();
     net::task<> handle_readiness(net::server_exchange& exchange);
     net::task<> handle_metrics(net::server_exchange& exchange);
+    /// Sets the gauges that tell how current each mirrored prefix is.
+    void set_mirror_gauges();
 
     net::asio::io_context& m_loop;
     const host_settings m_settings;
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -89,26 +89,46 @@
         net::http_request request;
         request.method = "GET";
         request.target = str_cat(mirror_path, "?prefix=", newer.prefix);
-        const result<net::http_response> response = co_await m_client.call(
-            newer.endpoint, std::move(request), m_context.clock() + pull_timeout);
+        const time_point started = m_context.clock();
+        const result<net::http_response> response =
+            co_await m_client.call(newer.endpoint, std::move(request), started + pull_timeout);
         if (response) {
-            apply_response(newer, response.value().body);
+            apply_response(newer, response.value().body, started);
+        } else {
+            log_pull_failure(newer, response.error().message, started);
         }
     }
     m_pulling.erase(newer.prefix);
 }
 
-void peer_api::apply_response(const fleet::newer_revision& newer, std::string_view body) {
+void peer_api::apply_response(const fleet::newer_revision& newer, std::string_view body,
+                              time_point started) {
+    const std::string elapsed = elapsed_ms(started);
     const auto snapshot = peer::decode<store::mirror_snapshot>(body);
     if (!snapshot) {
-        m_context.log.write(observe::event::message_dropped, newer.prefix,
-                            {{"from", newer.endpoint}});
+        log_pull_failure(newer, "the snapshot cannot be decoded", started);
         return;
     }
     m_mirror.apply_snapshot(*snapshot);
-    m_context.log.write(
-        observe::event::mirror_pulled, newer.prefix,
-        {{"from", newer.endpoint}, {"revision", std::to_string(snapshot->revision)}});
+    m_context.log.write(observe::event::mirror_pulled, newer.prefix,
+                        {{"from", newer.endpoint},
+                         {"revision", std::to_string(snapshot->revision)},
+                         {"bytes", std::to_string(body.size())},
+                         {"elapsed_ms", elapsed}});
+}
+
+void peer_api::log_pull_failure(const fleet::newer_revision& newer, std::string_view reason,
+                                time_point started) {
+    m_context.metrics.count("mirror_pull_failed");
+    m_context.log.write(observe::event::mirror_pull_failed, newer.prefix,
+                        {{"from", newer.endpoint},
+                         {"revision", std::to_string(newer.revision)},
+                         {"reason", std::string(reason)},
+                         {"elapsed_ms", elapsed_ms(started)}});
+}
+
+std::string peer_api::elapsed_ms(time_point started) const {
+    return std::to_string(to_ms(m_context.clock() - started));
 }
 
 } // namespace eelgrassdoor::host
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -36,7 +36,11 @@
 
 private:
     net::task<> run_pull(fleet::newer_revision newer);
-    void apply_response(const fleet::newer_revision& newer, std::string_view body);
+    void apply_response(const fleet::newer_revision& newer, std::string_view body,
+                        time_point started);
+    void log_pull_failure(const fleet::newer_revision& newer, std::string_view reason,
+                          time_point started);
+    [[nodiscard]] std::string elapsed_ms(time_point started) const;
     net::task<> handle_mirror(net::server_exchange& exchange);
     /// Executes a call about a job on the local runner or, with \p forward, through the frontend on
     /// behalf of a daemon that cannot reach any runner.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -58,6 +58,8 @@
     event_info{event::evacuated_zones_changed, "evacuated_zones_changed", info,
                "The operator changed which availability zones are evacuated; their targets receive "
                "no requests."},
+    event_info{event::mirror_pull_failed, "mirror_pull_failed", warning,
+               "Updates of the key-value service could not be fetched from another daemon."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -37,6 +37,7 @@
     platform_back = 311,
     target_stalled = 312,
     evacuated_zones_changed = 313,
+    mirror_pull_failed = 314,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/store/mirror_feed.cpp
+++ b/src/store/mirror_feed.cpp
@@ -81,6 +81,20 @@
     return found == m_options.end() ? feed_options() : found->second;
 }
 
+feed_status mirror_feed::status(std::string_view prefix) const {
+    const auto found = m_status.find(prefix);
+    return found == m_status.end() ? feed_status() : found->second;
+}
+
+void mirror_feed::end_call(const std::string& prefix, std::string_view failure) {
+    feed_status& status = m_status[prefix];
+    status.waiting_since = time_point::max();
+    if (failure.empty()) {
+        status.confirmed_at = m_clock();
+    }
+    update_connectivity(failure.empty(), failure);
+}
+
 net::task<std::string> mirror_feed::read_or_watch(const std::string& prefix,
                                                   feed_position& position) {
     if (position.must_read) {
@@ -133,13 +147,14 @@
                              m_mirror.items(prefix).empty();
         std::string failure;
         if (watches) {
+            begin_call(prefix);
             failure = co_await read_or_watch(prefix, position);
         } else {
             failure = co_await poll_prefix(prefix);
             // The changes since the last watch were not received in order.
             position.must_read = must_watch();
         }
-        update_connectivity(failure.empty(), failure);
+        end_call(prefix, failure);
         if (failure.empty()) {
             retry_delay = initial_retry_delay;
             if (options.coalescing_delay > duration::zero()) {
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -20,6 +20,15 @@
     bool always_watched = false;
 };
 
+/// What is known of how current the replica of one prefix is.
+struct feed_status {
+    /// Last time at which the store responded to a read or watch of the prefix; time_point::min()
+    /// before the first response.
+    time_point confirmed_at = time_point::min();
+    /// Start of the outstanding read or watch; time_point::max() if there is none.
+    time_point waiting_since = time_point::max();
+};
+
 /// Watches the prefixes of a mirror, and reads one again when the store has compacted the history
 /// of its watch. While another daemon watches instead, it only polls with cheap stale reads. Not
 /// thread-safe: runs on the executor given at construction.
@@ -50,6 +59,8 @@
     /// Time from the last response before connected_since() until then. Of no meaning until the
     /// store has failed to respond after a first response.
     [[nodiscard]] duration last_outage() const { return m_last_outage; }
+    /// How current the replica of \p prefix is, as far as this daemon's own calls show.
+    [[nodiscard]] feed_status status(std::string_view prefix) const;
 
 private:
     /// Progress of following one prefix.
@@ -71,6 +82,9 @@
     /// Reads all keys of a prefix into the mirror and returns the revision of the snapshot.
     net::task<result<std::uint64_t>> read_all(std::string prefix, consistency read_consistency);
     [[nodiscard]] feed_options options_of(const std::string& prefix) const;
+    /// Records that a call for a prefix starts, or that it ended with \p failure.
+    void begin_call(const std::string& prefix) { m_status[prefix].waiting_since = m_clock(); }
+    void end_call(const std::string& prefix, std::string_view failure);
     /// Updates connected_since() and last_outage() after a call, and logs when the state changes.
     void update_connectivity(bool responded, std::string_view reason);
 
@@ -78,6 +92,7 @@
     kv_store& m_store;
     mirror& m_mirror;
     std::map<std::string, feed_options> m_options;
+    std::map<std::string, feed_status, std::less<>> m_status;
     clock_fn m_clock;
     observe::decision_log& m_log;
     time_point m_last_response_at{};
