--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -2,22 +2,7 @@
 
 #include "base/text.hpp"
 #include "net/notification.hpp"
-#include "peer/codec.hpp"
-
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
-namespace eelgrassdoor::store {
-
-template <typename Archive> void serialize(Archive& ar, kv_item& item) {
-    ar(item.key, item.value, item.revision);
-}
-
-template <typename Archive> void serialize(Archive& ar, mirror_snapshot& snapshot) {
-    ar(snapshot.prefix, snapshot.revision, snapshot.items);
-}
-
-} // namespace eelgrassdoor::store
+#include "store/snapshot_codec.hpp"
 
 namespace eelgrassdoor::host {
 
@@ -52,7 +37,7 @@
     const std::string prefix = exchange.request().query("prefix").value_or("");
     net::http_response response;
     response.status = 200;
-    response.body = peer::encode(m_mirror.snapshot(prefix));
+    response.body = store::encode_snapshot(m_mirror.snapshot(prefix));
     co_await exchange.respond(std::move(response));
 }
 
@@ -104,7 +89,7 @@
 void peer_api::apply_response(const fleet::newer_revision& newer, std::string_view body,
                               time_point started) {
     const std::string elapsed = elapsed_ms(started);
-    const auto snapshot = peer::decode<store::mirror_snapshot>(body);
+    const auto snapshot = store::decode_snapshot(body);
     if (!snapshot) {
         log_pull_failure(newer, "the snapshot cannot be decoded", started);
         return;
