Fetch a large change from any daemon that has it, a few copies at a time

Cause: the daemons that do not watch the store, 13 or 14 in each zone, copy the configuration from the one that does at the same moment, over its link of 30 Mbit/s. Daemons of older builds are served as before. Why it works: the number of sources doubles with each round, and no byte that arrives is thrown away.

--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -7,6 +7,7 @@
 #include "fleet/digest_relay.hpp"
 #include "fleet/member_directory.hpp"
 #include "fleet/message.hpp"
+#include "fleet/newer_revision.hpp"
 #include "fleet/peer_group.hpp"
 #include "fleet/peer_table.hpp"
 #include "fleet/rate_limiter.hpp"
@@ -38,16 +39,6 @@
     std::function<bool(std::string_view)> is_cut_off;
 };
 
-/// A key prefix of which another daemon knows a newer revision than this one.
-struct newer_revision {
-    /// `IP:PORT` of the daemon that knows it.
-    std::string endpoint;
-    std::string prefix;
-    std::uint64_t revision = 0;
-    /// Whether that daemon is registered in the own availability zone.
-    bool same_zone = false;
-};
-
 /// Sends and receives datagrams with load, revisions of the mirrored prefixes and tokens of
 /// customers' rate limits. Not thread-safe: all calls and callbacks run on the executor given at
 /// construction.
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -1,23 +1,23 @@
 #include "host/peer_api.hpp"
 
-#include "base/text.hpp"
-#include "net/notification.hpp"
 #include "store/snapshot_codec.hpp"
 
+#include <absl/strings/numbers.h>
+
 namespace eelgrassdoor::host {
 
 namespace {
 
-constexpr std::string_view mirror_path = "/mirror";
-/// Delay within a zone, so that successive changes are fetched together.
-constexpr duration same_zone_pull_delay = milliseconds(15);
-/// Delay across zones: by then the change has usually arrived from a daemon of the same zone or
-/// from the key-value service.
-constexpr duration other_zone_pull_delay = milliseconds(250);
-constexpr duration pull_timeout = milliseconds(1000);
+/// Bytes of snapshots that are sent at the same time: on a link of 30 Mbit/s a tenth of a second.
+constexpr std::size_t max_transfer_bytes = 384 * 1024;
 
 } // namespace
 
+peer_api::peer_api(serving::service_context& context, store::mirror& mirrors,
+                   jobs::job_runner* runner, entry::job_frontend& job_frontend)
+    : m_mirror(mirrors), m_runner(runner), m_job_frontend(job_frontend), m_puller(context, mirrors),
+      m_snapshots(mirrors), m_transfers(max_transfer_bytes) {}
+
 net::task<> peer_api::handle(net::server_exchange& exchange) {
     const std::string_view path = exchange.request().path();
     if (path == mirror_path) {
@@ -34,11 +34,28 @@
 }
 
 net::task<> peer_api::handle_mirror(net::server_exchange& exchange) {
-    const std::string prefix = exchange.request().query("prefix").value_or("");
+    const net::http_request& request = exchange.request();
+    const std::string prefix = request.query("prefix").value_or("");
+    std::uint64_t wanted = 0;
+    const bool names_revision = absl::SimpleAtoi(request.query("revision").value_or(""), &wanted);
     net::http_response response;
     response.status = 200;
-    response.body = store::encode_snapshot(m_mirror.snapshot(prefix));
+    if (request.headers.get("Accept-Encoding") == compressed_encoding) {
+        response.body = m_snapshots.compressed(prefix);
+        response.headers.set("Content-Encoding", compressed_encoding);
+    } else {
+        response.body = store::encode_snapshot(m_mirror.snapshot(prefix));
+    }
+    // Daemons of older builds name no revision. They take no refusal as a notice to ask others.
+    if (names_revision && m_mirror.content_revision(prefix) < wanted) {
+        response = {.status = 404};
+    } else if (names_revision && !m_transfers.allows(response.body.size())) {
+        response = {.status = 503};
+    }
+    const std::size_t bytes = response.body.size();
+    m_transfers.begin(bytes);
     co_await exchange.respond(std::move(response));
+    m_transfers.end(bytes);
 }
 
 net::task<> peer_api::handle_job_call(net::server_exchange& exchange, bool forward) {
@@ -59,61 +76,4 @@
     co_await exchange.respond(std::move(response));
 }
 
-void peer_api::pull(const fleet::newer_revision& newer) {
-    if (m_pulling.insert(newer.prefix).second) {
-        net::asio::co_spawn(m_context.executor, run_pull(newer), net::asio::detached);
-    }
-}
-
-net::task<> peer_api::run_pull(fleet::newer_revision newer) {
-    if (m_mirror.revision(newer.prefix) != 0) {
-        const duration delay = newer.same_zone ? same_zone_pull_delay : other_zone_pull_delay;
-        co_await net::sleep_for(delay);
-    }
-    if (m_mirror.revision(newer.prefix) < newer.revision) {
-        net::http_request request;
-        request.method = "GET";
-        request.target = str_cat(mirror_path, "?prefix=", newer.prefix);
-        const time_point started = m_context.clock();
-        const result<net::http_response> response =
-            co_await m_client.call(newer.endpoint, std::move(request), started + pull_timeout);
-        if (response) {
-            apply_response(newer, response.value().body, started);
-        } else {
-            log_pull_failure(newer, response.error().message, started);
-        }
-    }
-    m_pulling.erase(newer.prefix);
-}
-
-void peer_api::apply_response(const fleet::newer_revision& newer, std::string_view body,
-                              time_point started) {
-    const std::string elapsed = elapsed_ms(started);
-    const auto snapshot = store::decode_snapshot(body);
-    if (!snapshot) {
-        log_pull_failure(newer, "the snapshot cannot be decoded", started);
-        return;
-    }
-    m_mirror.apply_snapshot(*snapshot);
-    m_context.log.write(observe::event::mirror_pulled, newer.prefix,
-                        {{"from", newer.endpoint},
-                         {"revision", std::to_string(snapshot->revision)},
-                         {"bytes", std::to_string(body.size())},
-                         {"elapsed_ms", elapsed}});
-}
-
-void peer_api::log_pull_failure(const fleet::newer_revision& newer, std::string_view reason,
-                                time_point started) {
-    m_context.metrics.count("mirror_pull_failed");
-    m_context.log.write(observe::event::mirror_pull_failed, newer.prefix,
-                        {{"from", newer.endpoint},
-                         {"revision", std::to_string(newer.revision)},
-                         {"reason", std::string(reason)},
-                         {"elapsed_ms", elapsed_ms(started)}});
-}
-
-std::string peer_api::elapsed_ms(time_point started) const {
-    return std::to_string(to_ms(m_context.clock() - started));
-}
-
 } // namespace eelgrassdoor::host
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,6 +51,11 @@
 
 task<result<http_response>> http_client::call(std::string endpoint, http_request request,
                                               time_point deadline) {
+    return call(std::move(endpoint), std::move(request), call_timeouts{.deadline = deadline});
+}
+
+task<result<http_response>> http_client::call(std::string endpoint, http_request request,
+                                              call_timeouts timeouts) {
     if (m_options.is_partitioned && m_options.is_partitioned(endpoint)) {
         co_return error{
             error_code::target_failed,
@@ -58,22 +63,25 @@
             run_state::not_run};
     }
     std::shared_ptr<tcp_connection> connection = take_idle(endpoint);
-    if (connection) {
-        connection->set_deadline(deadline);
-    } else {
+    if (!connection) {
         const time_point connect_by =
-            std::min(deadline, steady_clock()() + m_options.connect_timeout);
+            std::min(timeouts.deadline, steady_clock()() + m_options.connect_timeout);
         result<std::shared_ptr<tcp_connection>> opened =
             co_await connect(m_executor, endpoint, connect_by);
         if (!opened) {
             co_return opened.error();
         }
         connection = std::move(opened.value());
-        connection->set_deadline(deadline);
     }
+    const std::function<void()> extend_deadline = [&timeouts, connection = connection.get()] {
+        const time_point now = steady_clock()();
+        const bool is_limited = timeouts.max_silence < timeouts.deadline - now;
+        connection->set_deadline(is_limited ? now + timeouts.max_silence : timeouts.deadline);
+    };
+    extend_deadline();
     http_exchange exchange(connection, m_options.limits);
     exchange.send(request);
-    const result<void> read = co_await exchange.read_all();
+    const result<void> read = co_await exchange.read_all(extend_deadline);
     if (!read) {
         connection->close();
         co_return read.error();
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,6 +25,14 @@
     std::function<bool(std::string_view)> is_partitioned;
 };
 
+/// Time limits of one call.
+struct call_timeouts {
+    /// When the call fails if it is not complete.
+    time_point deadline;
+    /// How long the server may send nothing before the call fails.
+    duration max_silence = duration::max();
+};
+
 /// Sends complete requests and reads complete responses. Never retries a request. Must be used on
 /// the thread of its event loop.
 class http_client {
@@ -37,6 +45,9 @@
     /// run_state::unknown that the server may have received it.
     task<result<http_response>> call(std::string endpoint, http_request request,
                                      time_point deadline);
+    /// The same with a limit on the server's silence.
+    task<result<http_response>> call(std::string endpoint, http_request request,
+                                     call_timeouts timeouts);
     /// Opens a connection outside of the pool. Its deadline stays set to \p deadline. Fails with
     /// error_code::invalid_request when \p endpoint is malformed, and otherwise with
     /// error_code::deadline_exceeded or target_failed, always as run_state::not_run.
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -80,12 +80,15 @@
     co_return !m_parser->message().body.empty() || !m_parser->complete();
 }
 
-task<result<void>> http_exchange::read_all() {
+task<result<void>> http_exchange::read_all(std::function<void()> on_progress) {
     while (!m_parser->complete()) {
         const result<void> step = co_await advance();
         if (!step) {
             co_return step.error();
         }
+        if (on_progress) {
+            on_progress();
+        }
     }
     co_return success();
 }
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -6,6 +6,7 @@
 #include "net/http_parser.hpp"
 #include "net/tcp_connection.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,8 +30,8 @@
     /// Waits until the body is not empty. Returns false when the response is complete and its body
     /// was taken.
     task<result<bool>> read_body();
-    /// Waits for the complete response.
-    task<result<void>> read_all();
+    /// Waits for the complete response. Calls \p on_progress, if set, whenever bytes have arrived.
+    task<result<void>> read_all(std::function<void()> on_progress = nullptr);
 
     /// The response so far. The caller may take received bytes out of its body.
     http_response& response() { return m_parser->message(); }
