--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -14,9 +14,17 @@
 
 /// Interval at which waiting calls check whether they can return.
 constexpr duration poll_interval = milliseconds(5);
+/// How long a caller waits for a response, beyond the wait that it asked for.
+constexpr duration response_timeout = milliseconds(1200);
 
 } // namespace
 
+net::task<error> memory_store::wait_in_vain(duration timeout) {
+    net::notification step(m_executor);
+    co_await step.wait_until(steady_clock()() + timeout);
+    co_return error{error_code::deadline_exceeded, "no response", run_state::unknown};
+}
+
 void memory_store::erase(const std::string& key) {
     m_items.erase(key);
     m_history.push_back({{key, "", ++m_revision}, true});
@@ -80,6 +88,10 @@
         if (refuse()) {
             co_return refusal();
         }
+        if (silent()) {
+            const error failure = co_await wait_in_vain(response_timeout);
+            co_return failure;
+        }
         kv_page page;
         page.store_revision = m_revision;
         for (const auto& [key, item] : m_items) {
@@ -96,6 +108,11 @@
             if (refuse()) {
                 co_return refusal();
             }
+            if (silent()) {
+                const error failure =
+                    co_await wait_in_vain(end + response_timeout - steady_clock()());
+                co_return failure;
+            }
             kv_changes changes;
             changes.store_revision = m_revision;
             for (const auto& [key, item] : m_items) {
@@ -146,6 +163,11 @@
         if (refuse()) {
             co_return refusal();
         }
+        if (silent()) {
+            ++m_silent_renewals;
+            const error failure = co_await wait_in_vain(response_timeout);
+            co_return failure;
+        }
         co_return m_leases.contains(lease);
     };
     out.end_lease = [this](std::uint64_t lease) -> kv_store::reply<bool> {
--- a/test/stand_in/memory_store.hpp
+++ b/test/stand_in/memory_store.hpp
@@ -37,6 +37,12 @@
     /// Whether a call of any kind is refused without effect.
     std::function<bool()> refuse = [] { return false; };
 
+    /// Whether the store is silent: reads, watches and renewals that are made or wait meanwhile get
+    /// no response, also not afterwards, and fail when their callers' timeouts have passed.
+    std::function<bool()> silent = [] { return false; };
+    /// Number of renewals that met the silent store.
+    [[nodiscard]] std::uint64_t silent_renewals() const { return m_silent_renewals; }
+
     /// Sets a key at a new revision, without a lease.
     void put(const std::string& key, const std::string& value) {
         m_items[key] = {key, value, ++m_revision};
@@ -53,7 +59,11 @@
     /// Executes a transaction if its conditions hold and its leases exist.
     store::commit_outcome apply(const store::kv_transaction& change);
 
+    /// Fails after \p timeout, as a call does whose response never comes.
+    net::task<error> wait_in_vain(duration timeout);
+
     net::asio::any_io_executor m_executor;
+    std::uint64_t m_silent_renewals = 0;
     std::map<std::string, store::kv_item> m_items;
     std::vector<store::kv_event> m_history;
     std::uint64_t m_revision = 1;
