--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -6,11 +6,29 @@
 namespace eelgrassdoor::test {
 
 scripted_engine::scripted_engine(net::asio::any_io_executor executor, std::string endpoint)
-    : m_executor(std::move(executor)), m_endpoint(std::move(endpoint)),
-      m_server(std::make_unique<net::http_server>(
-          m_executor, net::http_server_options{.endpoint = m_endpoint},
-          [this](net::server_exchange& exchange) { return handle(exchange); })) {
-    (void)m_server->start();
+    : m_executor(std::move(executor)), m_endpoint(std::move(endpoint)) {
+    listen();
+}
+
+void scripted_engine::listen() {
+    m_servers.push_back(std::make_unique<net::http_server>(
+        m_executor, net::http_server_options{.endpoint = m_endpoint},
+        [this](net::server_exchange& exchange) { return handle(exchange); }));
+    (void)m_servers.back()->start();
+}
+
+bool scripted_engine::is_fatal(const net::http_request& request) const {
+    const std::string prompt = str_cat(",", request.headers.get("Prompt-Prefix"));
+    return !m_fatal_segment.empty() &&
+           prompt.find(str_cat(",", m_fatal_segment, ":")) != std::string::npos;
+}
+
+net::task<> scripted_engine::crash() {
+    ++m_crashes;
+    m_servers.back()->stop();
+    net::notification delay(m_executor);
+    co_await delay.wait_until(steady_clock()() + m_restart_delay);
+    listen();
 }
 
 net::http_response scripted_engine::make_head(int status, const net::http_request& request) const {
@@ -26,6 +44,11 @@
 
 net::task<> scripted_engine::handle(net::server_exchange& exchange) {
     m_received.push_back(exchange.request());
+    if (is_fatal(exchange.request())) {
+        net::asio::co_spawn(m_executor, crash(), net::asio::detached);
+        exchange.abort();
+        co_return;
+    }
     engine_action action = engine_action::serve;
     if (!m_script.empty()) {
         action = m_script.front();
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace eelgrassdoor::test {
 
@@ -47,6 +48,15 @@
     /// Delay between events of a stream.
     void set_event_interval(duration interval) { m_event_interval = interval; }
 
+    /// Makes requests with this prompt segment end the engine before it answers: it refuses
+    /// connections until it has started again after \p restart_delay.
+    void set_fatal_segment(std::string segment, duration restart_delay) {
+        m_fatal_segment = std::move(segment);
+        m_restart_delay = restart_delay;
+    }
+    /// Number of times that such a request ended the engine.
+    [[nodiscard]] int crashes() const { return m_crashes; }
+
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
     /// All requests that were received.
     [[nodiscard]] const std::deque<net::http_request>& received() const { return m_received; }
@@ -59,11 +69,19 @@
     net::task<> handle(net::server_exchange& exchange);
     net::task<> serve(net::server_exchange& exchange, bool truncate);
     net::task<> hang(net::server_exchange& exchange);
+    void listen();
+    /// Whether the prompt of \p request has the fatal segment.
+    [[nodiscard]] bool is_fatal(const net::http_request& request) const;
+    net::task<> crash();
     net::http_response make_head(int status, const net::http_request& request) const;
 
     net::asio::any_io_executor m_executor;
     std::string m_endpoint;
-    std::unique_ptr<net::http_server> m_server;
+    /// The server of each start; the last one may be running.
+    std::vector<std::unique_ptr<net::http_server>> m_servers;
+    std::string m_fatal_segment;
+    duration m_restart_delay{};
+    int m_crashes = 0;
     std::deque<engine_action> m_script;
     std::deque<net::http_request> m_received;
     std::uint64_t m_events = 5;
