Send watches again when the store is back after an outage

Cause: a watch that began before the outage never gets a response, and only its own timeout of 11.2 s ended it, although renewals of leases succeeded at once. Change: any call that succeeds after a failed one abandons the outstanding watches, which are sent again; a watch after a failed call waits 50 ms; watches of configuration and targets wait 2.5 s at most; a poll without a call is no response.

--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -28,6 +28,9 @@
 /// Window in which cancellations of jobs are fetched together. A sixth of the time within which a
 /// cancelled job must stop; its owner usually receives the cancellation as a direct call.
 constexpr duration cancellation_coalescing_delay = milliseconds(500);
+/// Wait of watches whose changes must take effect within a few seconds. Bounds how long a lost
+/// response hides a change.
+constexpr duration urgent_watch_wait = milliseconds(2500);
 /// Registration of daemons that run no jobs. No other daemon has to take over work from them, so
 /// they may renew it less often.
 constexpr duration frontend_ttl = seconds(8);
@@ -212,7 +215,9 @@
     // Daemons that run jobs must know each other; there are few of them.
     m_feed.set_options(fleet::member_prefix, {.coalescing_delay = member_coalescing_delay,
                                               .always_watched = m_settings.runs_jobs});
-    m_feed.set_options(m_adapter.target_prefix, {.coalescing_delay = target_coalescing_delay});
+    m_feed.set_options(m_adapter.operator_prefix, {.watch_wait = urgent_watch_wait});
+    m_feed.set_options(m_adapter.target_prefix, {.coalescing_delay = target_coalescing_delay,
+                                                 .watch_wait = urgent_watch_wait});
     m_feed.set_options(jobs::cancelled_prefix,
                        {.coalescing_delay = cancellation_coalescing_delay, .always_watched = true});
 }
--- a/src/store/mirror_feed.cpp
+++ b/src/store/mirror_feed.cpp
@@ -1,16 +1,13 @@
 #include "store/mirror_feed.hpp"
 
-#include "net/notification.hpp"
-
 #include <algorithm>
 
 namespace eelgrassdoor::store {
 
 namespace {
 
-/// Longest wait of one watch. The store counts a waiting watch as one call, so a longer wait is
-/// cheaper. A dead connection is detected by its keep-alive probes.
-constexpr duration watch_wait = seconds(10);
+/// Maximum wait of a watch after a failed call.
+constexpr duration probe_wait = milliseconds(50);
 /// Interval at which a daemon that does not watch checks whether it has to.
 constexpr duration watch_check_interval = milliseconds(300);
 /// Interval at which a daemon that does not watch polls a prefix. In between, the digests of other
@@ -43,10 +40,11 @@
     if (responded == connected) {
         return;
     }
+    m_connected_since = responded ? now : time_point::max();
     if (responded) {
         m_last_outage = time_since_response;
+        abandon_watches();
     }
-    m_connected_since = responded ? now : time_point::max();
     m_log.write(responded ? observe::event::platform_back : observe::event::platform_lost, "",
                 {{"reason", std::string(reason)}});
 }
@@ -86,36 +84,68 @@
     return found == m_status.end() ? feed_status() : found->second;
 }
 
-void mirror_feed::end_call(const std::string& prefix, std::string_view failure) {
+void mirror_feed::end_call(const std::string& prefix, const call_outcome& outcome) {
     feed_status& status = m_status[prefix];
     status.waiting_since = time_point::max();
-    if (failure.empty()) {
+    if (!outcome) {
+        return;
+    }
+    if (outcome->empty()) {
         status.confirmed_at = m_clock();
     }
-    update_connectivity(failure.empty(), failure);
+    update_connectivity(outcome->empty(), *outcome);
 }
 
-net::task<std::string> mirror_feed::read_or_watch(const std::string& prefix,
-                                                  feed_position& position) {
-    if (position.must_read) {
-        // At startup a cheap stale read misses nothing: a watch continues from its revision, and
-        // daemons that do not watch learn of newer revisions from digests.
-        const consistency read_consistency =
-            position.revision == 0 ? consistency::stale : consistency::linearizable;
-        const result<std::uint64_t> read = co_await read_all(prefix, read_consistency);
-        if (!read) {
-            co_return read.error().message;
-        }
-        position.must_read = false;
-        position.revision = read.value();
-        co_return std::string();
+void mirror_feed::abandon_watches() {
+    for (const auto& [prefix, pending] : m_pending) {
+        pending->ended.notify();
+    }
+}
+
+net::task<mirror_feed::call_outcome> mirror_feed::read_or_watch(const std::string& prefix,
+                                                                feed_position& position) {
+    return position.must_read ? read_prefix(prefix, position) : watch_prefix(prefix, position);
+}
+
+net::task<mirror_feed::call_outcome> mirror_feed::read_prefix(const std::string& prefix,
+                                                              feed_position& position) {
+    // At startup a cheap stale read misses nothing: a watch continues from its revision, and
+    // daemons that do not watch learn of newer revisions from digests.
+    const consistency read_consistency =
+        position.revision == 0 ? consistency::stale : consistency::linearizable;
+    const result<std::uint64_t> read = co_await read_all(prefix, read_consistency);
+    if (!read) {
+        co_return read.error().message;
+    }
+    position.must_read = false;
+    position.revision = read.value();
+    co_return std::string();
+}
+
+net::task<> mirror_feed::run_watch(std::shared_ptr<pending_watch> pending, std::string prefix,
+                                   std::uint64_t revision, duration wait) {
+    result<watch_outcome> outcome = co_await m_store.watch(std::move(prefix), revision, wait);
+    pending->outcome = std::move(outcome);
+    pending->ended.notify();
+}
+
+net::task<mirror_feed::call_outcome> mirror_feed::watch_prefix(const std::string& prefix,
+                                                               feed_position& position) {
+    const duration wait = position.after_failure ? probe_wait : options_of(prefix).watch_wait;
+    const auto pending = std::make_shared<pending_watch>(m_executor);
+    m_pending[prefix] = pending;
+    net::asio::co_spawn(m_executor, run_watch(pending, prefix, position.revision, wait),
+                        net::asio::detached);
+    co_await pending->ended.wait_until(time_point::max());
+    m_pending.erase(prefix);
+    if (!pending->outcome) {
+        co_return std::nullopt;
     }
-    const result<watch_outcome> watch_result =
-        co_await m_store.watch(prefix, position.revision, watch_wait);
-    if (!watch_result) {
-        co_return watch_result.error().message;
+    const result<watch_outcome>& outcome = *pending->outcome;
+    if (!outcome) {
+        co_return outcome.error().message;
     }
-    const auto* changes = std::get_if<kv_changes>(&watch_result.value());
+    const auto* changes = std::get_if<kv_changes>(&outcome.value());
     position.must_read = changes == nullptr;
     if (changes != nullptr) {
         m_mirror.apply_changes(prefix, *changes);
@@ -124,13 +154,13 @@
     co_return std::string();
 }
 
-net::task<std::string> mirror_feed::poll_prefix(const std::string& prefix) {
+net::task<mirror_feed::call_outcome> mirror_feed::poll_prefix(const std::string& prefix) {
     const time_point until = m_clock() + poll_interval;
     while (!must_watch() && m_clock() < until) {
         co_await net::sleep_for(watch_check_interval);
     }
     if (must_watch()) {
-        co_return std::string();
+        co_return std::nullopt;
     }
     // A stale read may be older than what other daemons sent; the mirror ignores older revisions.
     const result<std::uint64_t> read = co_await read_all(prefix, consistency::stale);
@@ -145,17 +175,18 @@
         // While a prefix is empty, other daemons have no revision of it to announce.
         const bool watches = position.must_read || options.always_watched || must_watch() ||
                              m_mirror.items(prefix).empty();
-        std::string failure;
+        call_outcome outcome;
         if (watches) {
             begin_call(prefix);
-            failure = co_await read_or_watch(prefix, position);
+            outcome = co_await read_or_watch(prefix, position);
         } else {
-            failure = co_await poll_prefix(prefix);
+            outcome = co_await poll_prefix(prefix);
             // The changes since the last watch were not received in order.
             position.must_read = must_watch();
         }
-        end_call(prefix, failure);
-        if (failure.empty()) {
+        end_call(prefix, outcome);
+        position.after_failure = outcome && !outcome->empty();
+        if (!position.after_failure) {
             retry_delay = initial_retry_delay;
             if (options.coalescing_delay > duration::zero()) {
                 co_await net::sleep_for(options.coalescing_delay);
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -2,11 +2,14 @@
 /// Defines the synchronization of a mirror with the key-value service.
 #pragma once
 
+#include "net/notification.hpp"
 #include "observe/decision_log.hpp"
 #include "store/kv_store.hpp"
 #include "store/mirror.hpp"
 
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace eelgrassdoor::store {
@@ -16,6 +19,9 @@
     /// Delay between a received change and the next watch, so that changes in this time are fetched
     /// with one call. For prefixes where latency matters less than the number of calls.
     duration coalescing_delay{};
+    /// Maximum wait of one watch. The store counts a waiting watch as one call, so a longer wait is
+    /// cheaper, but a change is missed for up to this time if the response is lost.
+    duration watch_wait = seconds(10);
     /// Whether this daemon watches the prefix regardless of mirror_feed::must_watch.
     bool always_watched = false;
 };
@@ -67,24 +73,46 @@
     struct feed_position {
         /// Whether all keys must be read before the next watch.
         bool must_read = true;
+        /// Whether the last call failed. The next watch is then a short one, because during an
+        /// outage a long watch would go on waiting after the end of the outage.
+        bool after_failure = false;
         /// The next watch continues after this revision; 0 before the first read.
         std::uint64_t revision = 0;
     };
 
+    /// A watch whose response follow() waits for, unless it is abandoned.
+    struct pending_watch {
+        explicit pending_watch(const net::asio::any_io_executor& executor) : ended(executor) {}
+        net::notification ended;
+        /// Empty while the store has not responded.
+        std::optional<result<watch_outcome>> outcome;
+    };
+
+    /// How the store responded to a call: the reason of a failure, an empty string on success, or
+    /// nothing if no call was made or its response was not waited for.
+    using call_outcome = std::optional<std::string>;
+
     /// Follows a prefix for the lifetime of the process.
     net::task<> follow(std::string prefix);
-    /// Reads all keys of a prefix or runs one watch. Returns the reason of a failure, else an empty
-    /// string.
-    net::task<std::string> read_or_watch(const std::string& prefix, feed_position& position);
+    /// Reads all keys of a prefix or runs one watch.
+    net::task<call_outcome> read_or_watch(const std::string& prefix, feed_position& position);
+    net::task<call_outcome> read_prefix(const std::string& prefix, feed_position& position);
+    net::task<call_outcome> watch_prefix(const std::string& prefix, feed_position& position);
+    /// Runs a watch and notifies \p pending at its end.
+    net::task<> run_watch(std::shared_ptr<pending_watch> pending, std::string prefix,
+                          std::uint64_t revision, duration wait);
+    /// Ends the waiting for all watches, which may have lost their response in an outage; each is
+    /// sent again.
+    void abandon_watches();
     /// Waits until a poll of a prefix is due or this daemon has to watch, and polls in the first
-    /// case. Returns the same as read_or_watch().
-    net::task<std::string> poll_prefix(const std::string& prefix);
+    /// case.
+    net::task<call_outcome> poll_prefix(const std::string& prefix);
     /// Reads all keys of a prefix into the mirror and returns the revision of the snapshot.
     net::task<result<std::uint64_t>> read_all(std::string prefix, consistency read_consistency);
     [[nodiscard]] feed_options options_of(const std::string& prefix) const;
-    /// Records that a call for a prefix starts, or that it ended with \p failure.
+    /// Records that a call for a prefix starts, or how it ended.
     void begin_call(const std::string& prefix) { m_status[prefix].waiting_since = m_clock(); }
-    void end_call(const std::string& prefix, std::string_view failure);
+    void end_call(const std::string& prefix, const call_outcome& outcome);
     /// Updates connected_since() and last_outage() after a call, and logs when the state changes.
     void update_connectivity(bool responded, std::string_view reason);
 
@@ -93,6 +121,8 @@
     mirror& m_mirror;
     std::map<std::string, feed_options> m_options;
     std::map<std::string, feed_status, std::less<>> m_status;
+    /// The outstanding watches by prefix.
+    std::map<std::string, std::shared_ptr<pending_watch>> m_pending;
     clock_fn m_clock;
     observe::decision_log& m_log;
     time_point m_last_response_at{};
