Keep requests with a prompt segment that crashes targets from them

Cause: a failure was remembered by its target only, and the segments of a prompt were read by nothing, so that each retry and each new request took the same segment to the next target. Change: a target that closes a connection before its first event and then refuses connections has crashed. The crash is blamed on the segment that targets have answered least often; after crashes of three targets over 500 ms or more, with no answer since, requests with the segment are refused as not run and batch items with it wait, for 10 minutes or until any daemon sees an answer. Evidence travels behind the load digests, where older builds ignore it, and is passed on. Why it works: segments that sound requests share keep being answered, so only the fatal one stays suspected.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -1,6 +1,7 @@
 #include "entry/online_proxy.hpp"
 
 #include "base/text.hpp"
+#include "serving/crash_detector.hpp"
 #include "serving/event_stream_parser.hpp"
 
 #include <algorithm>
@@ -49,7 +50,9 @@
                         .excluded = {},
                         .last_event = {},
                         .time_to_first_event = {},
+                        .segments = {},
                         .active_exchange = {}};
+    run.segments = shared_segments(run.request.prompt);
     run.last_event = run.request.resume_after;
     caller_exchange.on_client_disconnect([&run] {
         if (run.active_exchange) {
@@ -58,6 +61,11 @@
     });
     attempt_outcome next = attempt_outcome::retry;
     while (next == attempt_outcome::retry) {
+        if (std::optional<error> quarantined = quarantine_error(m_context, run.segments)) {
+            error why = run.runs > 0 ? no_target_error(run) : std::move(*quarantined);
+            co_await respond_with_error(run, std::move(why));
+            break;
+        }
         const std::optional<routing::fleet_target> target = m_context.loads.pick_online(
             run.service, run.excluded, m_context.clock(), m_context.random);
         if (!target) {
@@ -106,6 +114,7 @@
          {"online", std::to_string(m_context.loads.total(target.id, m_context.clock()).online)},
          {"left_ms", std::to_string(to_ms(*call.time_left))}});
     run.sent_at = m_context.clock();
+    run.attempt_events = 0;
     run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online);
     const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
     net::http_request message = m_context.codec.encode_call(run.request, call);
@@ -118,6 +127,7 @@
     run.excluded.insert(target.id);
     if (!response) {
         m_context.loads.record_failure(target.id, failure_of(response.error()), m_context.clock());
+        check_target(run, response.error());
         error open_error = response.error();
         co_return co_await handle_failure(run, std::move(open_error));
     }
@@ -155,9 +165,11 @@
         co_return attempt_outcome::done;
     }
     if (!read) {
+        check_target(run, read.error());
         error read_error = read.error();
         co_return co_await handle_failure(run, std::move(read_error));
     }
+    record_segments_served(m_context, run.segments);
     net::http_response out = make_forwarded_response(run.active_exchange->response());
     out.body = std::move(run.active_exchange->response().body);
     run.active_exchange.reset();
@@ -208,11 +220,16 @@
         if (!more) {
             m_context.loads.record_failure(run.active_exchange->target().id,
                                            failure_of(more.error()), m_context.clock());
+            check_target(run, more.error());
             error read_error = more.error();
             co_return co_await handle_failure(run, std::move(read_error));
         }
         std::vector<stream_event> events =
             parser.feed(std::exchange(run.active_exchange->response().body, {}));
+        if (run.attempt_events > 0 && !events.empty()) {
+            record_segments_served(m_context, run.segments);
+        }
+        run.attempt_events += events.size();
         const bool sent = co_await forward_events(run, std::move(events));
         if (!sent) {
             log_finished(run, "caller_left");
@@ -237,6 +254,12 @@
     co_return attempt_outcome::done;
 }
 
+void online_proxy::check_target(const running_request& run, const error& failure) {
+    if (run.attempt_events == 0 && is_closed_by_target(failure)) {
+        check_for_crash(m_context, run.active_exchange->target(), run.segments);
+    }
+}
+
 net::task<online_proxy::attempt_outcome> online_proxy::handle_failure(running_request& run,
                                                                       error failure) {
     const std::string target =
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -53,6 +53,10 @@
         std::size_t events = 0;
         /// Time from the arrival of the request to its first event.
         duration time_to_first_event{};
+        /// The segments of the prompt that other requests may share.
+        std::vector<std::uint64_t> segments;
+        /// Events received in the current attempt.
+        std::size_t attempt_events = 0;
         /// When the latest attempt was sent to its target.
         time_point sent_at{};
         /// The exchange of the current attempt; null between attempts.
@@ -68,6 +72,8 @@
     /// Sends complete events to the caller and skips those that it already has. Returns false when
     /// the caller has disconnected.
     net::task<bool> forward_events(running_request& run, std::vector<stream_event> events);
+    /// Has the target checked for a crash when it closed the connection before its first event.
+    void check_target(const running_request& run, const error& failure);
     /// Logs a failed attempt, then either requests a retry or sends the error to the caller.
     net::task<attempt_outcome> handle_failure(running_request& run, error failure);
     /// Sends \p failure as an error response, or aborts the connection when a stream has begun.
--- /dev/null
+++ b/src/fleet/message.cpp
@@ -0,0 +1,48 @@
+#include "fleet/message.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::fleet {
+
+namespace {
+
+std::uint32_t to_age_ms(duration age) {
+    const std::int64_t max_age = segment_report::never - 1;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(to_ms(age), 0, max_age));
+}
+
+} // namespace
+
+segment_reports to_reports(const std::vector<routing::segment_evidence>& evidence) {
+    segment_reports out;
+    for (const routing::segment_evidence& each : evidence) {
+        segment_report report{
+            each.segment, segment_report::never, to_age_ms(each.first_crash_age), {}};
+        if (each.served_age) {
+            report.served_age_ms = to_age_ms(*each.served_age);
+        }
+        for (const routing::segment_crash& crash : each.crashes) {
+            report.crashes.push_back({crash.instance, to_age_ms(crash.age)});
+        }
+        out.reports.push_back(std::move(report));
+    }
+    return out;
+}
+
+std::vector<routing::segment_evidence> to_evidence(const segment_reports& received) {
+    std::vector<routing::segment_evidence> out;
+    for (const segment_report& report : received.reports) {
+        routing::segment_evidence each{
+            report.segment, std::nullopt, milliseconds(report.first_crash_age_ms), {}};
+        if (report.served_age_ms != segment_report::never) {
+            each.served_age = milliseconds(report.served_age_ms);
+        }
+        for (const segment_report::crash& crash : report.crashes) {
+            each.crashes.push_back({crash.instance, milliseconds(crash.age_ms)});
+        }
+        out.push_back(std::move(each));
+    }
+    return out;
+}
+
+} // namespace eelgrassdoor::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -5,6 +5,7 @@
 #include "peer/bounded.hpp"
 #include "peer/codec.hpp"
 #include "routing/leaving_targets.hpp"
+#include "routing/prompt_quarantine.hpp"
 
 #include <cstdint>
 #include <string>
@@ -77,6 +78,44 @@
     }
 };
 
+/// Evidence of one daemon on a prompt segment that may crash targets.
+struct segment_report {
+    /// served_age_ms of a segment that no target has answered.
+    static constexpr std::uint32_t never = UINT32_MAX;
+    /// One crash of a target.
+    struct crash {
+        std::uint64_t instance = 0;
+        std::uint32_t age_ms = 0;
+
+        template <typename Archive> void serialize(Archive& ar) { ar(instance, age_ms); }
+    };
+
+    std::uint64_t segment = 0;
+    std::uint32_t served_age_ms = never;
+    std::uint32_t first_crash_age_ms = 0;
+    std::vector<crash> crashes;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(segment, served_age_ms, first_crash_age_ms);
+        peer::serialize_list(ar, crashes, [](Archive& a, auto& value) { a(value); });
+    }
+};
+
+/// Follows a load_digest in the same datagram, where daemons of older builds ignore it. Left out
+/// when there is no evidence.
+struct segment_reports {
+    std::vector<segment_report> reports;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        peer::serialize_list(ar, reports, [](Archive& a, auto& value) { a(value); });
+    }
+};
+
+/// Converts evidence for sending.
+segment_reports to_reports(const std::vector<routing::segment_evidence>& evidence);
+/// Converts received evidence.
+std::vector<routing::segment_evidence> to_evidence(const segment_reports& received);
+
 /// Requests a token for one request from the holder of the customer's tokens. Sent again with the
 /// same number when no answer arrives; the holder repeats its answer.
 struct token_acquire {
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -222,7 +222,13 @@
     if (collect_waiting_tokens) {
         digest.waiting = collect_waiting_tokens();
     }
-    return to_datagram(digest);
+    std::string datagram = to_datagram(digest);
+    const segment_reports reports = to_reports(
+        collect_evidence ? collect_evidence() : std::vector<routing::segment_evidence>());
+    if (!reports.reports.empty()) {
+        datagram += peer::encode(reports);
+    }
+    return datagram;
 }
 
 bool peer_messenger::receives_directly_from(std::string_view endpoint) const {
@@ -285,7 +291,8 @@
 }
 
 void peer_messenger::receive_digest(std::string_view bytes, const digest_origin& origin) {
-    const auto digest = peer::decode<load_digest>(bytes.substr(2));
+    std::string_view body = bytes.substr(2);
+    const auto digest = peer::decode_front<load_digest>(body);
     if (!digest) {
         log_malformed(origin.from);
         return;
@@ -308,6 +315,13 @@
     for (const routing::leaving_instance& each : digest->leaving) {
         m_loads.mark_leaving(each);
     }
+    if (!body.empty() && on_evidence) {
+        if (const auto reports = peer::decode<segment_reports>(body)) {
+            on_evidence(to_evidence(*reports));
+        } else {
+            log_malformed(origin.from);
+        }
+    }
     if (on_peer_load) {
         on_peer_load();
     }
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -62,6 +62,12 @@
     /// Returns the tokens that wait at this daemon; called for each digest. Unset means none.
     std::function<std::vector<waiting_tokens>()> collect_waiting_tokens;
 
+    /// Returns this daemon's evidence on prompt segments that may crash targets; called for each
+    /// digest. Unset means none.
+    std::function<std::vector<routing::segment_evidence>()> collect_evidence;
+    /// Called with the evidence in another daemon's digest; optional.
+    std::function<void(const std::vector<routing::segment_evidence>&)> on_evidence;
+
     /// Whether the key-value service responds to this daemon; called for each digest. Unset means
     /// that it does not.
     std::function<bool()> reaches_store;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -70,6 +70,7 @@
                                                                 .log = log,
                                                                 .metrics = m_metrics,
                                                                 .loads = m_loads,
+                                                                .quarantine = m_quarantine,
                                                                 .messenger = m_messenger,
                                                                 .codec = adapter.codec,
                                                                 .plan = nullptr},
@@ -187,6 +188,10 @@
         m_loads.cold_targets().record_entry(target, m_clock());
     };
     m_messenger.reaches_store = [this] { return m_feed.connected_since() != time_point::max(); };
+    m_messenger.collect_evidence = [this] { return m_quarantine.evidence(m_clock()); };
+    m_messenger.on_evidence = [this](const std::vector<routing::segment_evidence>& evidence) {
+        merge_evidence(evidence);
+    };
     m_registration.on_store_call = [this](bool answered, std::string_view reason) {
         m_feed.record_call_result(answered, reason);
     };
@@ -353,6 +358,13 @@
     m_loads.cold_targets().set_daemons(std::move(senders), m_settings.host);
 }
 
+void fleet_daemon::merge_evidence(const std::vector<routing::segment_evidence>& evidence) {
+    for (const std::uint64_t segment : m_quarantine.merge(evidence, m_clock())) {
+        m_log.write(observe::event::segment_quarantined, m_settings.host,
+                    {{"segment", std::to_string(segment)}});
+    }
+}
+
 void fleet_daemon::apply_cancelled_jobs() {
     for (const auto& [key, item] : m_mirror.items(jobs::cancelled_prefix)) {
         m_runner->mark_cancelled(key.substr(jobs::cancelled_prefix.size()));
@@ -398,6 +410,8 @@
     m_metrics.gauge("rate_limit_customers_held", static_cast<double>(m_messenger.held_customers()));
     m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
     m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
+    m_metrics.gauge("quarantined_segments",
+                    static_cast<double>(m_quarantine.quarantined_count(m_clock())));
     set_mirror_gauges();
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -58,6 +58,8 @@
     void apply_cancelled_jobs();
     void apply_limits();
     void apply_cold_limits();
+    /// Takes over another daemon's evidence on prompt segments that crash targets.
+    void merge_evidence(const std::vector<routing::segment_evidence>& evidence);
     /// Takes over which availability zones the operator evacuates.
     void apply_evacuated_zones();
     void check_evacuation();
@@ -78,6 +80,7 @@
     random_source m_random;
     observe::metrics m_metrics;
     routing::fleet_load m_loads;
+    routing::prompt_quarantine m_quarantine;
     limits::customer_shares m_shares;
     store::mirror m_mirror;
     store::mirror_feed m_feed;
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "jobs/item_dispatcher.hpp"
 
 #include "jobs/item_run.hpp"
+#include "serving/crash_detector.hpp"
 
 #include <algorithm>
 
@@ -67,13 +68,26 @@
     return daemons;
 }
 
+bool item_dispatcher::is_quarantined(const owned_item& item) const {
+    const std::vector<std::uint64_t> segments =
+        serving::shared_segments(m_context.codec.decode_prompt(item.content.headers));
+    return m_context.quarantine.time_left(segments, m_context.clock()).has_value();
+}
+
+std::optional<std::size_t> item_dispatcher::next_item(const owned_job& job) const {
+    if (!m_context.quarantine.is_active()) {
+        return job.next();
+    }
+    return job.next([this](const owned_item& item) { return is_quarantined(item); });
+}
+
 std::vector<item_dispatcher::candidate>
 item_dispatcher::candidates(const std::set<std::string, std::less<>>& full_services) {
     std::vector<candidate> found;
     bool any_meets_deadline = false;
     for (const auto& [id, job] : m_table.all()) {
         const config::serving_route* route = m_table.route_of(*job);
-        const std::optional<std::size_t> next = job->next();
+        const std::optional<std::size_t> next = next_item(*job);
         if (route == nullptr || !next) {
             continue;
         }
@@ -104,7 +118,7 @@
         return false;
     }
     const auto& [job, service, meets_deadline] = waiting[*picked];
-    const std::size_t index = *job->next();
+    const std::size_t index = *next_item(*job);
     std::set<std::string, std::less<>> excluded;
     if (!job->item(index).last_failed_target.empty()) {
         excluded.insert(job->item(index).last_failed_target);
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -40,6 +40,10 @@
     /// Starts one item, or adds its service to \p full_services when that has no free slot. Returns
     /// false when there is no candidate left.
     bool start_next(std::set<std::string, std::less<>>& full_services);
+    /// Whether an item must not run now because targets crash on a segment of its prompt.
+    [[nodiscard]] bool is_quarantined(const owned_item& item) const;
+    /// The next item of \p job that may run now.
+    [[nodiscard]] std::optional<std::size_t> next_item(const owned_job& job) const;
     /// Runs one item at \p target and records the outcome.
     net::task<> run_item(item_run_ptr running, routing::fleet_target target);
     /// Stops runs at targets whose slots are needed for online requests.
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -1,5 +1,6 @@
 #include "jobs/item_run.hpp"
 
+#include "serving/crash_detector.hpp"
 #include "serving/event_stream_parser.hpp"
 
 namespace eelgrassdoor::jobs {
@@ -12,9 +13,11 @@
 constexpr duration event_gap_timeout = milliseconds(1500);
 
 /// Reads the events of an open stream into the item until the stream ends.
-net::task<item_outcome> collect(serving::service_context& context, item_run& running) {
+net::task<item_outcome> collect(serving::service_context& context, item_run& running,
+                                std::vector<std::uint64_t> segments) {
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::event_stream_parser parser;
+    bool has_events = false;
     for (;;) {
         const result<bool> more = co_await exchange->read_body(context.clock() + event_gap_timeout);
         if (running.stopped) {
@@ -23,10 +26,17 @@
         if (!more) {
             context.loads.record_failure(exchange->target().id, serving::failure_of(more.error()),
                                          context.clock());
+            if (!has_events && serving::is_closed_by_target(more.error())) {
+                serving::check_for_crash(context, exchange->target(), std::move(segments));
+            }
             co_return item_outcome::interrupted;
         }
         const std::vector<serving::stream_event> events =
             parser.feed(std::exchange(exchange->response().body, {}));
+        if (has_events && !events.empty()) {
+            serving::record_segments_served(context, segments);
+        }
+        has_events = has_events || !events.empty();
         if (!running.job->add_events(running.index, events)) {
             co_return item_outcome::interrupted;
         }
@@ -55,6 +65,8 @@
                                     .time_left = {},
                                     .resume_after = item.last_event};
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
+    std::vector<std::uint64_t> segments =
+        serving::shared_segments(context.codec.decode_prompt(item.content.headers));
     net::http_request message = context.codec.encode_call(request, call);
     const result<serving::target_response> response_head = co_await exchange->open(
         std::move(message), request.id, context.clock() + first_event_timeout);
@@ -66,6 +78,9 @@
                                      context.clock());
         context.log.write(observe::event::target_failed, request.id,
                           {{"target", target.id}, {"reason", response_head.error().message}});
+        if (serving::is_closed_by_target(response_head.error())) {
+            serving::check_for_crash(context, target, std::move(segments));
+        }
         co_return item_outcome::interrupted;
     }
     context.loads.record_success(target.id, context.clock());
@@ -82,7 +97,7 @@
     if (status >= 300 || !response_head.value().is_stream) {
         co_return item_outcome::interrupted;
     }
-    co_return co_await collect(context, running);
+    co_return co_await collect(context, running, std::move(segments));
 }
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -20,7 +20,8 @@
     }
 }
 
-std::optional<std::size_t> owned_job::next() const {
+std::optional<std::size_t>
+owned_job::next(const std::function<bool(const owned_item&)>& is_held) const {
     if (m_record.state.cancelled) {
         return std::nullopt;
     }
@@ -31,7 +32,8 @@
         if (item.done || item.running) {
             continue;
         }
-        if (!found || item.events > m_items[*found].events) {
+        const bool goes_first = !found || item.events > m_items[*found].events;
+        if (goes_first && !(is_held && is_held(item))) {
             found = i;
         }
     }
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -6,6 +6,7 @@
 #include "serving/event_stream_parser.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,8 +60,10 @@
     owned_job(versioned_state record, std::vector<serving::submitted_item> items,
               std::vector<serving::item_result> committed_results, time_point due);
 
-    /// Index of the next item to run, or none if no item is pending or the job is cancelled.
-    [[nodiscard]] std::optional<std::size_t> next() const;
+    /// Index of the next item to run, or none if no item is pending or the job is cancelled. Items
+    /// for which \p is_held returns true are passed over; unset stands for none.
+    [[nodiscard]] std::optional<std::size_t>
+    next(const std::function<bool(const owned_item&)>& is_held = nullptr) const;
     void mark_running(std::size_t index) { m_items[index].running = true; }
     /// Appends events of a run to the item's output and skips those that it already has. Returns
     /// false when an event id is missing in the sequence; the run must then be aborted.
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -38,6 +38,8 @@
     target_stalled = 312,
     evacuated_zones_changed = 313,
     mirror_pull_failed = 314,
+    segment_suspected = 315,
+    segment_quarantined = 316,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- /dev/null
+++ b/src/routing/prompt_quarantine.cpp
@@ -0,0 +1,180 @@
+#include "routing/prompt_quarantine.hpp"
+
+#include <algorithm>
+
+namespace eelgrassdoor::routing {
+
+namespace {
+
+/// Maximum number of segments; those without crashes are dropped first.
+constexpr std::size_t max_segments = 8192;
+/// Crashes kept for a segment: enough that the oldest and the newest show the spread.
+constexpr std::size_t max_crashes = 8;
+/// Times that other daemons report are late by the delay of their digests. Only later ones are new,
+/// so that reports of the same moment do not drift as daemons pass them on.
+constexpr duration report_tolerance = milliseconds(250);
+/// How long an answer that refutes a suspicion is reported; several digests.
+constexpr duration refutation_time = seconds(5);
+/// Maximum number of segments in the evidence for other daemons.
+constexpr std::size_t max_reported_segments = 16;
+
+} // namespace
+
+prompt_quarantine::segment_state& prompt_quarantine::state_of(std::uint64_t segment) {
+    if (m_segments.size() >= max_segments && !m_segments.contains(segment)) {
+        std::erase_if(m_segments, [](const auto& entry) { return entry.second.crashes.empty(); });
+    }
+    return m_segments[segment];
+}
+
+bool prompt_quarantine::add_crash(std::uint64_t segment, const segment_crash& crash,
+                                  time_point now) {
+    segment_state& state = state_of(segment);
+    const time_point at = now - crash.age;
+    if (state.served_at && *state.served_at >= at) {
+        return false;
+    }
+    const auto known = state.crashes.find(crash.instance);
+    if (known == state.crashes.end() && state.crashes.size() >= max_crashes) {
+        return false;
+    }
+    // A target that keeps its start time, as far as is known here, may crash again.
+    if (known != state.crashes.end() && at - known->second <= report_tolerance) {
+        return false;
+    }
+    state.first_crash_at = state.crashes.empty() ? at : std::min(state.first_crash_at, at);
+    state.crashes[crash.instance] = at;
+    m_is_active = m_is_active || quarantined_until(state).has_value();
+    return true;
+}
+
+void prompt_quarantine::remove_refuted(segment_state& state) {
+    std::erase_if(state.crashes,
+                  [&](const auto& crash) { return crash.second <= *state.served_at; });
+    state.first_crash_at = std::max(state.first_crash_at, *state.served_at);
+}
+
+bool prompt_quarantine::record_crash(std::span<const std::uint64_t> segments,
+                                     std::uint64_t instance, time_point now) {
+    std::uint32_t least_served = UINT32_MAX;
+    for (const std::uint64_t segment : segments) {
+        least_served = std::min(least_served, state_of(segment).served);
+    }
+    bool is_new = false;
+    for (const std::uint64_t segment : segments) {
+        if (state_of(segment).served == least_served) {
+            is_new = add_crash(segment, {instance, duration::zero()}, now) || is_new;
+        }
+    }
+    return is_new;
+}
+
+bool prompt_quarantine::record_served(std::span<const std::uint64_t> segments, time_point now) {
+    bool was_suspected = false;
+    for (const std::uint64_t segment : segments) {
+        segment_state& state = state_of(segment);
+        if (!state.crashes.empty()) {
+            was_suspected = true;
+            state.refutes_until = now + refutation_time;
+        }
+        ++state.served;
+        state.served_at = now;
+        state.crashes.clear();
+    }
+    return was_suspected;
+}
+
+void prompt_quarantine::remove_expired(time_point now) {
+    for (auto& [segment, state] : m_segments) {
+        std::erase_if(state.crashes,
+                      [&](const auto& crash) { return now - crash.second > quarantine_time; });
+    }
+}
+
+std::vector<segment_evidence> prompt_quarantine::evidence(time_point now) {
+    remove_expired(now);
+    std::vector<segment_evidence> out;
+    for (const auto& [segment, state] : m_segments) {
+        if (state.crashes.empty() && state.refutes_until <= now) {
+            continue;
+        }
+        segment_evidence each{segment, std::nullopt, now - state.first_crash_at, {}};
+        if (state.served_at) {
+            each.served_age = now - *state.served_at;
+        }
+        for (const auto& [instance, at] : state.crashes) {
+            each.crashes.push_back({instance, now - at});
+        }
+        out.push_back(std::move(each));
+    }
+    std::sort(out.begin(), out.end(), [](const segment_evidence& a, const segment_evidence& b) {
+        return std::pair(a.crashes.size(), a.segment) > std::pair(b.crashes.size(), b.segment);
+    });
+    out.resize(std::min(out.size(), max_reported_segments));
+    return out;
+}
+
+std::vector<std::uint64_t> prompt_quarantine::merge(std::span<const segment_evidence> evidence,
+                                                    time_point now) {
+    std::vector<std::uint64_t> quarantined;
+    for (const segment_evidence& each : evidence) {
+        segment_state& state = state_of(each.segment);
+        const bool was_quarantined = quarantined_until(state).has_value();
+        if (each.served_age) {
+            const time_point served_at = now - *each.served_age;
+            if (!state.served_at || served_at - *state.served_at > report_tolerance) {
+                state.served_at = served_at;
+                remove_refuted(state);
+            }
+        }
+        for (const segment_crash& crash : each.crashes) {
+            if (state.served_at && *state.served_at >= now - crash.age) {
+                state.refutes_until = now + refutation_time;
+            } else if (add_crash(each.segment, crash, now)) {
+                state.first_crash_at = std::min(state.first_crash_at, now - each.first_crash_age);
+            }
+        }
+        m_is_active = m_is_active || quarantined_until(state).has_value();
+        if (!was_quarantined && quarantined_until(state)) {
+            quarantined.push_back(each.segment);
+        }
+    }
+    return quarantined;
+}
+
+std::optional<time_point> prompt_quarantine::quarantined_until(const segment_state& state) {
+    if (state.crashes.size() < min_crashes) {
+        return std::nullopt;
+    }
+    const auto last =
+        std::max_element(state.crashes.begin(), state.crashes.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (last->second - state.first_crash_at < min_spread) {
+        return std::nullopt;
+    }
+    return last->second + quarantine_time;
+}
+
+std::optional<duration> prompt_quarantine::time_left(std::span<const std::uint64_t> segments,
+                                                     time_point now) const {
+    std::optional<duration> left;
+    for (const std::uint64_t segment : segments) {
+        const auto found = m_segments.find(segment);
+        const std::optional<time_point> until =
+            found == m_segments.end() ? std::nullopt : quarantined_until(found->second);
+        if (until && *until > now) {
+            left = std::max(left.value_or(duration::zero()), *until - now);
+        }
+    }
+    return left;
+}
+
+std::size_t prompt_quarantine::quarantined_count(time_point now) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_segments.begin(), m_segments.end(), [&](const auto& entry) {
+            const std::optional<time_point> until = quarantined_until(entry.second);
+            return until && *until > now;
+        }));
+}
+
+} // namespace eelgrassdoor::routing
--- a/src/serving/protocol_codec.hpp
+++ b/src/serving/protocol_codec.hpp
@@ -35,7 +35,7 @@
     std::optional<duration> time_left;
     /// Id of the last event that the caller received of an interrupted stream.
     std::optional<std::uint64_t> resume_after;
-    /// The segments of the prompt, as far as the caller states them. Not used by the services.
+    /// The segments of the prompt, as far as the caller states them.
     std::vector<prompt_segment> prompt;
     /// Method, request target, body and the header fields that are forwarded unchanged.
     net::http_request content;
@@ -131,6 +131,8 @@
     std::function<result<std::vector<submitted_item>>(std::string_view body)> decode_submission;
     /// Encodes a caller's request for one target.
     std::function<net::http_request(const caller_request&, const target_call&)> encode_call;
+    /// Reads the segments of the prompt from the headers of a request or an item.
+    std::function<std::vector<prompt_segment>(const net::header_list&)> decode_prompt;
     /// Reads the headers of a target's response; the body need not have arrived.
     std::function<target_response(const net::http_response&)> decode_response;
     /// Encodes an error for the caller.
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -10,6 +10,7 @@
 #include "observe/decision_log.hpp"
 #include "observe/metrics.hpp"
 #include "routing/fleet_load.hpp"
+#include "routing/prompt_quarantine.hpp"
 #include "routing/service_times.hpp"
 #include "serving/protocol_codec.hpp"
 
@@ -24,6 +25,8 @@
     observe::decision_log& log;
     observe::metrics& metrics;
     routing::fleet_load& loads;
+    /// Prompt segments that crash targets.
+    routing::prompt_quarantine& quarantine;
     /// Exchanges load, members and rate-limit tokens with the other daemons.
     fleet::peer_messenger& messenger;
     const protocol_codec& codec;
