--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -35,11 +35,6 @@
 /// they may renew it less often.
 constexpr duration frontend_ttl = seconds(8);
 constexpr duration frontend_renew_interval = milliseconds(2500);
-/// File descriptors reserved for files, the store and other daemons.
-constexpr std::size_t reserved_descriptors = 300;
-/// File descriptors per caller: its own connection and one to a target.
-constexpr std::size_t descriptors_per_caller = 2;
-
 std::vector<std::string> mirrored_prefixes(const platform_interface& adapter, bool runs_jobs) {
     std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
                                       std::string(fleet::member_prefix)};
@@ -89,7 +84,8 @@
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
       m_frontend(m_context, m_job_frontend),
       m_evacuation(m_context.executor, m_settings.host, adapter, log),
-      m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend) {}
+      m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend),
+      m_servers(m_context.executor, m_settings, make_handlers()) {}
 
 fleet_daemon::~fleet_daemon() = default;
 
@@ -118,59 +114,14 @@
            m_mirror.revision(fleet::member_prefix) > 0;
 }
 
-void fleet_daemon::create_servers() {
-    const auto make_server = [this](const std::string& endpoint, net::request_handler handler,
-                                    std::function<net::client_limits()> limits,
-                                    std::size_t max_connections) {
-        return std::make_unique<net::http_server>(
-            m_context.executor,
-            net::http_server_options{.endpoint = endpoint,
-                                     .limits = std::move(limits),
-                                     .max_connections = max_connections},
-            std::move(handler));
-    };
-    const auto peer_limits = [] {
-        net::client_limits limits;
-        limits.sizes.max_body_bytes = 64ULL * 1024 * 1024;
-        limits.idle_timeout = seconds(60);
-        return limits;
-    };
-    const std::size_t max_callers =
-        (m_settings.max_descriptors - reserved_descriptors) / descriptors_per_caller;
-    if (m_settings.serves_callers) {
-        m_caller_server = make_server(
-            m_settings.caller_endpoint,
-            [this](net::server_exchange& exchange) { return m_frontend.handle(exchange); },
-            [this] { return m_context.plan ? m_context.plan->limits : net::client_limits(); },
-            max_callers);
-    }
-    if (!m_settings.readiness_endpoint.empty()) {
-        m_readiness_server = make_server(
-            m_settings.readiness_endpoint,
-            [this](net::server_exchange& exchange) { return handle_readiness(exchange); },
-            peer_limits, 64);
-    }
-    if (!m_settings.metrics_endpoint.empty()) {
-        m_metrics_server = make_server(
-            m_settings.metrics_endpoint,
-            [this](net::server_exchange& exchange) { return handle_metrics(exchange); },
-            peer_limits, 16);
-    }
-    m_peer_server = make_server(
-        m_settings.peer_endpoint,
-        [this](net::server_exchange& exchange) { return m_peer_api.handle(exchange); }, peer_limits,
-        512);
-}
-
-result<void> fleet_daemon::start_servers() {
-    create_servers();
-    for (net::http_server* server : {m_caller_server.get(), m_readiness_server.get(),
-                                     m_metrics_server.get(), m_peer_server.get()}) {
-        if (server != nullptr) {
-            BOOST_OUTCOME_TRY(server->start());
-        }
-    }
-    return success();
+server_handlers fleet_daemon::make_handlers() {
+    return {
+        .caller = [this](net::server_exchange& exchange) { return m_frontend.handle(exchange); },
+        .readiness = [this](net::server_exchange& exchange) { return handle_readiness(exchange); },
+        .metrics = [this](net::server_exchange& exchange) { return handle_metrics(exchange); },
+        .peer = [this](net::server_exchange& exchange) { return m_peer_api.handle(exchange); },
+        .caller_limits =
+            [this] { return m_context.plan ? m_context.plan->limits : net::client_limits(); }};
 }
 
 result<void> fleet_daemon::start() {
@@ -200,7 +151,7 @@
         m_messenger.on_peer_load = [this] { m_runner->on_load_change(); };
         m_messenger.collect_waiting_tokens = [this] { return m_runner->waiting_tokens(); };
     }
-    BOOST_OUTCOME_TRY(start_servers());
+    BOOST_OUTCOME_TRY(m_servers.start());
     BOOST_OUTCOME_TRY(m_messenger.start());
     m_feed.start();
     m_registration.start();
@@ -438,8 +389,8 @@
     }
     m_shutting_down = true;
     m_log.write(observe::event::drain_started, m_settings.host);
-    if (m_caller_server) {
-        m_caller_server->close_connections_after_response();
+    if (net::http_server* callers = m_servers.caller()) {
+        callers->close_connections_after_response();
     }
     if (m_runner) {
         m_runner->start_draining();
@@ -453,16 +404,17 @@
         shutdown_start + m_settings.shutdown_grace - shutdown_margin;
     for (;;) {
         const time_point now = m_clock();
-        const bool idle = (!m_caller_server || m_caller_server->active_requests() == 0) &&
+        net::http_server* const callers = m_servers.caller();
+        const bool idle = (callers == nullptr || callers->active_requests() == 0) &&
                           (!m_runner || m_runner->is_drained());
         const bool out_of_rotation = now - shutdown_start >= deregistration_delay;
-        if (m_caller_server && out_of_rotation) {
+        if (callers != nullptr && out_of_rotation) {
             // The balancer still sends callers here if the zone has no other host. Requests read
             // from now on could not be finished; a caller whose connection is refused turns to
             // another host at once.
-            m_caller_server->stop();
+            callers->stop();
         }
-        if (now >= shutdown_deadline || (idle && (out_of_rotation || !m_caller_server))) {
+        if (now >= shutdown_deadline || (idle && (out_of_rotation || callers == nullptr))) {
             break;
         }
         co_await net::sleep_for(milliseconds(50));
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -8,6 +8,7 @@
 #include "fleet/registration.hpp"
 #include "fleet/store_connectivity.hpp"
 #include "fleet/watch_delegate.hpp"
+#include "host/daemon_servers.hpp"
 #include "host/evacuation.hpp"
 #include "host/host_settings.hpp"
 #include "host/peer_api.hpp"
@@ -45,8 +46,7 @@
     /// daemon knows.
     [[nodiscard]] fleet::peer_status peer_status_of(std::string_view host) const;
     [[nodiscard]] bool ready() const;
-    void create_servers();
-    result<void> start_servers();
+    [[nodiscard]] server_handlers make_handlers();
 
     void on_mirror_change(std::string_view prefix);
     void apply_plan();
@@ -95,10 +95,7 @@
     entry::frontend m_frontend;
     evacuation m_evacuation;
     peer_api m_peer_api;
-    std::unique_ptr<net::http_server> m_caller_server;
-    std::unique_ptr<net::http_server> m_readiness_server;
-    std::unique_ptr<net::http_server> m_peer_server;
-    std::unique_ptr<net::http_server> m_metrics_server;
+    daemon_servers m_servers;
     /// Revision of the last configuration that was decoded, valid or not.
     std::uint64_t m_plan_revision = 0;
     bool m_ready_logged = false;
