Count a segment as answered once for each run

Cause: each read of a stream's events counted as another answer, which weighed long responses more when a crash is blamed on the segment that targets have answered least often, and cost two look-ups a read. Change: the second read with events counts, as the target has then survived the beginning of its response.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -114,7 +114,7 @@
          {"online", std::to_string(m_context.loads.total(target.id, m_context.clock()).online)},
          {"left_ms", std::to_string(to_ms(*call.time_left))}});
     run.sent_at = m_context.clock();
-    run.attempt_events = 0;
+    run.reads_with_events = 0;
     run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online);
     const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
     net::http_request message = m_context.codec.encode_call(run.request, call);
@@ -226,10 +226,11 @@
         }
         std::vector<stream_event> events =
             parser.feed(std::exchange(run.active_exchange->response().body, {}));
-        if (run.attempt_events > 0 && !events.empty()) {
+        run.reads_with_events += events.empty() ? 0 : 1;
+        // The target has survived the beginning of its response.
+        if (run.reads_with_events == 2 && !events.empty()) {
             record_segments_served(m_context, run.segments);
         }
-        run.attempt_events += events.size();
         const bool sent = co_await forward_events(run, std::move(events));
         if (!sent) {
             log_finished(run, "caller_left");
@@ -255,7 +256,7 @@
 }
 
 void online_proxy::check_target(const running_request& run, const error& failure) {
-    if (run.attempt_events == 0 && is_closed_by_target(failure)) {
+    if (run.reads_with_events == 0 && is_closed_by_target(failure)) {
         check_for_crash(m_context, run.active_exchange->target(), run.segments);
     }
 }
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -55,8 +55,8 @@
         duration time_to_first_event{};
         /// The segments of the prompt that other requests may share.
         std::vector<std::uint64_t> segments;
-        /// Events received in the current attempt.
-        std::size_t attempt_events = 0;
+        /// Reads of the current attempt that brought events.
+        std::size_t reads_with_events = 0;
         /// When the latest attempt was sent to its target.
         time_point sent_at{};
         /// The exchange of the current attempt; null between attempts.
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -17,7 +17,7 @@
                                 std::vector<std::uint64_t> segments) {
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::event_stream_parser parser;
-    bool has_events = false;
+    std::size_t reads_with_events = 0;
     for (;;) {
         const result<bool> more = co_await exchange->read_body(context.clock() + event_gap_timeout);
         if (running.stopped) {
@@ -26,17 +26,18 @@
         if (!more) {
             context.loads.record_failure(exchange->target().id, serving::failure_of(more.error()),
                                          context.clock());
-            if (!has_events && serving::is_closed_by_target(more.error())) {
+            if (reads_with_events == 0 && serving::is_closed_by_target(more.error())) {
                 serving::check_for_crash(context, exchange->target(), std::move(segments));
             }
             co_return item_outcome::interrupted;
         }
         const std::vector<serving::stream_event> events =
             parser.feed(std::exchange(exchange->response().body, {}));
-        if (has_events && !events.empty()) {
+        reads_with_events += events.empty() ? 0 : 1;
+        // The target has survived the beginning of its response.
+        if (reads_with_events == 2 && !events.empty()) {
             serving::record_segments_served(context, segments);
         }
-        has_events = has_events || !events.empty();
         if (!running.job->add_events(running.index, events)) {
             co_return item_outcome::interrupted;
         }
--- a/src/routing/prompt_quarantine.hpp
+++ b/src/routing/prompt_quarantine.hpp
@@ -71,7 +71,7 @@
     /// and were not before.
     std::vector<std::uint64_t> merge(std::span<const segment_evidence> evidence, time_point now);
 
-    /// Whether any segment has been in quarantine; false allows callers to skip find().
+    /// Whether any segment has been in quarantine; false allows callers to skip time_left().
     [[nodiscard]] bool is_active() const { return m_is_active; }
     /// Remaining quarantine of a request with these segments; nothing if none is in quarantine.
     [[nodiscard]] std::optional<duration> time_left(std::span<const std::uint64_t> segments,
