Log the request limits that targets name in their responses

The adapter decodes it now, a response that names none ends it when its request was sent later, and each change is logged (317) and counted (limited_targets); text that is no number is logged (318) and ignored.

--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -13,7 +13,7 @@
 
 namespace eelgrassdoor::routing {
 
-template <typename Archive> void serialize(Archive& ar, leaving_instance& start) {
+template <typename Archive> void serialize(Archive& ar, target_instance& start) {
     ar(start.target, start.started_at);
 }
 
@@ -64,7 +64,7 @@
     std::vector<target_load_counts> targets;
     std::vector<waiting_tokens> waiting;
     /// Listed targets that have announced to any daemon that they are leaving.
-    std::vector<routing::leaving_instance> leaving;
+    std::vector<routing::target_instance> leaving;
 
     template <typename Archive> void serialize(Archive& ar) {
         peer::serialize_string(ar, host);
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -312,7 +312,7 @@
     }
     m_directory.record_heard(digest->host, m_clock());
     m_loads.update_peer_load(digest->host, to_peer_loads(digest->targets), m_clock());
-    for (const routing::leaving_instance& each : digest->leaving) {
+    for (const routing::target_instance& each : digest->leaving) {
         m_loads.mark_leaving(each);
     }
     if (!body.empty() && on_evidence) {
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -40,6 +40,8 @@
     mirror_pull_failed = 314,
     segment_suspected = 315,
     segment_quarantined = 316,
+    target_limit_changed = 317,
+    target_limit_rejected = 318,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -74,26 +74,34 @@
         }));
 }
 
+std::size_t fleet_load::limited_count() const {
+    return static_cast<std::size_t>(
+        std::count_if(m_targets.begin(), m_targets.end(), [&](const auto& entry) {
+            const target_instance listed{stable_hash(entry.first), entry.second.target.started_at};
+            return m_request_limits.limit_of(listed).has_value();
+        }));
+}
+
 const fleet_target* fleet_load::find(std::string_view id) const {
     const auto found = m_targets.find(id);
     return found == m_targets.end() ? nullptr : &found->second.target;
 }
 
-bool fleet_load::mark_leaving(const leaving_instance& instance) {
+bool fleet_load::mark_leaving(const target_instance& instance) {
     const bool is_new = m_leaving.add(instance);
     if (is_new) {
         for (auto& [id, state] : m_targets) {
-            const leaving_instance listed{stable_hash(id), state.target.started_at};
+            const target_instance listed{stable_hash(id), state.target.started_at};
             state.target.leaving = state.target.leaving || m_leaving.contains(listed);
         }
     }
     return is_new;
 }
 
-std::vector<leaving_instance> fleet_load::leaving() const {
-    std::vector<leaving_instance> out;
+std::vector<target_instance> fleet_load::leaving() const {
+    std::vector<target_instance> out;
     for (const auto& [id, state] : m_targets) {
-        const leaving_instance listed{stable_hash(id), state.target.started_at};
+        const target_instance listed{stable_hash(id), state.target.started_at};
         if (m_leaving.contains(listed)) {
             out.push_back(listed);
         }
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -8,6 +8,7 @@
 #include "routing/fleet_target.hpp"
 #include "routing/leaving_targets.hpp"
 #include "routing/slow_start.hpp"
+#include "routing/target_limits.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -107,6 +108,10 @@
     [[nodiscard]] std::size_t cold_count(time_point now) const;
     /// The limit on requests to cold targets.
     slow_start& cold_targets() { return m_cold_targets; }
+    /// The limits that targets name in their responses.
+    target_limits& request_limits() { return m_request_limits; }
+    /// Number of listed targets with a request limit.
+    [[nodiscard]] std::size_t limited_count() const;
     /// The listed target with this id, or null. Valid until the next set_targets().
     [[nodiscard]] const fleet_target* find(std::string_view id) const;
 
@@ -119,9 +124,9 @@
 
     /// Records that a target instance has announced its shutdown: it gets no more requests,
     /// whatever the target list says. Returns whether this was not known before.
-    bool mark_leaving(const leaving_instance& instance);
+    bool mark_leaving(const target_instance& instance);
     /// The listed targets that announced their shutdown, for propagation to other daemons.
-    [[nodiscard]] std::vector<leaving_instance> leaving() const;
+    [[nodiscard]] std::vector<target_instance> leaving() const;
     /// This daemon's requests at all targets, for propagation to other daemons. Targets without
     /// requests and failures are left out. Valid until the next change of the local load.
     [[nodiscard]] const load_by_target& local_load(time_point now);
@@ -255,6 +260,7 @@
     leaving_targets m_leaving;
     zone_set m_evacuated_zones;
     slow_start m_cold_targets;
+    target_limits m_request_limits;
     /// Failed responses of this daemon's requests, oldest first.
     std::deque<std::pair<time_point, std::string>> m_recent_failures;
     /// Results of candidates(), kept to reuse their memory.
--- a/src/routing/leaving_targets.cpp
+++ b/src/routing/leaving_targets.cpp
@@ -4,7 +4,7 @@
 
 namespace eelgrassdoor::routing {
 
-bool leaving_targets::add(const leaving_instance& instance) {
+bool leaving_targets::add(const target_instance& instance) {
     const auto found = m_started_at.find(instance.target);
     if (found != m_started_at.end()) {
         const bool is_new = instance.started_at > found->second;
@@ -21,7 +21,7 @@
     return true;
 }
 
-bool leaving_targets::contains(const leaving_instance& instance) const {
+bool leaving_targets::contains(const target_instance& instance) const {
     const auto found = m_started_at.find(instance.target);
     return found != m_started_at.end() && instance.started_at <= found->second;
 }
--- a/src/routing/leaving_targets.hpp
+++ b/src/routing/leaving_targets.hpp
@@ -3,23 +3,14 @@
 /// no I/O.
 #pragma once
 
+#include "routing/target_instance.hpp"
+
 #include <cstddef>
 #include <cstdint>
-#include <string_view>
 #include <unordered_map>
 
 namespace eelgrassdoor::routing {
 
-/// One run of a target process that has announced its shutdown.
-struct leaving_instance {
-    /// stable_hash() of the target's id.
-    std::uint64_t target = 0;
-    /// Start time in Unix milliseconds.
-    std::uint64_t started_at = 0;
-
-    bool operator==(const leaving_instance&) const = default;
-};
-
 /// The target instances that have announced their shutdown. An announcement takes precedence over
 /// the target's entry in the target list, which may be stale or retained through an outage. It does
 /// not apply to an instance with the same id and a later start time. Not thread-safe.
@@ -30,9 +21,9 @@
     static constexpr std::size_t max_targets = 4096;
 
     /// Records an instance. Returns whether it was not known to be leaving before.
-    bool add(const leaving_instance& instance);
+    bool add(const target_instance& instance);
     /// Whether \p instance, or a later instance of the same target, is known to be leaving.
-    [[nodiscard]] bool contains(const leaving_instance& instance) const;
+    [[nodiscard]] bool contains(const target_instance& instance) const;
 
 private:
     /// Latest leaving start time by stable_hash() of the target id.
--- a/src/serving/protocol_codec.hpp
+++ b/src/serving/protocol_codec.hpp
@@ -102,6 +102,11 @@
     bool has_content_encoding = false;
     /// Whether the target states that it is shutting down and takes no new requests.
     bool target_is_leaving = false;
+    /// The requests per second that the target takes from all daemons together; nothing when it
+    /// names no limit.
+    std::optional<double> request_limit;
+    /// The text of a limit that is not a number; empty when the limit is valid or missing.
+    std::string malformed_limit;
 };
 
 /// The result of one item of a job, as callers see it.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -65,6 +65,23 @@
     }
 }
 
+void target_exchange::record_limit(const target_response& response) {
+    if (!response.malformed_limit.empty()) {
+        m_context.log.write(observe::event::target_limit_rejected, target().id,
+                            {{"limit", response.malformed_limit}});
+        return;
+    }
+    const bool changed = m_context.loads.request_limits().record_response(
+        {stable_hash(target().id), target().started_at}, response.request_limit, m_sent_at,
+        m_context.clock());
+    if (changed) {
+        const std::string limit =
+            response.request_limit ? str_cat(*response.request_limit) : std::string("none");
+        m_context.log.write(observe::event::target_limit_changed, target().id,
+                            {{"requests_per_second", limit}, {"source", "response"}});
+    }
+}
+
 net::task<result<target_response>> target_exchange::open(net::http_request request,
                                                          std::string request_id,
                                                          time_point response_deadline) {
@@ -82,6 +99,7 @@
     m_connection->set_deadline(response_deadline);
     m_exchange = std::make_unique<net::http_exchange>(m_connection, response_limits);
     m_exchange->send(request);
+    m_sent_at = m_context.clock();
     const stall_detector detector(m_context, target().id);
     for (int unrelated = 0; unrelated <= max_unrelated_responses; ++unrelated) {
         const result<void> head = co_await m_exchange->read_head();
@@ -94,6 +112,7 @@
         }
         const bool refusal_without_id = response.request_id.empty() && response.not_run;
         if (response.request_id == request_id || refusal_without_id) {
+            record_limit(response);
             co_return response;
         }
         const result<void> skipped = co_await m_exchange->read_all();
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -65,11 +65,14 @@
 private:
     /// Records that the target is shutting down, so that no daemon sends it further requests.
     void mark_target_leaving();
+    /// Records the request limit that \p response names, or that it names none.
+    void record_limit(const target_response& response);
 
     service_context& m_context;
     target_load_guard m_load_guard;
     std::shared_ptr<net::tcp_connection> m_connection;
     std::unique_ptr<net::http_exchange> m_exchange;
+    time_point m_sent_at{};
     bool m_closed = false;
 };
 
--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -312,7 +312,7 @@
     loads.set_targets({x, target("y", "b")});
     require(loads.pick_online("s", no_exclusions, now, random)->id == "y",
             "a target removed from the list and listed again is still leaving");
-    require(loads.leaving() == std::vector<leaving_instance>{{stable_hash("x"), 7}},
+    require(loads.leaving() == std::vector<target_instance>{{stable_hash("x"), 7}},
             "a leaving target is reported to other daemons");
     require(!loads.pick_online("s", {"y"}, now, random),
             "a leaving target is not picked even when no other is left");
--- a/test/platform/adapter_records.cpp
+++ b/test/platform/adapter_records.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Checks that the adapter decodes the platform's example records and rejects malformed ones.
+#include "base/text.hpp"
 #include "boot_settings.hpp"
 #include "caller_interface.hpp"
 #include "check.hpp"
@@ -246,6 +247,17 @@
     refusal.headers.set("Server-Leaving", "1");
     require(codec.decode_response(refusal).target_is_leaving,
             "Server-Leaving: 1 marks the target as leaving");
+    require(!codec.decode_response(refusal).request_limit,
+            "a response without Server-Limit names no limit");
+    refusal.headers.set("Server-Limit", "2.75");
+    require(codec.decode_response(refusal).request_limit == 2.75,
+            "Server-Limit is a decimal number of requests per second");
+    for (const char* malformed : {"", "many", "-1", "nan", "inf", "1e999"}) {
+        refusal.headers.set("Server-Limit", malformed);
+        const serving::target_response decoded = codec.decode_response(refusal);
+        require(!decoded.request_limit && !decoded.malformed_limit.empty(),
+                str_cat("the limit \"", malformed, "\" is reported as malformed"));
+    }
 }
 
 } // namespace
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -39,6 +39,9 @@
     if (m_leaving) {
         out.headers.set("Server-Leaving", "1");
     }
+    if (m_request_limit) {
+        out.headers.set("Server-Limit", *m_request_limit);
+    }
     return out;
 }
 
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
     void set_events(std::uint64_t events) { m_events = events; }
     /// Whether responses announce that the engine is about to exit.
     void set_leaving(bool leaving) { m_leaving = leaving; }
+    /// The request limit that responses name; nothing for none.
+    void set_request_limit(std::optional<std::string> limit) { m_request_limit = std::move(limit); }
     /// Delay between events of a stream.
     void set_event_interval(duration interval) { m_event_interval = interval; }
 
@@ -87,6 +90,7 @@
     std::uint64_t m_events = 5;
     duration m_event_interval = milliseconds(1);
     bool m_leaving = false;
+    std::optional<std::string> m_request_limit;
     int m_running = 0;
     int m_disconnects = 0;
 };
