--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -47,6 +47,7 @@
 
 net::task<> scripted_engine::handle(net::server_exchange& exchange) {
     m_received.push_back(exchange.request());
+    m_received_at.push_back(steady_clock()());
     if (is_fatal(exchange.request())) {
         net::asio::co_spawn(m_executor, crash(), net::asio::detached);
         exchange.abort();
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -63,6 +63,8 @@
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
     /// All requests that were received.
     [[nodiscard]] const std::deque<net::http_request>& received() const { return m_received; }
+    /// When each of them arrived.
+    [[nodiscard]] const std::vector<time_point>& received_at() const { return m_received_at; }
     /// Number of requests in progress.
     [[nodiscard]] int running() const { return m_running; }
     /// Number of requests whose client disconnected before the end, or that hung until the timeout.
@@ -87,6 +89,7 @@
     int m_crashes = 0;
     std::deque<engine_action> m_script;
     std::deque<net::http_request> m_received;
+    std::vector<time_point> m_received_at;
     std::uint64_t m_events = 5;
     duration m_event_interval = milliseconds(1);
     bool m_leaving = false;
