--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -18,6 +18,9 @@
 }
 
 bool scripted_engine::is_fatal(const net::http_request& request) const {
+    if (!m_fatal_body.empty() && request.body == m_fatal_body) {
+        return true;
+    }
     const std::string prompt = str_cat(",", request.headers.get("Prompt-Prefix"));
     return !m_fatal_segment.empty() &&
            prompt.find(str_cat(",", m_fatal_segment, ":")) != std::string::npos;
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -57,6 +57,11 @@
         m_fatal_segment = std::move(segment);
         m_restart_delay = restart_delay;
     }
+    /// Makes requests with this body end the engine in the same way.
+    void set_fatal_body(std::string body, duration restart_delay) {
+        m_fatal_body = std::move(body);
+        m_restart_delay = restart_delay;
+    }
     /// Number of times that such a request ended the engine.
     [[nodiscard]] int crashes() const { return m_crashes; }
 
@@ -75,7 +80,7 @@
     net::task<> serve(net::server_exchange& exchange, bool truncate);
     net::task<> hang(net::server_exchange& exchange);
     void listen();
-    /// Whether the prompt of \p request has the fatal segment.
+    /// Whether \p request has the fatal segment or body.
     [[nodiscard]] bool is_fatal(const net::http_request& request) const;
     net::task<> crash();
     net::http_response make_head(int status, const net::http_request& request) const;
@@ -85,6 +90,7 @@
     /// The server of each start; the last one may be running.
     std::vector<std::unique_ptr<net::http_server>> m_servers;
     std::string m_fatal_segment;
+    std::string m_fatal_body;
     duration m_restart_delay{};
     int m_crashes = 0;
     std::deque<engine_action> m_script;
