--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -6,6 +6,13 @@
 
 namespace eelgrassdoor {
 
+namespace {
+
+/// A hundred years: the sum with a time since the start of a clock still fits into nanoseconds.
+constexpr double max_duration_s = 100 * 365.25 * 24 * 3600;
+
+} // namespace
+
 clock_fn steady_clock() {
     return [] { return std::chrono::steady_clock::now(); };
 }
@@ -23,6 +30,7 @@
 }
 
 duration from_seconds(double s) {
+    s = std::clamp(s, -max_duration_s, max_duration_s);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
 }
 
--- a/src/base/clock.hpp
+++ b/src/base/clock.hpp
@@ -47,7 +47,7 @@
 /// Returns \p d in milliseconds, rounded towards zero.
 std::int64_t to_ms(duration d);
 
-/// Returns a duration of \p s seconds, which may be fractional.
+/// Returns a duration of \p s seconds, which may be fractional; at most a hundred years.
 duration from_seconds(double s);
 
 /// Returns the value of a Retry-After header for \p d: whole seconds, rounded up, at least 1.
