Test that a repeated refusal of another request is not believed

It cannot be taken for the response here: each request has a connection of its own, and a refusal counts only with the id of the request.

--- a/test/platform/daemon_online.cpp
+++ b/test/platform/daemon_online.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Tests online requests through a daemon: what callers receive and what engines receive.
+#include "base/text.hpp"
 #include "platform/fixture/daemon_fixture.hpp"
 
 namespace {
@@ -30,6 +31,7 @@
         co_await check_interrupted_stream();
         co_await check_at_most_once();
         co_await check_unrelated_response();
+        co_await check_repeated_refusal();
         co_await check_caller_disconnects();
         co_await check_hanging_engine();
         co_await check_withdrawn_key();
@@ -144,6 +146,17 @@
                 "a response to another request never reaches the caller");
     }
 
+    net::task<> check_repeated_refusal() {
+        const std::size_t before = received_requests();
+        script_both_engines(engine_action::repeat_refusal_first);
+        const auto got = co_await call("repeated", "/o/x");
+        require(got.status == 200, str_cat("a refusal of another request is not taken for that of "
+                                           "this one; status ",
+                                           got.status));
+        require(received_requests() == before + 1,
+                "a request does not run twice because an engine repeats an earlier refusal");
+    }
+
     net::task<> check_caller_disconnects() {
         script_both_engines(engine_action::hang);
         const time_point deadline = steady_clock()() + seconds(5);
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -81,6 +81,12 @@
             other.body = "response to another request";
             co_await exchange.respond(std::move(other));
         }
+        if (action == engine_action::repeat_refusal_first) {
+            net::http_response other = make_head(503, exchange.request());
+            other.headers.set("Attempt-Id", "another-request");
+            other.headers.set("Not-Executed", "1");
+            co_await exchange.respond(std::move(other));
+        }
         co_await serve(exchange, action == engine_action::truncate);
     }
     --m_running;
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -31,6 +31,8 @@
     unprocessable,
     /// Sends a response with the id of another request before the proper one.
     respond_with_wrong_id_first,
+    /// Sends a refusal of another request before the proper response.
+    repeat_refusal_first,
 };
 
 /// An engine that listens on an endpoint. Its streams have events 1 to N, as set by set_events(),
