Keep a request that crashes targets from them, and blame its segments last

Cause: a crash could be blamed on nothing but shared segments; the request was not known.

A request's fingerprint is suspected first now, and refused after two crashes; only its first crash counts against its segments. Evidence on requests travels behind the digests, the latest first and the rest in turn. It works because what returns is exactly what is remembered.

--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -135,12 +135,14 @@
         co_await refuse(exchange, request.id, admitted.error());
         co_return;
     }
-    const std::vector<std::uint64_t> segments = shared_segments(request.prompt);
-    if (const std::optional<error> quarantined = quarantine_error(m_context, segments)) {
-        co_await refuse(exchange, request.id, *quarantined);
-        co_return;
-    }
     const std::string customer = admitted.value().customer;
+    if (has_quarantine(m_context)) {
+        const crash_suspects suspects = suspects_of(request, customer);
+        if (const std::optional<error> quarantined = quarantine_error(m_context, suspects)) {
+            co_await refuse(exchange, request.id, *quarantined);
+            co_return;
+        }
+    }
     const bool is_rate_limited = !customer.empty() && !admitted.value().route->accepts_jobs;
     if (is_rate_limited && !m_context.messenger.tokens().try_take(customer)) {
         const bool token_taken =
--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -1,7 +1,6 @@
 #include "entry/online_proxy.hpp"
 
 #include "base/text.hpp"
-#include "serving/crash_detector.hpp"
 #include "serving/event_stream_parser.hpp"
 
 #include <algorithm>
@@ -52,9 +51,9 @@
                         .excluded = {},
                         .last_event = {},
                         .time_to_first_event = {},
-                        .segments = {},
+                        .suspects = {},
                         .active_exchange = {}};
-    run.segments = shared_segments(run.request.prompt);
+    run.suspects = suspects_of(run.request, run.customer);
     run.last_event = run.request.resume_after;
     caller_exchange.on_client_disconnect([&run] {
         if (run.active_exchange) {
@@ -63,7 +62,7 @@
     });
     attempt_outcome next = attempt_outcome::retry;
     while (next == attempt_outcome::retry) {
-        if (std::optional<error> quarantined = quarantine_error(m_context, run.segments)) {
+        if (std::optional<error> quarantined = quarantine_error(m_context, run.suspects)) {
             error why = run.runs > 0 ? no_target_error(run) : std::move(*quarantined);
             co_await respond_with_error(run, std::move(why));
             break;
@@ -191,7 +190,7 @@
         error read_error = read.error();
         co_return co_await handle_failure(run, std::move(read_error));
     }
-    record_segments_served(m_context, run.segments);
+    record_served(m_context, run.suspects);
     net::http_response out = make_forwarded_response(run.active_exchange->response());
     out.body = std::move(run.active_exchange->response().body);
     run.active_exchange.reset();
@@ -251,7 +250,7 @@
         run.reads_with_events += events.empty() ? 0 : 1;
         // The target has survived the beginning of its response.
         if (run.reads_with_events == 2 && !events.empty()) {
-            record_segments_served(m_context, run.segments);
+            record_served(m_context, run.suspects);
         }
         const bool sent = co_await forward_events(run, std::move(events));
         if (!sent) {
@@ -279,7 +278,7 @@
 
 void online_proxy::check_target(const running_request& run, const error& failure) {
     if (run.reads_with_events == 0 && is_closed_by_target(failure)) {
-        check_for_crash(m_context, run.active_exchange->target(), run.segments);
+        check_for_crash(m_context, run.active_exchange->target(), run.suspects);
     }
 }
 
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/http_server.hpp"
+#include "serving/crash_detector.hpp"
 #include "serving/event_stream_parser.hpp"
 #include "serving/service_context.hpp"
 #include "serving/target_exchange.hpp"
@@ -53,8 +54,8 @@
         std::size_t events = 0;
         /// Time from the arrival of the request to its first event.
         duration time_to_first_event{};
-        /// The segments of the prompt that other requests may share.
-        std::vector<std::uint64_t> segments;
+        /// What a crash of a target may be due to.
+        crash_suspects suspects;
         /// Reads of the current attempt that brought events.
         std::size_t reads_with_events = 0;
         /// When the latest attempt was sent to its target.
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -102,8 +102,9 @@
     }
 };
 
-/// Follows a load_digest in the same datagram, where daemons of older builds ignore it. Left out
-/// when there is no evidence.
+/// Follows a load_digest in the same datagram, where daemons of older builds ignore it; a second
+/// one, on whole requests, follows target_limit_entries. What is empty and has nothing behind it is
+/// left out.
 struct segment_reports {
     std::vector<segment_report> reports;
 
@@ -133,7 +134,7 @@
 };
 
 /// Follows segment_reports in the datagram of a load_digest, where daemons of older builds ignore
-/// it. Left out when there are no limits.
+/// it.
 struct target_limit_entries {
     std::vector<target_limit_entry> entries;
 
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -229,17 +229,29 @@
     if (collect_waiting_tokens) {
         digest.waiting = collect_waiting_tokens();
     }
-    std::string datagram = to_datagram(digest);
-    const segment_reports reports = to_reports(
-        collect_evidence ? collect_evidence() : std::vector<routing::segment_evidence>());
+    return to_datagram(digest) + make_extensions();
+}
+
+std::string peer_messenger::make_extensions() {
+    using evidence_list = std::vector<routing::segment_evidence>;
+    const segment_reports segments =
+        to_reports(collect_evidence ? collect_evidence() : evidence_list());
     const target_limit_entries limits = to_entries(m_loads.request_limits().reports(m_clock()));
-    if (!reports.reports.empty() || !limits.entries.empty()) {
-        datagram += peer::encode(reports);
+    const segment_reports requests =
+        to_reports(collect_request_evidence ? collect_request_evidence() : evidence_list());
+    const bool has_requests = !requests.reports.empty();
+    const bool has_limits = !limits.entries.empty() || has_requests;
+    std::string out;
+    if (!segments.reports.empty() || has_limits) {
+        out += peer::encode(segments);
+    }
+    if (has_limits) {
+        out += peer::encode(limits);
     }
-    if (!limits.entries.empty()) {
-        datagram += peer::encode(limits);
+    if (has_requests) {
+        out += peer::encode(requests);
     }
-    return datagram;
+    return out;
 }
 
 bool peer_messenger::receives_directly_from(std::string_view endpoint) const {
@@ -340,27 +352,34 @@
 }
 
 void peer_messenger::receive_extensions(std::string_view body, const net::udp::endpoint& from) {
-    if (body.empty()) {
-        return;
-    }
-    const auto reports = peer::decode_front<segment_reports>(body);
-    if (!reports) {
-        log_malformed(from);
-        return;
-    }
-    if (on_evidence) {
-        on_evidence(to_evidence(*reports));
-    }
-    if (body.empty()) {
-        return;
-    }
-    const auto limits = peer::decode<target_limit_entries>(body);
-    if (!limits) {
-        log_malformed(from);
-        return;
-    }
+    const auto receive_next = [&]<typename Message>(const Message& /*type*/, auto handle) {
+        if (body.empty()) {
+            return;
+        }
+        if (const auto message = peer::decode_front<Message>(body)) {
+            handle(*message);
+        } else {
+            body = {};
+            log_malformed(from);
+        }
+    };
+    receive_next(segment_reports{}, [this](const segment_reports& received) {
+        if (on_evidence) {
+            on_evidence(to_evidence(received));
+        }
+    });
+    receive_next(target_limit_entries{},
+                 [this](const target_limit_entries& received) { receive_limits(received); });
+    receive_next(segment_reports{}, [this](const segment_reports& received) {
+        if (on_request_evidence) {
+            on_request_evidence(to_evidence(received));
+        }
+    });
+}
+
+void peer_messenger::receive_limits(const target_limit_entries& limits) {
     const std::vector<routing::target_instance> changed =
-        m_loads.request_limits().merge(to_limit_reports(*limits), m_clock());
+        m_loads.request_limits().merge(to_limit_reports(limits), m_clock());
     if (on_limit_change) {
         on_limit_change(changed);
     }
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -68,6 +68,9 @@
     std::function<std::vector<routing::segment_evidence>()> collect_evidence;
     /// Called with the evidence in another daemon's digest; optional.
     std::function<void(const std::vector<routing::segment_evidence>&)> on_evidence;
+    /// The same for whole requests that may crash targets.
+    std::function<std::vector<routing::segment_evidence>()> collect_request_evidence;
+    std::function<void(const std::vector<routing::segment_evidence>&)> on_request_evidence;
     /// Called with the targets whose request limit another daemon's digest has changed; optional.
     std::function<void(const std::vector<routing::target_instance>&)> on_limit_change;
 
@@ -130,6 +133,9 @@
     void receive_digest(std::string_view bytes, const digest_origin& origin);
     /// Takes over what follows the load in a digest; \p body is empty when nothing does.
     void receive_extensions(std::string_view body, const net::udp::endpoint& from);
+    void receive_limits(const target_limit_entries& limits);
+    /// Returns what follows the load in this daemon's digests. Builds before a part ignore it.
+    [[nodiscard]] std::string make_extensions();
     void receive_bundle(std::string_view body, const net::udp::endpoint& from);
     /// Logs that a malformed datagram was discarded.
     void log_malformed(const net::udp::endpoint& from);
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -66,6 +66,8 @@
                                                                 .metrics = m_metrics,
                                                                 .loads = m_loads,
                                                                 .quarantine = m_quarantine,
+                                                                .request_quarantine =
+                                                                    m_request_quarantine,
                                                                 .messenger = m_messenger,
                                                                 .codec = adapter.codec,
                                                                 .plan = nullptr},
@@ -142,8 +144,15 @@
     m_messenger.reaches_store = [this] { return m_feed.connected_since() != time_point::max(); };
     m_messenger.collect_evidence = [this] { return m_quarantine.evidence(m_clock()); };
     m_messenger.on_evidence = [this](const std::vector<routing::segment_evidence>& evidence) {
-        merge_evidence(evidence);
+        merge_evidence(m_quarantine, "segment", evidence);
     };
+    m_messenger.collect_request_evidence = [this] {
+        return m_request_quarantine.evidence(m_clock());
+    };
+    m_messenger.on_request_evidence =
+        [this](const std::vector<routing::segment_evidence>& evidence) {
+            merge_evidence(m_request_quarantine, "request", evidence);
+        };
     m_messenger.on_limit_change = [this](const std::vector<routing::target_instance>& targets) {
         log_limit_changes(targets);
     };
@@ -313,10 +322,11 @@
     m_loads.cold_targets().set_daemons(std::move(senders), m_settings.host);
 }
 
-void fleet_daemon::merge_evidence(const std::vector<routing::segment_evidence>& evidence) {
-    for (const std::uint64_t segment : m_quarantine.merge(evidence, m_clock())) {
+void fleet_daemon::merge_evidence(routing::prompt_quarantine& quarantine, std::string_view kind,
+                                  const std::vector<routing::segment_evidence>& evidence) {
+    for (const std::uint64_t segment : quarantine.merge(evidence, m_clock())) {
         m_log.write(observe::event::segment_quarantined, m_settings.host,
-                    {{"segment", std::to_string(segment)}});
+                    {{"kind", std::string(kind)}, {"segment", std::to_string(segment)}});
     }
 }
 
@@ -377,6 +387,8 @@
     m_metrics.gauge("limited_targets", static_cast<double>(m_loads.limited_count()));
     m_metrics.gauge("quarantined_segments",
                     static_cast<double>(m_quarantine.quarantined_count(m_clock())));
+    m_metrics.gauge("quarantined_requests",
+                    static_cast<double>(m_request_quarantine.quarantined_count(m_clock())));
     set_mirror_gauges();
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -62,7 +62,8 @@
     void apply_limits();
     void apply_cold_limits();
     /// Takes over another daemon's evidence on prompt segments that crash targets.
-    void merge_evidence(const std::vector<routing::segment_evidence>& evidence);
+    void merge_evidence(routing::prompt_quarantine& quarantine, std::string_view kind,
+                        const std::vector<routing::segment_evidence>& evidence);
     /// Takes over which availability zones the operator evacuates.
     void apply_evacuated_zones();
     void check_evacuation();
@@ -84,6 +85,7 @@
     observe::metrics m_metrics;
     routing::fleet_load m_loads;
     routing::prompt_quarantine m_quarantine;
+    routing::prompt_quarantine m_request_quarantine{routing::whole_request_rule};
     limits::customer_shares m_shares;
     store::mirror m_mirror;
     store::mirror_feed m_feed;
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -14,7 +14,7 @@
 
 /// Reads the events of an open stream into the item until the stream ends.
 net::task<item_outcome> collect(serving::service_context& context, item_run& running,
-                                std::vector<std::uint64_t> segments) {
+                                serving::crash_suspects suspects) {
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::event_stream_parser parser;
     std::size_t reads_with_events = 0;
@@ -27,7 +27,7 @@
             context.loads.record_failure(exchange->target().id, serving::failure_of(more.error()),
                                          context.clock());
             if (reads_with_events == 0 && serving::is_closed_by_target(more.error())) {
-                serving::check_for_crash(context, exchange->target(), std::move(segments));
+                serving::check_for_crash(context, exchange->target(), std::move(suspects));
             }
             co_return item_outcome::interrupted;
         }
@@ -36,7 +36,7 @@
         reads_with_events += events.empty() ? 0 : 1;
         // The target has survived the beginning of its response.
         if (reads_with_events == 2 && !events.empty()) {
-            serving::record_segments_served(context, segments);
+            serving::record_served(context, suspects);
         }
         if (!running.job->add_events(running.index, events)) {
             co_return item_outcome::interrupted;
@@ -66,8 +66,8 @@
                                     .time_left = {},
                                     .resume_after = item.last_event};
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
-    std::vector<std::uint64_t> segments =
-        serving::shared_segments(context.codec.decode_prompt(item.content.headers));
+    serving::crash_suspects suspects =
+        serving::suspects_of(context.codec.decode_prompt(item.content.headers));
     net::http_request message = context.codec.encode_call(request, call);
     const result<serving::target_response> response_head = co_await exchange->open(
         std::move(message), request.id, context.clock() + first_event_timeout);
@@ -80,7 +80,7 @@
         context.log.write(observe::event::target_failed, request.id,
                           {{"target", target.id}, {"reason", response_head.error().message}});
         if (serving::is_closed_by_target(response_head.error())) {
-            serving::check_for_crash(context, target, std::move(segments));
+            serving::check_for_crash(context, target, std::move(suspects));
         }
         co_return item_outcome::interrupted;
     }
@@ -98,7 +98,7 @@
     if (status >= 300 || !response_head.value().is_stream) {
         co_return item_outcome::interrupted;
     }
-    co_return co_await collect(context, running, std::move(segments));
+    co_return co_await collect(context, running, std::move(suspects));
 }
 
 } // namespace eelgrassdoor::jobs
--- a/src/routing/prompt_quarantine.cpp
+++ b/src/routing/prompt_quarantine.cpp
@@ -18,6 +18,16 @@
 /// Maximum number of segments in the evidence for other daemons.
 constexpr std::size_t max_reported_segments = 16;
 
+/// How long ago the last crash on a segment was observed, or its answer if it is no longer
+/// suspected.
+duration latest_age(const segment_evidence& evidence) {
+    duration age = evidence.served_age.value_or(duration::max());
+    for (const segment_crash& crash : evidence.crashes) {
+        age = std::min(age, crash.age);
+    }
+    return age;
+}
+
 } // namespace
 
 prompt_quarantine::segment_state& prompt_quarantine::state_of(std::uint64_t segment) {
@@ -84,6 +94,11 @@
     return was_suspected;
 }
 
+bool prompt_quarantine::is_suspected(std::uint64_t segment) const {
+    const auto found = m_segments.find(segment);
+    return found != m_segments.end() && !found->second.crashes.empty();
+}
+
 void prompt_quarantine::remove_expired(time_point now) {
     for (auto& [segment, state] : m_segments) {
         std::erase_if(state.crashes,
@@ -91,6 +106,24 @@
     }
 }
 
+void prompt_quarantine::select_reported(std::vector<segment_evidence>& evidence) {
+    if (evidence.size() <= max_reported_segments) {
+        return;
+    }
+    std::sort(evidence.begin(), evidence.end(),
+              [](const segment_evidence& a, const segment_evidence& b) {
+                  return std::pair(latest_age(a), a.segment) < std::pair(latest_age(b), b.segment);
+              });
+    constexpr std::size_t latest = max_reported_segments / 2;
+    const std::size_t others = evidence.size() - latest;
+    for (std::size_t i = latest; i < max_reported_segments; ++i) {
+        const std::size_t in_turn = latest + m_next_in_turn++ % others;
+        // Those at the front are taken already.
+        std::swap(evidence[i], evidence[std::max(i, in_turn)]);
+    }
+    evidence.resize(max_reported_segments);
+}
+
 std::vector<segment_evidence> prompt_quarantine::evidence(time_point now) {
     remove_expired(now);
     std::vector<segment_evidence> out;
@@ -107,10 +140,7 @@
         }
         out.push_back(std::move(each));
     }
-    std::sort(out.begin(), out.end(), [](const segment_evidence& a, const segment_evidence& b) {
-        return std::pair(a.crashes.size(), a.segment) > std::pair(b.crashes.size(), b.segment);
-    });
-    out.resize(std::min(out.size(), max_reported_segments));
+    select_reported(out);
     return out;
 }
 
@@ -142,14 +172,14 @@
     return quarantined;
 }
 
-std::optional<time_point> prompt_quarantine::quarantined_until(const segment_state& state) {
-    if (state.crashes.size() < min_crashes) {
+std::optional<time_point> prompt_quarantine::quarantined_until(const segment_state& state) const {
+    if (state.crashes.size() < m_rule.min_crashes) {
         return std::nullopt;
     }
     const auto last =
         std::max_element(state.crashes.begin(), state.crashes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (last->second - state.first_crash_at < min_spread) {
+    if (last->second - state.first_crash_at < m_rule.min_spread) {
         return std::nullopt;
     }
     return last->second + quarantine_time;
--- a/src/routing/prompt_quarantine.hpp
+++ b/src/routing/prompt_quarantine.hpp
@@ -35,6 +35,19 @@
     std::vector<segment_crash> crashes;
 };
 
+/// The crashes that suffice for a quarantine.
+struct quarantine_rule {
+    /// Number of different targets that must have crashed.
+    std::size_t min_crashes = 3;
+    /// Minimum time between the first and the last of these crashes.
+    duration min_spread = milliseconds(500);
+};
+
+/// The rule for whole requests: of those that wait at a target which crashes, few wait at the next
+/// one too, and targets that are lost together get no request after the first.
+inline constexpr quarantine_rule whole_request_rule{.min_crashes = 2,
+                                                    .min_spread = duration::zero()};
+
 /// Finds the prompt segments on which targets crash, and tells which requests contain one. The load
 /// pattern that it is meant for is a defect that ends every target which begins to answer a certain
 /// segment: requests with it and their retries take down one target after the other, and other
@@ -46,14 +59,16 @@
 /// answer since the first of them. An answer from any target ends the quarantine. The last segment
 /// of a prompt belongs to one request or session, so it is not considered.
 ///
+/// A second instance with whole_request_rule does the same for whole requests, whose fingerprint
+/// takes the place of a segment.
+///
 /// Daemons exchange their evidence; each passes on what it has learnt, so that it outlives the
 /// daemon that made the observation. Not thread-safe.
 class prompt_quarantine {
 public:
-    /// Number of different targets that must have crashed.
-    static constexpr std::size_t min_crashes = 3;
-    /// Minimum time between the first and the last of these crashes.
-    static constexpr duration min_spread = milliseconds(500);
+    prompt_quarantine() = default;
+    explicit prompt_quarantine(const quarantine_rule& rule) : m_rule(rule) {}
+
     /// How long a segment stays in quarantine after the last crash.
     static constexpr duration quarantine_time = std::chrono::minutes(10);
 
@@ -65,7 +80,11 @@
     /// of them was suspected.
     bool record_served(std::span<const std::uint64_t> segments, time_point now);
 
-    /// The evidence on suspected segments, the most suspected first, for the other daemons.
+    /// Whether targets have crashed on \p segment and none has answered since.
+    [[nodiscard]] bool is_suspected(std::uint64_t segment) const;
+
+    /// The evidence on suspected segments for the other daemons: that with the latest crashes, and
+    /// the rest in turn over successive calls.
     [[nodiscard]] std::vector<segment_evidence> evidence(time_point now);
     /// Takes over the evidence of another daemon. Returns the segments that are in quarantine now
     /// and were not before.
@@ -95,15 +114,20 @@
 
     segment_state& state_of(std::uint64_t segment);
     /// End of the quarantine; nothing if \p state does not justify one.
-    [[nodiscard]] static std::optional<time_point> quarantined_until(const segment_state& state);
+    [[nodiscard]] std::optional<time_point> quarantined_until(const segment_state& state) const;
     /// Adds a crash unless it is known or older than the last answer.
     bool add_crash(std::uint64_t segment, const segment_crash& crash, time_point now);
     /// Removes the crashes up to the last answer.
     static void remove_refuted(segment_state& state);
     void remove_expired(time_point now);
+    /// Leaves the evidence that is reported this time.
+    void select_reported(std::vector<segment_evidence>& evidence);
 
+    quarantine_rule m_rule;
     state_map m_segments;
     bool m_is_active = false;
+    /// Position of the next evidence that is reported in turn.
+    std::size_t m_next_in_turn = 0;
 };
 
 } // namespace eelgrassdoor::routing
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -20,8 +20,39 @@
     return out;
 }
 
+/// Logs new evidence, and the quarantine if it suffices.
+void report(service_context& context, const std::string& target, std::string_view kind,
+            const routing::prompt_quarantine& quarantine, std::span<const std::uint64_t> suspected,
+            const std::string& reason) {
+    context.log.write(
+        observe::event::segment_suspected, target,
+        {{"kind", std::string(kind)}, {"segment", describe(suspected)}, {"reason", reason}});
+    if (quarantine.time_left(suspected, context.clock())) {
+        context.log.write(observe::event::segment_quarantined, target,
+                          {{"kind", std::string(kind)}, {"segment", describe(suspected)}});
+    }
+    context.messenger.schedule_digest();
+}
+
+/// Counts the end of the target start \p instance against the suspects.
+void record_crash(service_context& context, const std::string& target, std::uint64_t instance,
+                  const crash_suspects& suspects, const std::string& reason) {
+    const time_point now = context.clock();
+    bool is_first = true;
+    if (suspects.request) {
+        const std::span<const std::uint64_t> request(&*suspects.request, 1);
+        is_first = !context.request_quarantine.is_suspected(*suspects.request);
+        if (context.request_quarantine.record_crash(request, instance, now)) {
+            report(context, target, "request", context.request_quarantine, request, reason);
+        }
+    }
+    if (is_first && context.quarantine.record_crash(suspects.segments, instance, now)) {
+        report(context, target, "segment", context.quarantine, suspects.segments, reason);
+    }
+}
+
 net::task<> run_check(service_context& context, routing::fleet_target target,
-                      std::vector<std::uint64_t> segments) {
+                      crash_suspects suspects) {
     const auto connection = co_await net::http_client::connect(context.executor, target.endpoint,
                                                                context.clock() + check_timeout);
     if (connection) {
@@ -33,38 +64,44 @@
     }
     const std::uint64_t instance =
         stable_hash(str_cat(target.id, "/", std::to_string(target.started_at)));
-    if (context.quarantine.record_crash(segments, instance, context.clock())) {
-        context.log.write(
-            observe::event::segment_suspected, target.id,
-            {{"segment", describe(segments)}, {"reason", connection.error().message}});
-        if (context.quarantine.time_left(segments, context.clock())) {
-            context.log.write(observe::event::segment_quarantined, target.id,
-                              {{"segment", describe(segments)}});
-        }
-        context.messenger.schedule_digest();
-    }
+    record_crash(context, target.id, instance, suspects, connection.error().message);
 }
 
 } // namespace
 
-std::vector<std::uint64_t> shared_segments(std::span<const prompt_segment> prompt) {
-    std::vector<std::uint64_t> out;
+crash_suspects suspects_of(std::span<const prompt_segment> prompt) {
+    crash_suspects out;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
-        out.push_back(stable_hash(prompt[i].id));
+        out.segments.push_back(stable_hash(prompt[i].id));
     }
     return out;
 }
 
+crash_suspects suspects_of(const caller_request& request, std::string_view customer) {
+    crash_suspects out = suspects_of(request.prompt);
+    // No header value contains a line feed.
+    out.request = stable_hash(str_cat(request.host, "\n", request.content.target, "\n", customer,
+                                      "\n", request.content.body));
+    return out;
+}
+
 void check_for_crash(service_context& context, const routing::fleet_target& target,
-                     std::vector<std::uint64_t> segments) {
-    if (!segments.empty()) {
-        net::asio::co_spawn(context.executor, run_check(context, target, std::move(segments)),
+                     crash_suspects suspects) {
+    if (!suspects.segments.empty() || suspects.request) {
+        net::asio::co_spawn(context.executor, run_check(context, target, std::move(suspects)),
                             net::asio::detached);
     }
 }
 
-void record_segments_served(service_context& context, std::span<const std::uint64_t> segments) {
-    if (context.quarantine.record_served(segments, context.clock())) {
+void record_served(service_context& context, const crash_suspects& suspects) {
+    const time_point now = context.clock();
+    bool was_suspected = context.quarantine.record_served(suspects.segments, now);
+    // Requests that no target has crashed on are not kept.
+    if (suspects.request && context.request_quarantine.is_suspected(*suspects.request)) {
+        context.request_quarantine.record_served({&*suspects.request, 1}, now);
+        was_suspected = true;
+    }
+    if (was_suspected) {
         context.messenger.schedule_digest();
     }
 }
@@ -73,17 +110,24 @@
     return why.run != run_state::not_run && why.code != error_code::deadline_exceeded;
 }
 
+bool has_quarantine(const service_context& context) {
+    return context.quarantine.is_active() || context.request_quarantine.is_active();
+}
+
 std::optional<error> quarantine_error(const service_context& context,
-                                      std::span<const std::uint64_t> segments) {
-    if (!context.quarantine.is_active()) {
-        return std::nullopt;
+                                      const crash_suspects& suspects) {
+    const time_point now = context.clock();
+    if (suspects.request) {
+        if (const auto left = context.request_quarantine.time_left({&*suspects.request, 1}, now)) {
+            return error{error_code::unavailable, "targets crash on the request",
+                         run_state::not_run, *left};
+        }
     }
-    const std::optional<duration> left = context.quarantine.time_left(segments, context.clock());
-    if (!left) {
-        return std::nullopt;
+    if (const auto left = context.quarantine.time_left(suspects.segments, now)) {
+        return error{error_code::unavailable, "targets crash on a segment of the prompt",
+                     run_state::not_run, *left};
     }
-    return error{error_code::unavailable, "targets crash on a segment of the prompt",
-                 run_state::not_run, *left};
+    return std::nullopt;
 }
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -27,6 +27,8 @@
     routing::fleet_load& loads;
     /// Prompt segments that crash targets.
     routing::prompt_quarantine& quarantine;
+    /// Whole requests that crash targets.
+    routing::prompt_quarantine& request_quarantine;
     /// Exchanges load, members and rate-limit tokens with the other daemons.
     fleet::peer_messenger& messenger;
     const protocol_codec& codec;
--- a/test/correctness/prompt_quarantine.cpp
+++ b/test/correctness/prompt_quarantine.cpp
@@ -7,6 +7,7 @@
 #include "check.hpp"
 #include "fleet/message.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <vector>
@@ -149,6 +150,55 @@
     require(!daemon.time_left(fatal_prompt, now), "one target that crashes again is no evidence");
 }
 
+/// One request that comes again at other daemons, beside sound requests that wait at the same
+/// targets and are answered by the next one.
+void check_whole_requests() {
+    constexpr std::uint64_t fatal_request = 77;
+    const std::vector<std::uint64_t> fatal{fatal_request};
+    std::vector<prompt_quarantine> daemons(8, prompt_quarantine(whole_request_rule));
+    time_point now{};
+    int crashes = 0;
+    int sound_refused = 0;
+    for (std::size_t step = 0; step < 40; ++step) {
+        now += milliseconds(500);
+        prompt_quarantine& receiver = daemons[step % daemons.size()];
+        const std::vector<std::uint64_t> sound{1000 + step};
+        if (!receiver.time_left(fatal, now)) {
+            ++crashes;
+            receiver.record_crash(fatal, step, now);
+            receiver.record_crash(sound, step, now);
+        }
+        sound_refused += receiver.time_left(sound, now) ? 1 : 0;
+        receiver.record_served(sound, now);
+        const std::vector<segment_evidence> sent = receiver.evidence(now);
+        for (prompt_quarantine& each : daemons) {
+            each.merge(sent, now + milliseconds(20));
+        }
+    }
+    require(crashes == 2, "a request is in quarantine at all daemons after two crashes");
+    require(sound_refused == 0, "a request that waited at one of these targets is not");
+}
+
+void check_all_evidence_is_reported() {
+    prompt_quarantine observer(whole_request_rule);
+    prompt_quarantine other(whole_request_rule);
+    time_point now{};
+    constexpr std::uint64_t requests = 100;
+    for (std::uint64_t request = 1; request <= requests; ++request) {
+        now += milliseconds(10);
+        observer.record_crash({&request, 1}, 2 * request, now);
+        observer.record_crash({&request, 1}, 2 * request + 1, now);
+    }
+    std::vector<segment_evidence> first = observer.evidence(now);
+    const bool has_latest = std::any_of(first.begin(), first.end(),
+                                        [](const auto& each) { return each.segment == requests; });
+    require(has_latest, "the latest crash is reported at once");
+    for (int i = 0; i < 30; ++i) {
+        other.merge(observer.evidence(now), now);
+    }
+    require(other.quarantined_count(now) == requests, "all crashes are reported in turn");
+}
+
 void check_reports() {
     const std::vector<segment_evidence> evidence{
         {fatal_segment, std::nullopt, milliseconds(900), {{11, milliseconds(700)}}},
@@ -183,6 +233,8 @@
     check_lost_zone();
     check_answer_elsewhere();
     check_single_crash_repeats();
+    check_whole_requests();
+    check_all_evidence_is_reported();
     check_reports();
     return eelgrassdoor::test::finish();
 }
--- a/test/platform/crashing_prompt.cpp
+++ b/test/platform/crashing_prompt.cpp
@@ -84,6 +84,8 @@
     net::task<int> send_to(std::string name, std::string segment) {
         ++m_requests;
         net::http_request request = daemon_fixture::request(str_cat("request-", m_requests));
+        // Requests with different prompts differ in their bodies.
+        request.body = str_cat(R"({"prompt":")", segment, "-", m_requests, R"("})");
         request.headers.set("Prompt-Prefix",
                             str_cat("first:200,", segment, ":50,own-", m_requests, ":20"));
         const auto got = co_await m_fleet.call(m_fleet.caller_endpoint(name), std::move(request));
