--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -12,11 +12,6 @@
 constexpr duration tick_interval = milliseconds(250);
 /// Ticks between two checks of the settings file, which may change without a signal.
 constexpr int ticks_per_reload = 8;
-/// Time after SIGTERM in which callers still arrive: the load balancer removes a host after two
-/// failed health checks, a second apart.
-constexpr duration deregistration_delay = milliseconds(3500);
-/// Part of the grace period that is reserved for the final steps.
-constexpr duration shutdown_margin = milliseconds(700);
 /// Silence after which a zone's delegate is no longer relied on: three lost digests in a row, and
 /// shorter than the time in which changes must take effect.
 constexpr duration delegate_timeout = milliseconds(1300);
@@ -374,82 +369,4 @@
     co_await exchange.respond(std::move(response));
 }
 
-net::task<> fleet_daemon::handle_metrics(net::server_exchange& exchange) {
-    net::http_response response;
-    response.status = 200;
-    response.headers.set("Content-Type", "text/plain; version=0.0.4");
-    m_metrics.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
-    m_metrics.gauge("configuration_version",
-                    m_context.plan ? static_cast<double>(m_context.plan->version) : 0);
-    m_metrics.gauge("rate_limit_customers_held", static_cast<double>(m_messenger.held_customers()));
-    m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
-    m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
-    m_metrics.gauge("limited_targets", static_cast<double>(m_loads.limited_count()));
-    m_metrics.gauge("quarantined_segments",
-                    static_cast<double>(m_quarantine.quarantined_count(m_clock())));
-    m_metrics.gauge("quarantined_requests",
-                    static_cast<double>(m_request_quarantine.quarantined_count(m_clock())));
-    set_mirror_gauges();
-    response.body = m_metrics.text();
-    co_await exchange.respond(std::move(response));
-}
-
-void fleet_daemon::set_mirror_gauges() {
-    const time_point now = m_clock();
-    for (const std::string& prefix : m_mirror.prefixes()) {
-        const store::feed_status status = m_feed.status(prefix);
-        const auto set_gauge = [&](std::string_view name, duration age) {
-            m_metrics.gauge(str_cat(name, "{prefix=\"", prefix, "\"}"), to_seconds(age));
-        };
-        if (status.confirmed_at != time_point::min()) {
-            set_gauge("mirror_confirmed_age_seconds", now - status.confirmed_at);
-        }
-        const bool waits = status.waiting_since != time_point::max();
-        set_gauge("store_wait_seconds", waits ? now - status.waiting_since : duration::zero());
-    }
-}
-
-void fleet_daemon::begin_shutdown() {
-    if (m_shutting_down) {
-        return;
-    }
-    m_shutting_down = true;
-    m_log.write(observe::event::drain_started, m_settings.host);
-    if (net::http_server* callers = m_servers.caller()) {
-        callers->close_connections_after_response();
-    }
-    if (m_runner) {
-        m_runner->start_draining();
-    }
-    net::asio::co_spawn(m_context.executor, shutdown(), net::asio::detached);
-}
-
-net::task<> fleet_daemon::shutdown() {
-    const time_point shutdown_start = m_clock();
-    const time_point shutdown_deadline =
-        shutdown_start + m_settings.shutdown_grace - shutdown_margin;
-    for (;;) {
-        const time_point now = m_clock();
-        net::http_server* const callers = m_servers.caller();
-        const bool idle = (callers == nullptr || callers->active_requests() == 0) &&
-                          (!m_runner || m_runner->is_drained());
-        const bool out_of_rotation = now - shutdown_start >= deregistration_delay;
-        if (callers != nullptr && out_of_rotation) {
-            // The balancer still sends callers here if the zone has no other host. Requests read
-            // from now on could not be finished; a caller whose connection is refused turns to
-            // another host at once.
-            callers->stop();
-        }
-        if (now >= shutdown_deadline || (idle && (out_of_rotation || callers == nullptr))) {
-            break;
-        }
-        co_await net::sleep_for(milliseconds(50));
-    }
-    co_await m_registration.end();
-    m_messenger.stop();
-    m_log.write(observe::event::daemon_stopped, m_settings.host);
-    m_log.flush();
-    m_loop.stop();
-}
-
 } // namespace eelgrassdoor::host
--- /dev/null
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -0,0 +1,41 @@
+#include "base/text.hpp"
+#include "host/fleet_daemon.hpp"
+
+namespace eelgrassdoor::host {
+
+net::task<> fleet_daemon::handle_metrics(net::server_exchange& exchange) {
+    net::http_response response;
+    response.status = 200;
+    response.headers.set("Content-Type", "text/plain; version=0.0.4");
+    m_metrics.gauge("log_lines_dropped", static_cast<double>(m_log.dropped()));
+    m_metrics.gauge("configuration_version",
+                    m_context.plan ? static_cast<double>(m_context.plan->version) : 0);
+    m_metrics.gauge("rate_limit_customers_held", static_cast<double>(m_messenger.held_customers()));
+    m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
+    m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
+    m_metrics.gauge("limited_targets", static_cast<double>(m_loads.limited_count()));
+    m_metrics.gauge("quarantined_segments",
+                    static_cast<double>(m_quarantine.quarantined_count(m_clock())));
+    m_metrics.gauge("quarantined_requests",
+                    static_cast<double>(m_request_quarantine.quarantined_count(m_clock())));
+    set_mirror_gauges();
+    response.body = m_metrics.text();
+    co_await exchange.respond(std::move(response));
+}
+
+void fleet_daemon::set_mirror_gauges() {
+    const time_point now = m_clock();
+    for (const std::string& prefix : m_mirror.prefixes()) {
+        const store::feed_status status = m_feed.status(prefix);
+        const auto set_gauge = [&](std::string_view name, duration age) {
+            m_metrics.gauge(str_cat(name, "{prefix=\"", prefix, "\"}"), to_seconds(age));
+        };
+        if (status.confirmed_at != time_point::min()) {
+            set_gauge("mirror_confirmed_age_seconds", now - status.confirmed_at);
+        }
+        const bool waits = status.waiting_since != time_point::max();
+        set_gauge("store_wait_seconds", waits ? now - status.waiting_since : duration::zero());
+    }
+}
+
+} // namespace eelgrassdoor::host
