--- a/test/correctness/target_limits.cpp
+++ b/test/correctness/target_limits.cpp
@@ -81,7 +81,7 @@
         limits.record_response({.target = i, .started_at = 1}, 1.0, at(0), at(10));
     }
     target_limits other;
-    for (int i = 0; i < 3; ++i) {
+    for (std::size_t i = 0; i <= targets / target_limits::max_reports; ++i) {
         const std::vector<target_limit_report> reports = limits.reports(at(20));
         require(reports.size() <= target_limits::max_reports, "the number of reports is bounded");
         other.merge(reports, at(25));
