Share the load of the tests on crashing prompts and requests

crashing_request repeated crashing_prompt but for what is fatal and what is demanded of sound requests.

--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -61,9 +61,11 @@
     event_info{event::mirror_pull_failed, "mirror_pull_failed", warning,
                "Updates of the key-value service could not be fetched from another daemon."},
     event_info{event::segment_suspected, "segment_suspected", warning,
-               "A target ended before it answered a request, which or whose prompt segments are suspected."},
-    event_info{event::segment_quarantined, "segment_quarantined", warning,
-               "Requests are refused because targets crash on them or on a segment of their prompt."},
+               "A target ended before it answered a request, which or whose prompt segments are "
+               "suspected."},
+    event_info{
+        event::segment_quarantined, "segment_quarantined", warning,
+        "Requests are refused because targets crash on them or on a segment of their prompt."},
     event_info{event::target_limit_changed, "target_limit_changed", info,
                "A target limits the requests that it takes, changed the limit, or ended it."},
     event_info{event::target_limit_rejected, "target_limit_rejected", warning,
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -34,8 +34,8 @@
 public:
     /// Maximum number of targets; several times the 870 of the design size.
     static constexpr std::size_t max_targets = 4096;
-    /// Maximum number of reports at a time. With dozens of peers, each of which gets several digests
-    /// per second, all limits in each digest would fill a link of 30 Mbit/s.
+    /// Maximum number of reports at a time. With dozens of peers, each of which gets several
+    /// digests per second, all limits in each digest would fill a link of 30 Mbit/s.
     static constexpr std::size_t max_reports = 12;
 
     /// Records a response, received at \p now, to a request that was sent at \p sent_at. \p limit
--- a/test/platform/crashing_request.cpp
+++ b/test/platform/crashing_request.cpp
@@ -3,110 +3,34 @@
 /// daemon, with the same path, caller and body: the fleet must stop sending it, and go on serving
 /// sound requests that share its segments.
 #include "base/text.hpp"
-#include "platform/fixture/daemon_fixture.hpp"
-
-#include <string>
-#include <vector>
+#include "platform/fixture/crash_fixture.hpp"
 
 namespace {
 
 using namespace eelgrassdoor;
 using namespace eelgrassdoor::test;
 
-/// The users' bound: after the third crash and this time, three more requests may reach a target.
-constexpr int crashes_before_bound = 3;
-constexpr duration contact_time = seconds(3);
-constexpr int allowed_requests = 3;
-constexpr duration restart_delay = milliseconds(300);
-constexpr int engines = 4;
-constexpr int rounds = 30;
-
-class crash_checks {
-public:
-    crash_checks() {
-        for (int i = 0; i < engines; ++i) {
-            m_engines.push_back(&m_fleet.add_engine(str_cat("i-", i)));
-            m_engines.back()->set_fatal_body("fatal", restart_delay);
-        }
-        for (const std::string& name : m_names) {
-            m_fleet.add_daemon(name, true, false);
-        }
-    }
-
-    [[noreturn]] void run() {
-        m_fleet.run([this] { return run_checks(); });
-    }
-
-private:
-    net::task<> run_checks() {
-        m_fleet.configure(1);
-        co_await wait_until_served();
-        const time_point limit = steady_clock()() + seconds(20);
-        while (crashes() < crashes_before_bound && steady_clock()() < limit) {
-            co_await send("fatal");
-            co_await send("sound");
-        }
-        const time_point bound = steady_clock()() + contact_time;
-        while (steady_clock()() < bound) {
-            co_await send("fatal");
-            co_await send("sound");
-        }
-        const int crashes_at_bound = crashes();
-        int served = 0;
-        for (int i = 0; i < rounds; ++i) {
-            co_await send("fatal");
-            const int status = co_await send("sound");
-            served += status == 200 ? 1 : 0;
-        }
-        require(crashes() - crashes_at_bound <= allowed_requests,
-                str_cat("a request that crashes targets is kept from them, it crashed ",
-                        crashes() - crashes_at_bound, " after the bound"));
-        require(served == rounds, str_cat("sound requests with the same segments are served, ",
-                                          served, " of ", rounds, " were"));
-    }
-
-    net::task<> wait_until_served() {
-        const time_point end = steady_clock()() + seconds(10);
-        for (const std::string& name : m_names) {
-            int status = 0;
-            while (status != 200 && steady_clock()() < end) {
-                status = co_await send_to(name, "sound");
-            }
-            require(status == 200, name + " serves requests");
-        }
-    }
-
-    /// Sends a request with this body to the daemons in turn and returns its status.
-    net::task<int> send(std::string body) {
-        const std::string& name = m_names[static_cast<std::size_t>(m_requests) % m_names.size()];
-        co_return co_await send_to(name, std::move(body));
-    }
-    net::task<int> send_to(std::string name, std::string body) {
-        ++m_requests;
-        net::http_request request = daemon_fixture::request(str_cat("request-", m_requests));
-        request.body = std::move(body);
-        request.headers.set("Prompt-Prefix", "first:200,second:50,own:20");
-        const auto got = co_await m_fleet.call(m_fleet.caller_endpoint(name), std::move(request));
-        co_return got.complete ? got.status : 0;
-    }
-
-    [[nodiscard]] int crashes() const {
-        int sum = 0;
-        for (const scripted_engine* engine : m_engines) {
-            sum += engine->crashes();
-        }
-        return sum;
-    }
-
-    daemon_fixture m_fleet;
-    const std::vector<std::string> m_names{"entry-1", "entry-2", "entry-3"};
-    std::vector<scripted_engine*> m_engines;
-    int m_requests = 0;
-};
+net::http_request make_request(int number, bool is_fatal) {
+    net::http_request request = daemon_fixture::request(str_cat("request-", number));
+    request.body = is_fatal ? "fatal" : "sound";
+    request.headers.set("Prompt-Prefix", "first:200,second:50,own:20");
+    return request;
+}
 
 } // namespace
 
 int main() {
-    crash_checks checks;
-    checks.run();
+    crash_fixture fixture(
+        {.crashes_before_bound = 3,
+         .make_fatal =
+             [](scripted_engine& engine) { engine.set_fatal_body("fatal", crash_restart_delay); },
+         .make_request = make_request});
+    fixture.run([](const crash_outcome& outcome) {
+        require(outcome.crashes <= crash_fixture::allowed_crashes,
+                str_cat("a request that crashes targets is kept from them, it crashed ",
+                        outcome.crashes, " after the bound"));
+        require(outcome.sound_served == outcome.sound_sent,
+                str_cat("sound requests with the same segments are served, ", outcome.sound_served,
+                        " of ", outcome.sound_sent, " were"));
+    });
 }
