Review: streams go on at another software version after a kill

Cause: online_proxy::find_version() lets a stream of unknown version go on at the only version that takes new work. Change: case review/3 with its stand-in and a script; nothing else is changed.

--- a/review/lib/engine.hpp
+++ b/review/lib/engine.hpp
@@ -18,28 +18,31 @@
     /// Writes the answer to a request that the engine runs; the slot is held until it returns.
     using handler = std::function<void(engine&, connection&, const message&)>;
 
-    engine(std::string id, std::string zone, int slots, recorder& record, handler serve)
-        : m_id(std::move(id)), m_zone(std::move(zone)), m_slots(slots), m_record(record),
-          m_serve(std::move(serve)),
+    engine(std::string id, std::string zone, int slots, recorder& record, handler serve,
+           std::string version = "v1")
+        : m_id(std::move(id)), m_zone(std::move(zone)), m_version(std::move(version)),
+          m_slots(slots), m_record(record), m_serve(std::move(serve)),
           m_server(endpoint{}, [this](connection_ptr peer) { serve_connection(*peer); }) {}
 
     [[nodiscard]] const std::string& id() const { return m_id; }
+    [[nodiscard]] const std::string& version() const { return m_version; }
 
     /// Registers the engine in the store, as its heartbeats do.
-    void register_in(platform_store& store, const std::string& service) {
+    void register_in(platform_store& store, const std::string& service,
+                     const std::string& state = "ready") {
         store.put("servers/" + m_id,
                   json{{"service", service},
                        {"address", m_server.own().text()},
                        {"zone", m_zone},
-                       {"version", "v1"},
+                       {"version", m_version},
                        {"slots", m_slots},
-                       {"state", "ready"},
+                       {"state", state},
                        {"coldRemainingMs", 0},
                        {"stage", "both"},
                        {"models", json::array({{{"name", "m"},
                                                 {"version", 1},
                                                 {"adapters", json::array()}}})},
-                       {"seq", 1},
+                       {"seq", state == "ready" ? 1 : 2},
                        {"born", m_born}}
                       .dump());
     }
@@ -108,6 +111,7 @@
 
     std::string m_id;
     std::string m_zone;
+    std::string m_version;
     int m_slots;
     recorder& m_record;
     handler m_serve;
@@ -135,7 +139,7 @@
         if (peer.peer_closed()) {
             return false;
         }
-        const std::string event = "id: " + std::to_string(id) + "\ndata: " +
+        const std::string event = "id: " + std::to_string(id) + "\ndata: " + at.version() + " " +
                                   request.get("attempt-id") + "-" + std::to_string(id) + "\n\n";
         char size[32];
         std::snprintf(size, sizeof size, "%zx\r\n", event.size());
