--- a/review/lib/store.hpp
+++ b/review/lib/store.hpp
@@ -29,6 +29,36 @@
     return out;
 }
 
+inline std::string from_base64(const std::string& text) {
+    std::string out;
+    std::uint32_t group = 0;
+    int bits = 0;
+    for (const char c : text) {
+        static const std::string digits =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        const std::size_t digit = digits.find(c);
+        if (digit == std::string::npos) {
+            break;
+        }
+        group = group << 6U | static_cast<std::uint32_t>(digit);
+        bits += 6;
+        if (bits >= 8) {
+            bits -= 8;
+            out += static_cast<char>(group >> static_cast<unsigned>(bits) & 255U);
+        }
+    }
+    return out;
+}
+
+/// \p text with \p to in place of each \p from.
+inline std::string replaced(std::string text, const std::string& from, const std::string& to) {
+    for (std::size_t at = text.find(from); at != std::string::npos;
+         at = text.find(from, at + to.size())) {
+        text.replace(at, from.size(), to);
+    }
+    return text;
+}
+
 inline std::string percent_decode(const std::string& text) {
     std::string out;
     for (std::size_t i = 0; i < text.size(); ++i) {
@@ -77,6 +107,28 @@
         erase(key, ++m_revision);
         m_changed.notify_all();
     }
+    /// Copies every key that holds \p id, with its value, \p count times, each time with another
+    /// id of the same length in place of \p id. The copies have no history, as if they were old.
+    void copy_records(const std::string& id, std::size_t count) {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::pair<std::string, std::string>> records;
+        for (const auto& [key, entry] : m_items) {
+            if (key.find(id) != std::string::npos) {
+                records.emplace_back(key, from_base64(entry.value));
+            }
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            char other[32];
+            std::snprintf(other, sizeof other, "%016llx",
+                          static_cast<unsigned long long>(i + 1) * 0x9e3779b97f4a7c15ULL);
+            for (const auto& [key, value] : records) {
+                ++m_revision;
+                m_items[replaced(key, id, other)] = {to_base64(replaced(value, id, other)),
+                                                     m_revision, m_revision, 0};
+            }
+        }
+        m_history.clear();
+    }
     bool has(const std::string& key) {
         const std::lock_guard lock(m_mutex);
         return m_items.contains(key);
@@ -171,7 +223,8 @@
         return out;
     }
 
-    using reply = std::pair<int, json>;
+    /// Status and body of an answer.
+    using reply = std::pair<int, std::string>;
 
     void serve(connection_ptr peer, const std::string& caller) {
         for (;;) {
@@ -197,7 +250,7 @@
                 answer = execute(made, *request, path);
                 sleep_ms(after);
             }
-            if (!peer->write(encode_response(answer.first, answer.second.dump(),
+            if (!peer->write(encode_response(answer.first, answer.second,
                                              {{"Content-Type", "application/json"}}),
                              now_ms() + 5'000)) {
                 return;
@@ -212,24 +265,25 @@
             return found == query.end() ? std::string() : found->second;
         };
         bool committed = false;
-        reply out{404, json::object()};
+        reply out{404, "{}"};
         {
             const std::lock_guard lock(m_mutex);
             if (path == "/eelgrassdoor/kv-key") {
                 const auto found = m_items.find(value("key"));
                 if (found != m_items.end()) {
-                    out = {200, describe(found->first, found->second)};
-                    out.second["currentRev"] = m_revision;
+                    json item = describe(found->first, found->second);
+                    item["currentRev"] = m_revision;
+                    out = {200, item.dump()};
                 }
             } else if (path == "/eelgrassdoor/kv-range") {
-                out = range(value("pathPrefix"), value("after"));
+                out = {200, range(value("pathPrefix"), value("after"))};
             } else if (path == "/eelgrassdoor/kv-txn") {
                 out = transact(made.body);
                 committed = out.first == 200;
             } else if (path == "/eelgrassdoor/kv-lease") {
                 const std::int64_t ttl = made.body.value("ttlMs", 3000);
                 m_leases[++m_last_lease] = {ttl, now_ms() + ttl};
-                out = {200, {{"lease", m_last_lease}, {"ttlMs", ttl}}};
+                out = {200, json{{"lease", m_last_lease}, {"ttlMs", ttl}}.dump()};
             } else {
                 out = lease_call(path);
             }
@@ -244,33 +298,41 @@
         const std::uint64_t id = std::strtoull(path.c_str() + path.rfind('/') + 1, nullptr, 10);
         const auto found = m_leases.find(id);
         if (found == m_leases.end()) {
-            return {404, json::object()};
+            return {404, "{}"};
         }
         if (path.rfind("/eelgrassdoor/kv-lease-end/", 0) == 0) {
             end_lease(id);
-            return {200, json::object()};
+            return {200, "{}"};
         }
         found->second.expires = now_ms() + found->second.ttl;
-        return {200, {{"ttlMs", found->second.ttl}}};
+        return {200, json{{"ttlMs", found->second.ttl}}.dump()};
     }
 
-    reply range(const std::string& prefix, const std::string& after) {
-        json items = json::array();
+    /// The body of a page of items. It is written by hand, since keys and values hold only
+    /// characters that JSON does not escape, and a page may have 500 of them.
+    std::string range(const std::string& prefix, const std::string& after) const {
+        std::string items;
+        std::size_t count = 0;
         bool more = false;
-        std::size_t bytes = 0;
         for (auto it = m_items.lower_bound(std::max(prefix, after));
              it != m_items.end() && it->first.rfind(prefix, 0) == 0; ++it) {
             if (it->first <= after && !after.empty()) {
                 continue;
             }
-            if (items.size() >= 500 || bytes > 1'000'000) {
+            if (count >= 500 || items.size() > 1'000'000) {
                 more = true;
                 break;
             }
-            bytes += it->second.value.size();
-            items.push_back(describe(it->first, it->second));
+            const item& entry = it->second;
+            items += std::string(count == 0 ? "" : ",") + "{\"key\":\"" + it->first +
+                     "\",\"value\":\"" + entry.value +
+                     "\",\"revision\":" + std::to_string(entry.revision) +
+                     ",\"createdRev\":" + std::to_string(entry.created) +
+                     ",\"lease\":" + std::to_string(entry.lease) + "}";
+            ++count;
         }
-        return {200, {{"items", items}, {"hasMore", more}, {"currentRev", m_revision}}};
+        return "{\"items\":[" + items + "],\"hasMore\":" + (more ? "true" : "false") +
+               ",\"currentRev\":" + std::to_string(m_revision) + "}";
     }
 
     reply transact(const json& body) {
@@ -285,12 +347,12 @@
                                                      : describe(key, found->second));
         }
         if (!holds) {
-            return {412, {{"items", current}}};
+            return {412, json{{"items", current}}.dump()};
         }
         for (const json& each : body.at("writes")) {
             const std::uint64_t held_by = each.value("lease", std::uint64_t{0});
             if (held_by != 0 && !m_leases.contains(held_by)) {
-                return {404, json::object()};
+                return {404, "{}"};
             }
         }
         ++m_revision;
@@ -302,7 +364,7 @@
             erase(each, m_revision);
         }
         m_changed.notify_all();
-        return {200, {{"revision", m_revision}}};
+        return {200, json{{"revision", m_revision}}.dump()};
     }
 
     reply watch(const std::map<std::string, std::string>& query) {
@@ -319,7 +381,7 @@
                 }
             }
             if (!events.empty() || now_ms() >= end) {
-                return {200, {{"events", events}, {"currentRev", m_revision}}};
+                return {200, json{{"events", events}, {"currentRev", m_revision}}.dump()};
             }
             m_changed.wait_for(lock, std::chrono::milliseconds(std::max<std::int64_t>(
                                          1, std::min<std::int64_t>(end - now_ms(), 200))));
