--- a/review/lib/engine.hpp
+++ b/review/lib/engine.hpp
@@ -30,21 +30,21 @@
     /// Registers the engine in the store, as its heartbeats do.
     void register_in(platform_store& store, const std::string& service,
                      const std::string& state = "ready") {
-        store.put("servers/" + m_id,
-                  json{{"service", service},
-                       {"address", m_server.own().text()},
-                       {"zone", m_zone},
-                       {"version", m_version},
-                       {"slots", m_slots},
-                       {"state", state},
-                       {"coldRemainingMs", 0},
-                       {"stage", "both"},
-                       {"models", json::array({{{"name", "m"},
-                                                {"version", 1},
-                                                {"adapters", json::array()}}})},
-                       {"seq", state == "ready" ? 1 : 2},
-                       {"born", m_born}}
-                      .dump());
+        store.put(
+            "servers/" + m_id,
+            json{{"service", service},
+                 {"address", m_server.own().text()},
+                 {"zone", m_zone},
+                 {"version", m_version},
+                 {"slots", m_slots},
+                 {"state", state},
+                 {"coldRemainingMs", 0},
+                 {"stage", "both"},
+                 {"models",
+                  json::array({{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}})},
+                 {"seq", state == "ready" ? 1 : 2},
+                 {"born", m_born}}
+                .dump());
     }
 
     /// The headers that every answer of the engine bears.
--- a/review/lib/fleet.hpp
+++ b/review/lib/fleet.hpp
@@ -163,8 +163,8 @@
         m_first_port = 20000 + static_cast<int>(device() % 20000);
     }
 
-    machine add(const std::string& name, const std::string& zone,
-                const std::string& machine_class, const endpoint& store) {
+    machine add(const std::string& name, const std::string& zone, const std::string& machine_class,
+                const endpoint& store) {
         machine out;
         out.name = name;
         out.zone = zone;
--- a/review/lib/jobs_client.hpp
+++ b/review/lib/jobs_client.hpp
@@ -37,9 +37,10 @@
     for (int i = 0; i < items; ++i) {
         list.push_back({{"id", job + "-" + std::to_string(i)},
                         {"path", "/j/" + std::to_string(i)},
-                        {"headers", {{"Model", "m"},
-                                     {"Token-Counts", "350,512"},
-                                     {"Prompt-Prefix", "9c2e41:100,5d07b8:250"}}},
+                        {"headers",
+                         {{"Model", "m"},
+                          {"Token-Counts", "350,512"},
+                          {"Prompt-Prefix", "9c2e41:100,5d07b8:250"}}},
                         {"body", to_base64(std::string(item_bytes, 'b'))},
                         {"tokens", 862}});
     }
--- a/review/lib/net.hpp
+++ b/review/lib/net.hpp
@@ -116,8 +116,8 @@
             if (::poll(&wait, 1, static_cast<int>(left)) <= 0) {
                 continue;
             }
-            const ssize_t sent = ::send(m_fd, bytes.data() + done, bytes.size() - done,
-                                        MSG_NOSIGNAL | MSG_DONTWAIT);
+            const ssize_t sent =
+                ::send(m_fd, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
             if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
                 continue;
             }
@@ -274,8 +274,8 @@
     }
     const std::string length = head.get("content-length");
     if (!length.empty()) {
-        head.complete = take(from, std::strtoull(length.c_str(), nullptr, 10), head.body,
-                             deadline_ms);
+        head.complete =
+            take(from, std::strtoull(length.c_str(), nullptr, 10), head.body, deadline_ms);
         return;
     }
     if (head.status == 0) {
--- a/review/lib/store.hpp
+++ b/review/lib/store.hpp
@@ -4,10 +4,11 @@
 
 #include "net.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace review {
--- a/review/src/cancelled_job.cpp
+++ b/review/src/cancelled_job.cpp
@@ -163,8 +163,8 @@
                 late += is_late ? 1 : 0;
                 if (is_late) {
                     record.line("late: " + each.item + " reached an engine " +
-                                std::to_string(each.at - ended_at) + " ms after the end of " +
-                                job + " was acknowledged, " + std::to_string(each.at - calm_since) +
+                                std::to_string(each.at - ended_at) + " ms after the end of " + job +
+                                " was acknowledged, " + std::to_string(each.at - calm_since) +
                                 " ms after the last disruption");
                 }
             }
--- a/review/src/endless_answer.cpp
+++ b/review/src/endless_answer.cpp
@@ -100,14 +100,13 @@
                     .on_kept_connection = sent_on_it > 0,
                     .edge_in_touch = now_ms() - started_at >= contact_ms};
         record.line("sent " + id + " to " + edge.name);
-        const bool written =
-            to->write(encode_request("POST", "/o/" + id,
-                                     {{"Host", "h.example"},
-                                      {"Attempt-Id", id},
-                                      {"Credential", "key-of-t1"},
-                                      {"Deadline-Ms", "5000"}},
-                                     "{\"question\":1}"),
-                      deadline);
+        const bool written = to->write(encode_request("POST", "/o/" + id,
+                                                      {{"Host", "h.example"},
+                                                       {"Attempt-Id", id},
+                                                       {"Credential", "key-of-t1"},
+                                                       {"Deadline-Ms", "5000"}},
+                                                      "{\"question\":1}"),
+                                       deadline);
         std::optional<message> answer = written ? read_head(*to, deadline + 500) : std::nullopt;
         out.any_byte = answer.has_value() || !to->input.empty();
         if (answer) {
@@ -186,9 +185,8 @@
     std::atomic<bool> stopped{false};
     std::vector<std::thread> clients;
     for (int i = 0; i < 2 * clients_per_edge; ++i) {
-        clients.emplace_back([&, i] {
-            run_client(machines[i % 2], *started_at[i % 2], i, record, stopped);
-        });
+        clients.emplace_back(
+            [&, i] { run_client(machines[i % 2], *started_at[i % 2], i, record, stopped); });
     }
     int killed = 0;
     std::map<std::string, double> peak;
@@ -211,9 +209,9 @@
             if (!over_limit && !each.has_ended()) {
                 continue;
             }
-            record.line((over_limit ? "killed by the platform for its memory: "
-                                    : "ended by itself: ") +
-                        each.own().name + " at " + std::to_string(used) + " MB");
+            record.line(
+                (over_limit ? "killed by the platform for its memory: " : "ended by itself: ") +
+                each.own().name + " at " + std::to_string(used) + " MB");
             ++killed;
             each.end(SIGKILL);
             sleep_ms(500);
--- a/review/src/mixed_versions.cpp
+++ b/review/src/mixed_versions.cpp
@@ -72,9 +72,9 @@
             fields.push_back({"Last-Event-Id", std::to_string(text.last_event)});
             fields.push_back({"Resumes", first_attempt});
         }
-        record.line("sent " + id + " to " + edge.name +
-                    (resumes ? " after " + std::to_string(text.last_event) + " of " + first_attempt
-                             : ""));
+        record.line(
+            "sent " + id + " to " + edge.name +
+            (resumes ? " after " + std::to_string(text.last_event) + " of " + first_attempt : ""));
         to->write(encode_request("POST", "/p/" + id, fields, "{\"question\":1}"), deadline);
         std::optional<message> answer = read_head(*to, deadline);
         if (!answer || answer->status != 200) {
--- a/review/src/old_jobs.cpp
+++ b/review/src/old_jobs.cpp
@@ -52,9 +52,9 @@
         engines.push_back(std::make_unique<engine>(
             "i-" + std::to_string(1000 + i), i == 0 ? "zone-a" : "zone-b", 8, record,
             [&quick](engine& at, connection& peer, const message& request) {
-                const bool done = quick ? stream_events(at, peer, request, 3, 5)
-                                        : stream_events(at, peer, request, events,
-                                                        event_interval_ms);
+                const bool done = quick
+                                      ? stream_events(at, peer, request, 3, 5)
+                                      : stream_events(at, peer, request, events, event_interval_ms);
                 at.record().line((done ? "ended " : "dropped ") + request.get("attempt-id"));
                 if (!done) {
                     peer.close();
@@ -66,14 +66,13 @@
     std::vector<machine> edges;
     std::vector<std::unique_ptr<process>> daemons;
     for (const char* const name : {"edge-a-1", "edge-b-1"}) {
-        edges.push_back(
-            plan.add(name, std::string("zone-") + name[5], "edge", store.listen(name)));
+        edges.push_back(plan.add(name, std::string("zone-") + name[5], "edge", store.listen(name)));
         daemons.push_back(std::make_unique<process>(edges.back(), argv[1], argv[2]));
     }
     for (const char* const name : {"storage-a-1", "storage-b-1"}) {
         daemons.push_back(std::make_unique<process>(
-            plan.add(name, std::string("zone-") + name[8], "storage", store.listen(name)),
-            argv[1], argv[2]));
+            plan.add(name, std::string("zone-") + name[8], "storage", store.listen(name)), argv[1],
+            argv[2]));
     }
     const auto start_all = [&](bool bootstrap) {
         for (const auto& each : daemons) {
@@ -148,9 +147,9 @@
             if (!over_limit && !each->has_ended()) {
                 continue;
             }
-            record.line((over_limit ? "killed by the platform for its memory: "
-                                    : "ended by itself: ") +
-                        each->own().name + " at " + std::to_string(used) + " MB");
+            record.line(
+                (over_limit ? "killed by the platform for its memory: " : "ended by itself: ") +
+                each->own().name + " at " + std::to_string(used) + " MB");
             ++ends[each->own().name];
             each->end(SIGKILL);
             sleep_ms(500);
