--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Shows that the records of finished jobs take the storage daemons over their memory limit.
+# Shows that a batch job which was ended during a hand-over goes on.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/platform/eelgrassdoor_platform
-driver=target/review/old_jobs
+driver=target/review/cancelled_job
 [ -x "$program" ] && [ -x "$driver" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Shows that streams go on at engines of another software version.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/platform/eelgrassdoor_platform
+driver=target/review/mixed_versions
+[ -x "$program" ] && [ -x "$driver" ] || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout -k 5 118 "$driver" "$program" "$folder" review/5/record.txt "${TROUBLE:-1}"
+status=$?
+[ "$status" -le 1 ] || exit 2
+exit "$status"
--- a/review/lib/engine.hpp
+++ b/review/lib/engine.hpp
@@ -56,6 +56,13 @@
 
     recorder& record() { return m_record; }
 
+    /// Ends the work on a request whose connection a handler keeps open, and takes its place again
+    /// before the handler returns.
+    void free_slot() { m_running.fetch_sub(1); }
+    void retake_slot() { m_running.fetch_add(1); }
+    /// The requests that the engine works on, as in its report.
+    [[nodiscard]] int running() const { return m_running; }
+
 private:
     void serve_connection(connection& peer) {
         for (;;) {
