--- a/review/src/cancelled_job.cpp
+++ b/review/src/cancelled_job.cpp
@@ -116,7 +116,7 @@
             record.line("SIGTERM to " + stopped);
             daemons[stopped]->signal(SIGTERM);
         }
-        std::thread restart([&] {
+        std::thread stop([&] {
             if (!trouble) {
                 return;
             }
@@ -125,11 +125,9 @@
                 sleep_ms(20);
             }
             daemons[stopped]->end(SIGKILL);
-            sleep_ms(500);
-            daemons[stopped]->start(plan.seeds(), false);
-            record.line("started again: " + stopped);
         });
-        sleep_ms(static_cast<std::int64_t>(200 + random() % 1000));
+        // The hand-over begins 0.3 s after the SIGTERM, and takes a second with a slow store.
+        sleep_ms(static_cast<std::int64_t>(450 + random() % 500));
         const std::int64_t asked_at = now_ms();
         std::int64_t ended_at = 0;
         for (int attempt = 0; attempt < 20 && ended_at == 0; ++attempt) {
@@ -148,7 +146,12 @@
         slow = false;
         record.line("the store is as usual");
         calm_since = std::max(calm_since, now_ms());
-        restart.join();
+        stop.join();
+        if (trouble) {
+            // Started by this thread: a daemon ends with the thread that started it.
+            daemons[stopped]->start(plan.seeds(), false);
+            record.line("started again: " + stopped);
+        }
         calm_since = std::max(calm_since, now_ms());
         sleep_ms(std::max<std::int64_t>(0, cycle_start + 16'000 - now_ms()));
         // Every machine is in touch once the store and the storage machines have been calm for
--- a/review/src/endless_answer.cpp
+++ b/review/src/endless_answer.cpp
@@ -232,11 +232,14 @@
         }
     }
     int most = 0;
+    int total = 0;
     for (const auto& [edge, count] : lost) {
         record.line("lost at " + edge + ": " + std::to_string(count));
-        most += count;
+        most = std::max(most, count);
+        total += count;
     }
-    std::cout << "ends of daemons: " << killed << ", lost requests: " << most << " (allowed: 3)";
+    std::cout << "ends of daemons: " << killed << ", lost requests: " << total
+              << ", most at one machine: " << most << " (allowed: 3)";
     for (const auto& [name, mb] : peak) {
         std::cout << ", peak memory of " << name << ": " << static_cast<int>(mb) << " MB";
     }
