--- a/review/src/old_jobs.cpp
+++ b/review/src/old_jobs.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Starts the system on a store that holds the records of the jobs of earlier days, and counts the
-/// storage daemons that pass their memory limit.
+/// Starts the system on a store that holds the records of the jobs of earlier days, and looks for
+/// items that are never listed, as the storage daemons pass their memory limit.
 ///
 /// usage: old_jobs PROGRAM FOLDER RECORD TROUBLE
 
@@ -15,23 +15,41 @@
 
 /// Two weeks of the site's traffic: 0.514 batch jobs a second are 44,410 a day.
 constexpr std::size_t old_jobs = 14 * 44'410;
-/// How long the daemons are watched at most. It ends early when the rule is broken.
-constexpr int watched_s = 95;
-/// The rule: on two machines processes end by themselves three times.
-constexpr int allowed_ends = 2;
+constexpr int traffic_ms = 25'000;
+/// finishS, and the times for which the rule excuses an item.
+constexpr int finish_ms = 18'000;
+constexpr int had_excuse_ms = 5'000;
+constexpr int finished_excuse_ms = 3'000;
+constexpr int failed_excuse_ms = 20'000;
+constexpr int items = 4;
 constexpr int submit_interval_ms = 2000;
 constexpr int events = 200;
 constexpr int event_interval_ms = 25;
 
-/// Results of \p job that an edge daemon lists; nothing when the read fails.
-std::optional<std::size_t> listed_results(const machine& edge, const std::string& job) {
+std::mutex work_mutex;
+/// When an engine last worked on each item, and when any item was finished last.
+std::map<std::string, std::int64_t> worked_at;
+std::int64_t finished_at = 0;
+
+void record_work(const std::string& item, bool is_finished) {
+    const std::lock_guard lock(work_mutex);
+    worked_at[item] = now_ms();
+    finished_at = is_finished ? now_ms() : finished_at;
+}
+
+/// The items of \p job that an edge daemon lists; nothing when the read fails.
+std::optional<std::set<std::string>> listed_items(const machine& edge, const std::string& job) {
     const message answer =
         call_edge(edge, "GET", "/eelgrassdoor/lots/" + job + "?after=0", {}, "", 2'500);
     const auto page = nlohmann::json::parse(answer.body, nullptr, false);
     if (answer.status != 200 || !page.is_object()) {
         return std::nullopt;
     }
-    return page.at("results").size();
+    std::set<std::string> listed;
+    for (const auto& result : page.at("results")) {
+        listed.insert(result.at("id").get<std::string>());
+    }
+    return listed;
 }
 
 } // namespace
@@ -52,9 +70,11 @@
         engines.push_back(std::make_unique<engine>(
             "i-" + std::to_string(1000 + i), i == 0 ? "zone-a" : "zone-b", 8, record,
             [&quick](engine& at, connection& peer, const message& request) {
+                record_work(request.get("attempt-id"), false);
                 const bool done = quick
                                       ? stream_events(at, peer, request, 3, 5)
                                       : stream_events(at, peer, request, events, event_interval_ms);
+                record_work(request.get("attempt-id"), done);
                 at.record().line((done ? "ended " : "dropped ") + request.get("attempt-id"));
                 if (!done) {
                     peer.close();
@@ -91,10 +111,14 @@
         std::cerr << "the first job was not accepted\n";
         return 2;
     }
-    for (int i = 0; i < 50 && listed_results(edges[0], first) != 1; ++i) {
+    const auto is_listed = [&] {
+        const auto listed = listed_items(edges[0], first);
+        return listed && listed->size() == 1;
+    };
+    for (int i = 0; i < 50 && !is_listed(); ++i) {
         sleep_ms(200);
     }
-    if (listed_results(edges[0], first) != 1) {
+    if (!is_listed()) {
         std::cerr << "the first job did not finish\n";
         return 2;
     }
@@ -118,22 +142,17 @@
     std::thread client([&] {
         while (!stopped) {
             const std::string job = random_id(random);
-            if (submit_job(edges, job, job_body(job, 4, 1500), record) == 202) {
+            if (submit_job(edges, job, job_body(job, items, 1500), record) == 202) {
                 jobs.push_back(job);
             }
             sleep_ms(submit_interval_ms);
         }
     });
-    const std::int64_t end = now_ms() + watched_s * 1000;
+    const std::int64_t traffic_end = now_ms() + traffic_ms;
+    const std::int64_t end = traffic_end + finish_ms + 1'000;
     std::int64_t next_sample = now_ms();
-    const auto machines_over = [&ends] {
-        int count = 0;
-        for (const auto& [name, number] : ends) {
-            count += number > allowed_ends ? 1 : 0;
-        }
-        return count;
-    };
-    while (now_ms() < end && machines_over() < 2) {
+    while (now_ms() < end) {
+        stopped = now_ms() >= traffic_end;
         const bool sample = now_ms() >= next_sample;
         next_sample += sample ? 1000 : 0;
         for (const auto& each : daemons) {
@@ -157,23 +176,50 @@
         }
         sleep_ms(3);
     }
-    stopped = true;
     client.join();
-    std::size_t done = 0;
+    int missing = 0;
+    int running = 0;
+    for (const auto& each : engines) {
+        running += each->running();
+    }
     for (const std::string& job : jobs) {
-        done += listed_results(edges[0], job).value_or(0);
+        std::optional<std::set<std::string>> listed;
+        for (int attempt = 0; attempt < 4 && !listed; ++attempt) {
+            listed = listed_items(edges[static_cast<std::size_t>(attempt) % 2], job);
+        }
+        if (!listed) {
+            record.line("not readable: " + job);
+            continue;
+        }
+        const std::lock_guard lock(work_mutex);
+        std::int64_t job_worked_at = 0;
+        for (int i = 0; i < items; ++i) {
+            job_worked_at = std::max(job_worked_at, worked_at[job + "-" + std::to_string(i)]);
+        }
+        const bool excused = now_ms() - job_worked_at < had_excuse_ms ||
+                             now_ms() - finished_at < finished_excuse_ms || running >= 8;
+        for (int i = 0; i < items; ++i) {
+            const std::string item = job + "-" + std::to_string(i);
+            const std::int64_t idle = now_ms() - worked_at[item];
+            if (listed->contains(item)) {
+                continue;
+            }
+            const bool counts = !excused && idle > failed_excuse_ms;
+            record.line("not listed: " + item + (counts ? "" : " (excused)"));
+            missing += counts ? 1 : 0;
+        }
     }
     for (const auto& [name, count] : ends) {
         record.line("ends of " + name + ": " + std::to_string(count));
         std::cout << "ends of " << name << ": " << count << ", ";
     }
-    std::cout << "machines with three or more: " << machines_over()
-              << " (two are a fault); peak memory of storage-a-1: "
-              << static_cast<int>(peak["storage-a-1"]) << " MB; items listed: " << done << " of "
-              << jobs.size() * 4 << "\n";
+    std::cout << "peak memory of storage-a-1: " << static_cast<int>(peak["storage-a-1"])
+              << " MB; items not listed " << (now_ms() - traffic_end) / 1000
+              << " s after the traffic: " << missing << " of " << jobs.size() * items
+              << ", requests at engines: " << running << "\n";
     for (const auto& each : daemons) {
         each->end(SIGKILL);
     }
     std::cout.flush();
-    ::_exit(machines_over() >= 2 ? 1 : 0);
+    ::_exit(missing > 0 ? 1 : 0);
 }
