Keep a job's cancellation when its record is replaced

Cause: the owner keeps the cancellation in its copy of the job's record, and the copy is replaced as a whole. A takeover reads record, items and results over three awaits and puts the first into the table; news in between finds no job there. The response to a commit, and the resolution of a conflict, replace a marked record by an older one.

Change: owned_job::update_record() is the only way to replace a record and keeps a known cancellation; job_table::add() asks the mirror of cancelled jobs, in the same turn as the end of the last read.

--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -76,6 +76,10 @@
                         .registration_valid = [this] { return m_registration.valid(); },
                         .registration_generation = [this] { return m_registration.generation(); },
                         .store_connected_since = [this] { return m_feed.connected_since(); },
+                        .is_cancelled =
+                            [this](const std::string& job) {
+                                return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
+                            },
                         .wall_clock = wall_clock_ms})
               : nullptr),
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -84,6 +84,11 @@
                                     std::move(committed_results), m_context.clock() + target - age);
     m_jobs[id]->confirm(m_options.registration_generation());
     m_evict_at.erase(id);
+    // The cancellation may have been reported before the job was in the table, and after its record
+    // was read.
+    if (m_options.is_cancelled(id)) {
+        mark_cancelled(id);
+    }
     m_context.messenger.schedule_digest();
     dispatch_wake.notify();
     commit_wake.notify();
@@ -111,7 +116,7 @@
         return;
     }
     m_context.log.write(observe::event::job_cancelled, job);
-    owned->record().state.cancelled = true;
+    owned->mark_cancelled();
     for (const item_run_ptr& each : running) {
         if (each->job == owned) {
             each->stop();
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -27,6 +27,9 @@
     std::function<std::uint64_t()> registration_generation;
     /// Since when the key-value service has been reachable; time_point::max() while it is not.
     std::function<time_point()> store_connected_since;
+    /// Whether the key-value service has reported that a caller cancelled \p job. Later reports
+    /// are passed to job_table::mark_cancelled().
+    std::function<bool(const std::string& job)> is_cancelled;
     /// Returns the time in Unix milliseconds.
     std::function<std::int64_t()> wall_clock;
 };
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -146,10 +146,15 @@
     const auto end = m_uncommitted.begin() + static_cast<std::ptrdiff_t>(count);
     std::move(m_uncommitted.begin(), end, std::back_inserter(m_committed));
     m_uncommitted.erase(m_uncommitted.begin(), end);
-    m_record = std::move(record);
+    update_record(std::move(record));
     m_last_change = change_state::settled;
 }
 
+void owned_job::update_record(versioned_state record) {
+    record.state.cancelled = record.state.cancelled || m_record.state.cancelled;
+    m_record = std::move(record);
+}
+
 bool owned_job::merge_stored(versioned_state record,
                              const std::vector<serving::item_result>& stored) {
     if (stored.size() < m_committed.size() ||
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -120,7 +120,11 @@
     void set_last_change(change_state state) { m_last_change = state; }
 
     [[nodiscard]] const versioned_state& record() const { return m_record; }
-    versioned_state& record() { return m_record; }
+    /// Replaces the record by one that was read from or written to the store. A job that is known
+    /// to be cancelled stays so: \p record may be older than the cancellation.
+    void update_record(versioned_state record);
+    /// Records that a caller has cancelled the job: no item starts any more.
+    void mark_cancelled() { m_record.state.cancelled = true; }
     [[nodiscard]] const std::vector<serving::item_result>& committed_results() const {
         return m_committed;
     }
--- a/src/jobs/result_committer.cpp
+++ b/src/jobs/result_committer.cpp
@@ -152,7 +152,7 @@
             co_return;
         }
     }
-    job->record() = std::move(*current.value());
+    job->update_record(std::move(*current.value()));
     job->confirm(m_options.registration_generation());
     m_table.wake_readers();
 }
--- a/test/correctness/owned_job.cpp
+++ b/test/correctness/owned_job.cpp
@@ -174,6 +174,24 @@
     require(!job.merge_stored(record, {}), "fewer stored results than committed ones are rejected");
 }
 
+/// Guards against a cancelled job that goes on because an older record replaces the marked one.
+void check_cancellation_is_final() {
+    owned_job job = make_job(3);
+    const versioned_state older = job.record();
+    job.mark_running(0, "v1", start);
+    job.finish_run(0, item_outcome::rejected, 3);
+    job.mark_cancelled();
+    versioned_state committed = older;
+    committed.state.committed_count = 1;
+    committed.revision = 7;
+    job.mark_committed(1, committed);
+    require(job.record().revision == 7 && job.record().state.cancelled && !job.next(),
+            "a commit from before the cancellation does not revert it");
+    job.update_record(older);
+    require(job.record().state.cancelled && !job.next() && job.waiting_tokens() == 0,
+            "a record from before the cancellation does not revert it");
+}
+
 } // namespace
 
 int main() {
@@ -184,5 +202,6 @@
     check_adopted_job();
     check_authoritative();
     check_stored_results();
+    check_cancellation_is_final();
     return eelgrassdoor::test::finish();
 }
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -99,6 +99,10 @@
                 page.items.push_back(item);
             }
         }
+        while (delay_list(prefix)) {
+            net::notification step(m_executor);
+            co_await step.wait_until(steady_clock()() + poll_interval);
+        }
         co_return page;
     };
     out.watch = [this](std::string prefix, std::uint64_t revision,
@@ -126,6 +130,9 @@
                 }
             }
             if (!changes.events.empty() || steady_clock()() >= end) {
+                for (const kv_event& event : changes.events) {
+                    ++m_reports[event.item.key];
+                }
                 co_return watch_outcome(changes);
             }
             net::notification step(m_executor);
--- a/test/stand_in/memory_store.hpp
+++ b/test/stand_in/memory_store.hpp
@@ -34,6 +34,8 @@
     std::function<bool(const store::kv_transaction&)> delay_response = [](const auto&) {
         return false;
     };
+    /// Whether the response to a read of all keys with a prefix is delayed; polled until false.
+    std::function<bool(const std::string& prefix)> delay_list = [](const auto&) { return false; };
     /// Whether a call of any kind is refused without effect.
     std::function<bool()> refuse = [] { return false; };
 
@@ -52,6 +54,11 @@
     /// Ends all leases and deletes their keys, as if no holder had renewed them.
     void end_leases();
     [[nodiscard]] const std::map<std::string, store::kv_item>& items() const { return m_items; }
+    /// Number of watches that have reported a change of \p key.
+    [[nodiscard]] int reports_of(const std::string& key) const {
+        const auto found = m_reports.find(key);
+        return found == m_reports.end() ? 0 : found->second;
+    }
     /// Number of transactions that took effect.
     [[nodiscard]] std::uint64_t commits() const { return m_commits; }
 
@@ -66,6 +73,7 @@
     std::uint64_t m_silent_renewals = 0;
     std::map<std::string, store::kv_item> m_items;
     std::vector<store::kv_event> m_history;
+    std::map<std::string, int> m_reports;
     std::uint64_t m_revision = 1;
     std::uint64_t m_commits = 0;
     std::uint64_t m_next_lease = 1;
