Limit what responses without end may take

Cause: bytes that the parser cannot use were kept without a limit (chunk sizes and extensions, trailers); a body with a length over the limit was read all the same; 64 MiB for each response bound no process, and an event of a stream had no limit.

Change: the parser rejects an element of a chunked body over the limit of a head, in requests too, and a length over the limit of a body when the head is complete. A response may have 16 MiB, an event 256 KiB, and all responses together an eighth of the memory beyond 64 KiB each. A whole response that breaks off counts as a failure of its target now.

--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -60,13 +60,13 @@
     }
     run.relays_full_response = false;
     if (!read) {
-        check_target(run, read.error());
         error read_error = read.error();
-        co_return co_await handle_failure(run, std::move(read_error));
+        co_return co_await handle_target_failure(run, std::move(read_error));
     }
     record_served(m_context, run.suspects);
     net::http_response out = make_forwarded_response(run.active_exchange->response());
     out.body = std::move(run.active_exchange->response().body);
+    const net::memory_reservation body_memory = run.active_exchange->take_memory();
     run.active_exchange.reset();
     co_await run.caller_exchange.respond(std::move(out));
     log_finished(run, "answered");
@@ -131,6 +131,11 @@
             log_finished(run, "caller_left");
             co_return attempt_outcome::done;
         }
+        if (parser.is_event_too_long()) {
+            error too_long{error_code::target_failed, "an event of the stream is too long",
+                           run_state::ran};
+            co_return co_await handle_target_failure(run, std::move(too_long));
+        }
         if (!more.value()) {
             break;
         }
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -30,6 +30,9 @@
 /// they may renew it less often.
 constexpr duration frontend_ttl = seconds(8);
 constexpr duration frontend_renew_interval = milliseconds(2500);
+/// Responses of targets may take one part in this many of the memory. Growing buffers and copies on
+/// the way to the caller take up to four times as much for a while.
+constexpr std::size_t memory_per_responses = 8;
 std::vector<std::string> mirrored_prefixes(const platform_interface& adapter, bool runs_jobs) {
     std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
                                       std::string(fleet::member_prefix)};
@@ -54,18 +57,20 @@
           m_clock, log, m_loads, m_mirror, m_shares),
       m_registration(loop.get_executor(), adapter.store, m_mirror, registration_settings(), m_clock,
                      boot_clock(), log),
-      m_target_discovery(adapter.decode_target, log), m_context{.executor = loop.get_executor(),
-                                                                .clock = m_clock,
-                                                                .random = m_random,
-                                                                .log = log,
-                                                                .metrics = m_metrics,
-                                                                .loads = m_loads,
-                                                                .quarantine = m_quarantine,
-                                                                .request_quarantine =
-                                                                    m_request_quarantine,
-                                                                .messenger = m_messenger,
-                                                                .codec = adapter.codec,
-                                                                .plan = nullptr},
+      m_target_discovery(adapter.decode_target, log),
+      m_response_memory(m_settings.max_memory_bytes / memory_per_responses),
+      m_context{.executor = loop.get_executor(),
+                .clock = m_clock,
+                .random = m_random,
+                .log = log,
+                .metrics = m_metrics,
+                .loads = m_loads,
+                .quarantine = m_quarantine,
+                .request_quarantine = m_request_quarantine,
+                .messenger = m_messenger,
+                .codec = adapter.codec,
+                .response_memory = m_response_memory,
+                .plan = nullptr},
       m_repository(adapter.store, m_clock, log),
       m_runner(
           m_settings.runs_jobs
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -39,6 +39,8 @@
     /// It cannot know earlier which daemons watch it, because digests are sent every half second
     /// and registrations are fetched in windows of the same length.
     duration watch_grace = milliseconds(1600);
+    /// Limit of the process's memory in bytes; it bounds what responses of targets may take.
+    std::size_t max_memory_bytes = 256UL * 1024 * 1024;
     /// Limit of open file descriptors; it bounds the number of callers' connections.
     std::size_t max_descriptors = 4096;
     /// Whether calls to and datagrams from a peer endpoint are dropped; simulates network
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -41,6 +41,11 @@
         if (!running.job->add_events(running.index, events, context.clock())) {
             co_return item_outcome::interrupted;
         }
+        if (parser.is_event_too_long()) {
+            context.loads.record_failure(exchange->target().id,
+                                         routing::target_failure::response_failed, context.clock());
+            co_return item_outcome::interrupted;
+        }
         if (!more.value()) {
             // A close right after the head does not tell an empty stream from one that broke off.
             const bool no_body = reads_with_events == 0 && !exchange->response().framed;
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -2,10 +2,13 @@
 
 #include "base/text.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::net {
 
-http_exchange::http_exchange(std::shared_ptr<tcp_connection> connection, parse_limits limits)
-    : m_connection(std::move(connection)), m_limits(limits),
+http_exchange::http_exchange(std::shared_ptr<tcp_connection> connection, parse_limits limits,
+                             memory_budget* budget)
+    : m_connection(std::move(connection)), m_limits(limits), m_memory(budget),
       m_parser(std::make_unique<response_parser>(limits)) {}
 
 http_exchange::~http_exchange() = default;
@@ -37,9 +40,15 @@
     std::string& input = m_connection->input();
     const std::size_t used = m_parser->feed(input);
     input.erase(0, used);
+    if (m_parser->fault() == parse_fault::body_too_large) {
+        co_return failure("the response is too large");
+    }
     if (m_parser->fault() != parse_fault::none) {
         co_return failure("the response is malformed");
     }
+    if (!reserve_memory(0)) {
+        co_return failure("the response needs more memory than is left for responses");
+    }
     if (used > 0) {
         co_return success();
     }
@@ -57,6 +66,11 @@
     co_return success();
 }
 
+bool http_exchange::reserve_memory(std::uint64_t expected) {
+    const std::size_t held = m_connection->input().size() + m_parser->message().body.size();
+    return m_memory.resize(std::max<std::size_t>(held, expected));
+}
+
 task<result<void>> http_exchange::read_head() {
     if (m_parser->complete()) {
         m_parser = std::make_unique<response_parser>(m_limits);
@@ -82,6 +96,9 @@
 
 task<result<void>> http_exchange::read_all(std::function<void()> on_progress) {
     while (!m_parser->complete()) {
+        if (!reserve_memory(m_parser->message().content_length.value_or(0))) {
+            co_return failure("the response needs more memory than is left for responses");
+        }
         const result<void> step = co_await advance();
         if (!step) {
             co_return step.error();
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "base/error.hpp"
 #include "net/http_parser.hpp"
+#include "net/memory_budget.hpp"
 #include "net/tcp_connection.hpp"
 
 #include <functional>
@@ -17,7 +18,9 @@
 /// send(), else run_state::unknown. Must be used on the thread of its event loop.
 class http_exchange {
 public:
-    explicit http_exchange(std::shared_ptr<tcp_connection> connection, parse_limits limits = {});
+    /// The response is limited by \p limits and by what \p budget, if any, has left.
+    explicit http_exchange(std::shared_ptr<tcp_connection> connection, parse_limits limits = {},
+                           memory_budget* budget = nullptr);
     ~http_exchange();
     http_exchange(http_exchange&&) noexcept = default;
     http_exchange& operator=(http_exchange&&) noexcept = default;
@@ -33,6 +36,8 @@
     /// Waits for the complete response. Calls \p on_progress, if set, whenever bytes have arrived.
     task<result<void>> read_all(std::function<void()> on_progress = nullptr);
 
+    /// Takes over the memory reserved for the response, to keep it for as long as the body exists.
+    memory_reservation take_memory() { return std::move(m_memory); }
     /// The response so far. The caller may take received bytes out of its body.
     http_response& response() { return m_parser->message(); }
     [[nodiscard]] bool complete() const { return m_parser->complete(); }
@@ -50,10 +55,14 @@
                             std::shared_ptr<pending_write> pending);
     /// Parses the received bytes; when there are none to parse, waits for more.
     task<result<void>> advance();
+    /// Whether the budget allows for what the response holds, and for the \p expected length of its
+    /// body.
+    bool reserve_memory(std::uint64_t expected);
     [[nodiscard]] error failure(std::string_view description) const;
 
     std::shared_ptr<tcp_connection> m_connection;
     parse_limits m_limits;
+    memory_reservation m_memory;
     std::unique_ptr<response_parser> m_parser;
     std::shared_ptr<pending_write> m_write;
 };
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -33,6 +33,7 @@
 class message_parser : public http::basic_parser<is_request> {
 public:
     Message message;
+    parse_limits limits;
 
 private:
     void on_request_impl(http::verb /*method*/, beast_view method_text, beast_view target,
@@ -58,6 +59,11 @@
     void on_header_impl(beast_error& ec) override { ec = {}; }
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, beast_error& ec) override {
         ec = {};
+        // Beast limits only the parts of a body that it gets at once.
+        if (length && *length > limits.max_body_bytes) {
+            ec = http::error::body_limit;
+            return;
+        }
         if constexpr (!is_request) {
             if (length) {
                 message.content_length = *length;
@@ -97,6 +103,7 @@
 }
 
 template <typename Parser> void set_limits(Parser& parser, const parse_limits& limits) {
+    parser.limits = limits;
     parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser.body_limit(limits.max_body_bytes);
@@ -115,6 +122,11 @@
             break;
         }
     }
+    // What is left is the beginning of an element that has not ended.
+    const bool is_open = !parser.is_done() && fault == parse_fault::none;
+    if (is_open && bytes.size() - used > parser.limits.max_header_bytes) {
+        fault = parse_fault::malformed;
+    }
     return used;
 }
 
@@ -169,12 +181,10 @@
 
 struct response_parser::state {
     message_parser<false, http_response> parser;
-    parse_limits limits;
     int informational_responses = 0;
 };
 
 response_parser::response_parser(parse_limits limits) : m_state(std::make_unique<state>()) {
-    m_state->limits = limits;
     set_limits(m_state->parser, limits);
 }
 response_parser::~response_parser() = default;
@@ -187,9 +197,8 @@
         return;
     }
     auto next = std::make_unique<state>();
-    next->limits = m_state->limits;
     next->informational_responses = m_state->informational_responses + 1;
-    set_limits(next->parser, next->limits);
+    set_limits(next->parser, m_state->parser.limits);
     m_state = std::move(next);
 }
 
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -15,6 +15,8 @@
 
 /// Size limits of a message; exceeding one is a fault.
 struct parse_limits {
+    /// Limit of the header section, and of each element of a chunked body beside its data: the size
+    /// and extensions of a chunk, and the trailer.
     std::size_t max_header_bytes = 16 * 1024;
     std::uint64_t max_body_bytes = 8 * 1024 * 1024;
 };
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -7,6 +7,7 @@
 #include "config/serving_plan.hpp"
 #include "fleet/peer_messenger.hpp"
 #include "net/asio.hpp"
+#include "net/memory_budget.hpp"
 #include "observe/decision_log.hpp"
 #include "observe/metrics.hpp"
 #include "routing/fleet_load.hpp"
@@ -32,6 +33,8 @@
     /// Exchanges load, members and rate-limit tokens with the other daemons.
     fleet::peer_messenger& messenger;
     const protocol_codec& codec;
+    /// Memory for targets' responses.
+    net::memory_budget& response_memory;
     /// The current configuration; null before the first one has been applied.
     config::serving_plan_ptr plan;
     /// Mean service times of online requests, by route.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -19,7 +19,7 @@
 constexpr int max_unrelated_responses = 3;
 /// Size limits of a response, which may be held in memory as a whole.
 constexpr net::parse_limits response_limits{.max_header_bytes = 32 * 1024,
-                                            .max_body_bytes = 64ULL * 1024 * 1024};
+                                            .max_body_bytes = 16ULL * 1024 * 1024};
 
 } // namespace
 
@@ -98,7 +98,8 @@
         co_return error{error_code::target_failed, "the exchange was closed", run_state::not_run};
     }
     m_connection->set_deadline(response_deadline);
-    m_exchange = std::make_unique<net::http_exchange>(m_connection, response_limits);
+    m_exchange = std::make_unique<net::http_exchange>(m_connection, response_limits,
+                                                      &m_context.response_memory);
     m_exchange->send(request);
     m_sent_at = m_context.clock();
     const stall_detector detector(m_context, target().id);
--- a/test/correctness/http_messages.cpp
+++ b/test/correctness/http_messages.cpp
@@ -1,11 +1,13 @@
 /// \file
 /// Checks which HTTP messages the parsers accept as complete, report as truncated, and reject.
+#include "base/text.hpp"
 #include "check.hpp"
 #include "net/http_parser.hpp"
 
 namespace {
 
 using namespace eelgrassdoor::net;
+using eelgrassdoor::str_cat;
 using eelgrassdoor::test::property;
 using eelgrassdoor::test::require;
 
@@ -66,6 +68,21 @@
 }
 
 void check_responses() {
+    property("an element of a chunked body that does not end is malformed", [] {
+        const std::string_view begin = *rc::gen::element<std::string_view>("", "5;x=", "0\r\nX: ");
+        response_parser response({.max_header_bytes = 1000});
+        feed_all(response,
+                 str_cat("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", begin,
+                         std::string(2000, '0')),
+                 100);
+        RC_ASSERT(response.fault() == parse_fault::malformed);
+        request_parser request({.max_header_bytes = 1000});
+        feed_all(request,
+                 str_cat("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", begin,
+                         std::string(2000, '0')),
+                 100);
+        RC_ASSERT(request.fault() == parse_fault::malformed);
+    });
     property("a chunked response is complete only with its last chunk, else truncated", [] {
         const auto cut = *rc::gen::inRange<std::size_t>(1, chunked.size());
         response_parser parser({});
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -46,6 +46,9 @@
     ++m_received;
     const response answer = m_respond(parser.message());
     co_await connection->write(answer.bytes);
+    if (!answer.endless_tail.empty()) {
+        co_await send_endlessly(*connection, answer.endless_tail);
+    }
     if (answer.reset) {
         connection->reset();
     } else {
@@ -53,4 +56,14 @@
     }
 }
 
+net::task<> raw_target::send_endlessly(net::tcp_connection& connection, std::string_view tail) {
+    ++m_endless_responses;
+    net::io_error ec;
+    while (!ec) {
+        ec = co_await connection.write(tail);
+        m_tail_bytes += ec ? 0 : tail.size();
+    }
+    --m_endless_responses;
+}
+
 } // namespace eelgrassdoor::test
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -20,6 +20,8 @@
         std::string bytes;
         /// Whether the connection ends with a TCP reset rather than a regular close.
         bool reset = false;
+        /// Sent again and again after the bytes, until the caller closes, unless it is empty.
+        std::string endless_tail = {};
     };
     using responder = std::function<response(const net::http_request&)>;
 
@@ -33,15 +35,22 @@
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
     /// Number of complete requests that were received.
     [[nodiscard]] int received() const { return m_received; }
+    /// Number of bytes of endless tails that were handed to the kernel.
+    [[nodiscard]] std::size_t tail_bytes() const { return m_tail_bytes; }
+    /// Number of endless responses whose caller has not closed yet.
+    [[nodiscard]] int endless_responses() const { return m_endless_responses; }
 
 private:
     net::task<> accept_loop();
     net::task<> serve(std::shared_ptr<net::tcp_connection> connection);
+    net::task<> send_endlessly(net::tcp_connection& connection, std::string_view tail);
 
     std::string m_endpoint;
     net::tcp::acceptor m_acceptor;
     responder m_respond;
     int m_received = 0;
+    std::size_t m_tail_bytes = 0;
+    int m_endless_responses = 0;
 };
 
 } // namespace eelgrassdoor::test
