Let an unknown stream go on only if one version can have begun it

Cause: a daemon that finds nobody who knows a stream let it go on when only one version is in service now. Targets that leave, and those that have gone meanwhile, did not count, though their streams are the ones that callers bring back.

Change: daemons remember for a minute which versions had targets, and keep this under one key of the store, so that it outlives a restart of all daemons. An unknown stream is refused unless exactly one version is a candidate.

--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -56,8 +56,10 @@
     net::task<std::optional<routing::fleet_target>> wait_for_target(running_request& run);
     /// Restricts a stream that the caller resumes to the targets of the software version that began
     /// it. Returns false if the request is refused because nobody knows that version while several
-    /// are in service, or if the caller has disconnected.
+    /// may have begun the stream, or if the caller has disconnected.
     net::task<bool> find_version(running_request& run);
+    /// The version that must have begun an unknown stream of \p service, if only one can have.
+    [[nodiscard]] std::optional<std::string> only_version(std::string_view service) const;
     /// Restricts a stream, when its first event is sent, to the version of its current target, and
     /// lets other daemons know that version.
     void record_version(running_request& run) const;
--- a/src/entry/online_proxy_targets.cpp
+++ b/src/entry/online_proxy_targets.cpp
@@ -60,8 +60,10 @@
         log_finished(run, "caller_left");
         co_return false;
     }
-    // With one version in service, an unknown stream can only go on at that one.
-    if (run.constraints.version || m_context.loads.versions_of(run.service).size() <= 1) {
+    if (!run.constraints.version) {
+        run.constraints.version = only_version(run.service);
+    }
+    if (run.constraints.version) {
         co_return true;
     }
     error unknown{error_code::unavailable,
@@ -71,6 +73,12 @@
     co_return false;
 }
 
+std::optional<std::string> online_proxy::only_version(std::string_view service) const {
+    const std::optional<routing::version_set> candidates = m_context.versions.candidates(service);
+    return candidates && candidates->size() == 1 ? std::optional(*candidates->begin())
+                                                 : std::nullopt;
+}
+
 void online_proxy::record_version(running_request& run) const {
     const std::string& version = run.active_exchange->target().version;
     run.constraints.version = version;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -58,6 +58,7 @@
       m_registration(loop.get_executor(), adapter.store, m_mirror, registration_settings(), m_clock,
                      boot_clock(), log),
       m_target_discovery(adapter.decode_target, log),
+      m_service_versions(loop.get_executor(), adapter.store, m_clock, log, m_settings.first_start),
       m_response_memory(m_settings.max_memory_bytes / memory_per_responses),
       m_context{.executor = loop.get_executor(),
                 .clock = m_clock,
@@ -68,6 +69,7 @@
                 .quarantine = m_quarantine,
                 .request_quarantine = m_request_quarantine,
                 .messenger = m_messenger,
+                .versions = m_service_versions,
                 .codec = adapter.codec,
                 .response_memory = m_response_memory,
                 .plan = nullptr},
@@ -175,6 +177,10 @@
     BOOST_OUTCOME_TRY(m_messenger.start());
     m_feed.start();
     m_registration.start();
+    if (m_settings.serves_callers) {
+        m_service_versions.is_writer = [this] { return m_feed.must_watch(); };
+        m_service_versions.start();
+    }
     if (m_runner) {
         m_runner->start();
     }
@@ -300,8 +306,10 @@
     const bool store_reachable =
         m_feed.connected_since() != time_point::max() || m_messenger.any_peer_reaches_store();
     m_store_reachability.update(store_reachable, m_clock());
-    m_loads.set_targets(m_target_discovery.update(m_mirror.items(m_adapter.target_prefix),
-                                                  m_store_reachability.connectivity(), m_clock()));
+    std::vector<routing::fleet_target> targets = m_target_discovery.update(
+        m_mirror.items(m_adapter.target_prefix), m_store_reachability.connectivity(), m_clock());
+    m_service_versions.set_targets(targets);
+    m_loads.set_targets(std::move(targets));
 }
 
 void fleet_daemon::apply_members() {
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -103,6 +103,7 @@
     fleet::registration m_registration;
     target_discovery m_target_discovery;
     fleet::store_connectivity_tracker m_store_reachability;
+    fleet::service_versions m_service_versions;
     net::memory_budget m_response_memory;
     serving::service_context m_context;
     jobs::job_repository m_repository;
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -6,6 +6,7 @@
 #include "base/random_source.hpp"
 #include "config/serving_plan.hpp"
 #include "fleet/peer_messenger.hpp"
+#include "fleet/service_versions.hpp"
 #include "net/asio.hpp"
 #include "net/memory_budget.hpp"
 #include "observe/decision_log.hpp"
@@ -32,6 +33,8 @@
     routing::prompt_quarantine& request_quarantine;
     /// Exchanges load, members and rate-limit tokens with the other daemons.
     fleet::peer_messenger& messenger;
+    /// Which software versions may have begun a stream.
+    const fleet::service_versions& versions;
     const protocol_codec& codec;
     /// Memory for targets' responses.
     net::memory_budget& response_memory;
--- /dev/null
+++ b/test/correctness/service_versions.cpp
@@ -0,0 +1,145 @@
+/// \file
+/// Guards against daemons that take the versions in service now for those that may have begun a
+/// stream.
+#include "fleet/service_versions.hpp"
+
+#include "check.hpp"
+#include "stand_in/memory_store.hpp"
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace eelgrassdoor;
+using eelgrassdoor::test::memory_store;
+using eelgrassdoor::test::property;
+using eelgrassdoor::test::require;
+using routing::version_set;
+using routing::versions_by_service;
+
+constexpr time_point start{};
+constexpr duration memory = seconds(60);
+
+routing::fleet_target target(const std::string& id, const std::string& version, bool leaving) {
+    return {.id = id, .service = "s", .version = version, .leaving = leaving};
+}
+
+void check_history() {
+    routing::version_history history(memory);
+    history.set_listed({{"s", {"v1", "v2"}}}, start);
+    history.set_listed({{"s", {"v2"}}}, start + seconds(5));
+    history.set_listed({{"s", {"v2"}}}, start + seconds(30));
+    require(history.recent("s", start + seconds(64)) == version_set{"v1", "v2"},
+            "a version is remembered after its last target has gone");
+    require(history.recent("s", start + seconds(65)) == version_set{"v2"},
+            "a version is forgotten at the end of the memory");
+    history.add_earlier({{"s", {"v0", "v2"}}}, start + seconds(40));
+    require(history.recent("s", start + seconds(99)) == version_set{"v0", "v2"},
+            "a version from before the start is remembered from the start on");
+    history.set_listed({{"s", {"v0", "v2"}}}, start + seconds(99));
+    require(history.recent("s", start + seconds(400)) == version_set{"v0", "v2"},
+            "a version that has targets again is not forgotten");
+    require(history.recent("other", start).empty(), "an unknown service has no versions");
+    const std::vector<routing::fleet_target> targets{target("a", "v1", true),
+                                                     target("b", "v2", false)};
+    require(routing::versions_of(targets) == versions_by_service{{"s", {"v1", "v2"}}},
+            "targets that are leaving count");
+}
+
+void check_text() {
+    property("any names are written as valid text", [] {
+        versions_by_service versions;
+        for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+            versions[*rc::gen::string<std::string>()].insert("v" + std::to_string(i));
+        }
+        const auto read = fleet::versions_from_json(fleet::to_json(versions));
+        RC_ASSERT(read.has_value());
+    });
+    require(fleet::versions_from_json(R"({"s":["v1","v2"]})") ==
+                versions_by_service{{"s", {"v1", "v2"}}},
+            "versions are read");
+    for (const char* const text : {"", "{", "[]", R"({"s":"v1"})", R"({"s":[1]})", "null"}) {
+        require(!fleet::versions_from_json(text), std::string("malformed versions: ") + text);
+    }
+}
+
+/// Daemons of one fleet, which share a store.
+struct version_fleet {
+    net::asio::io_context loop{1};
+    memory_store memory{loop.get_executor()};
+    store::kv_store store = memory.make_store();
+    observe::decision_log log{{.host = "test", .descriptor = -1}, steady_clock()};
+    time_point now = start;
+    std::vector<std::unique_ptr<fleet::service_versions>> daemons;
+
+    fleet::service_versions& add(bool first_start) {
+        daemons.push_back(std::make_unique<fleet::service_versions>(
+            loop.get_executor(), store, [this] { return now; }, log, first_start));
+        daemons.back()->is_writer = [] { return true; };
+        daemons.back()->start();
+        return *daemons.back();
+    }
+    [[nodiscard]] std::string stored() const {
+        const auto found = memory.items().find(std::string(fleet::service_versions_key));
+        return found == memory.items().end() ? "" : found->second.value;
+    }
+    /// Runs the daemons until \p condition holds, for 10 s at most.
+    void run_until(const std::string& what, const std::function<bool()>& condition) {
+        const time_point end = steady_clock()() + seconds(10);
+        while (!condition() && steady_clock()() < end) {
+            loop.run_one_for(milliseconds(5));
+        }
+        require(condition(), what);
+    }
+};
+
+void check_restart() {
+    auto& f = *new version_fleet; // Suspended coroutines refer to it at the end of the process.
+    fleet::service_versions& first = f.add(true);
+    fleet::service_versions& second = f.add(true);
+    const std::vector<routing::fleet_target> both{target("a", "v1", false),
+                                                  target("b", "v2", false)};
+    const std::vector<routing::fleet_target> newer{target("b", "v2", false)};
+    first.set_targets(both);
+    second.set_targets(both);
+    f.run_until("both versions are stored", [&] { return f.stored() == R"({"s":["v1","v2"]})"; });
+    require(first.candidates("s") == version_set{"v1", "v2"}, "both versions may begin a stream");
+    fleet::service_versions& restarted = f.add(false);
+    restarted.set_targets(newer);
+    require(!restarted.candidates("s"), "before the versions are read, nothing is known");
+    f.run_until("a restarted daemon knows the version that has gone", [&] {
+        return restarted.candidates("s") == version_set{"v1", "v2"};
+    });
+    first.set_targets(newer);
+    second.set_targets(newer);
+    f.now += memory;
+    f.run_until("a version that has gone is deleted",
+                [&] { return f.stored() == R"({"s":["v2"]})"; });
+    require(restarted.candidates("s") == version_set{"v2"}, "only one version is left");
+}
+
+void check_nothing_stored() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("b", "v2", false)};
+    fleet::service_versions& daemon = f.add(false);
+    daemon.set_targets(targets);
+    f.run_until("the versions are stored", [&] { return !f.stored().empty(); });
+    require(!daemon.candidates("s"),
+            "where an older build has stored no versions, earlier ones are not known");
+    f.now += memory;
+    require(daemon.candidates("s") == version_set{"v2"},
+            "after the memory, the daemon knows by itself");
+}
+
+} // namespace
+
+int main() {
+    check_history();
+    check_text();
+    check_restart();
+    check_nothing_stored();
+    const int status = eelgrassdoor::test::finish();
+    std::fflush(stdout);
+    std::_Exit(status);
+}
