Keep a copy of each stream's version at a host that runs jobs

Callers lost their streams when all entry hosts were killed while two versions were in service: nobody knew which version had begun them, and each return was refused.

Cause: only entry hosts held the versions of begun streams.

Change: the daemon that ranks first among those that run jobs gets a third copy, and lookups ask the first two of these. Older builds are passed over by their member record.

--- a/src/fleet/stream_holders.cpp
+++ b/src/fleet/stream_holders.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Number of daemons that get a copy.
+/// Number of daemons that serve callers and get a copy.
 constexpr std::size_t copies = 2;
 
 /// A daemon and its rank for one stream.
@@ -73,6 +73,9 @@
     for (const candidate& each : ordered) {
         out.push_back(*each.daemon);
     }
+    for (const candidate& each : first_ranked(m_job_hosts, key, 1)) {
+        out.push_back(*each.daemon);
+    }
     return out;
 }
 
@@ -83,6 +86,9 @@
             out.push_back(*each.daemon);
         }
     }
+    for (const candidate& each : first_ranked(m_job_hosts, key, asked_job_hosts)) {
+        out.push_back(*each.daemon);
+    }
     return out;
 }
 
--- a/src/fleet/stream_version_exchange.cpp
+++ b/src/fleet/stream_version_exchange.cpp
@@ -8,18 +8,20 @@
 
 void stream_version_exchange::update(const member_map& members, const is_heard_fn& is_heard) {
     std::vector<stream_holder> others;
+    std::vector<stream_holder> job_hosts;
     for (const auto& [host, each] : members) {
         const result<net::tcp::endpoint> endpoint = net::parse_endpoint(each.endpoint);
-        if (host == m_self.host || !each.serves_callers || !each.keeps_stream_versions ||
-            !endpoint) {
+        if (host == m_self.host || !each.keeps_stream_versions || !endpoint) {
             continue;
         }
-        others.push_back({.host = host,
-                          .availability_zone = each.availability_zone,
-                          .endpoint = {endpoint.value().address(), endpoint.value().port()},
-                          .is_heard = is_heard(host)});
+        std::vector<stream_holder>& group = each.serves_callers ? others : job_hosts;
+        group.push_back({.host = host,
+                         .availability_zone = each.availability_zone,
+                         .endpoint = {endpoint.value().address(), endpoint.value().port()},
+                         .is_heard = is_heard(host)});
     }
     m_holders.set_daemons(std::move(others), m_self.availability_zone);
+    m_holders.set_job_hosts(std::move(job_hosts));
 }
 
 void stream_version_exchange::record(std::string_view customer, std::string_view attempt_id,
--- a/src/fleet/stream_version_exchange.hpp
+++ b/src/fleet/stream_version_exchange.hpp
@@ -23,7 +23,7 @@
 namespace eelgrassdoor::fleet {
 
 /// Keeps the software versions that began streams together with the other daemons, so that a stream
-/// goes on only at the version that began it, whichever daemon its caller comes back to: two other
+/// goes on only at the version that began it, whichever daemon its caller comes back to: some other
 /// daemons get a copy of each stream's version, and a daemon that does not know a stream asks those
 /// that may have one; see stream_holders. Not thread-safe.
 class stream_version_exchange {
@@ -49,8 +49,8 @@
     void update(const member_map& members, const is_heard_fn& is_heard);
 
     /// Records that \p version began the stream of the caller's attempt \p attempt_id, here and at
-    /// two other daemons. Call it when the first event is passed on. Ignored when \p version is
-    /// longer than max_version_bytes, and when the stream is known here already.
+    /// the other daemons that get a copy. Call it when the first event is passed on. Ignored when
+    /// \p version is longer than max_version_bytes, and when the stream is known here already.
     void record(std::string_view customer, std::string_view attempt_id, std::string_view version);
     /// Returns the version that began the stream of the caller's attempt \p attempt_id, at once
     /// when it is known here, and otherwise from the other daemons, within lookup_timeout. Returns
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -116,7 +116,7 @@
             .serves_callers = m_settings.serves_callers,
             .holds_tokens = m_settings.serves_callers,
             .issues_permits = true,
-            .keeps_stream_versions = m_settings.serves_callers,
+            .keeps_stream_versions = true,
             .runs_jobs = m_settings.runs_jobs};
 }
 
--- a/test/platform/unknown_streams.cpp
+++ b/test/platform/unknown_streams.cpp
@@ -51,18 +51,43 @@
         m_fleet.add_daemon(daemon, true, false, [](std::string_view) { return true; });
         co_await wait_until_served(daemon);
     }
-    /// Begins a stream at the first engine and entry-1 that breaks off after two events.
-    net::task<> begin_stream(std::string id) {
+    /// A daemon that comes back after all entry hosts were killed reaches a host that runs jobs.
+    net::task<> check_copy_at_job_host() {
+        m_fleet.adjust_settings = nullptr;
+        m_fleet.add_daemon("runner-1", false, true);
+        const std::string runner = m_fleet.peer_endpoint("runner-1");
+        m_fleet.add_daemon("entry-3", true, false,
+                           [runner](std::string_view endpoint) { return endpoint != runner; });
+        co_await wait_until_served("entry-3");
+        response rest;
+        const time_point end = steady_clock()() + seconds(10);
+        // The daemons discover each other meanwhile.
+        while (rest.status != 200 && steady_clock()() < end) {
+            const std::string id = co_await begin_stream();
+            rest = co_await resume("entry-3", id);
+            require(rest.body.find("data: v2") == std::string::npos,
+                    "the stream does not go on at another version");
+        }
+        require(
+            rest.status == 200 && rest.complete,
+            str_cat("a stream goes on that a host which runs jobs knows; status ", rest.status));
+    }
+    /// Begins a stream at the first engine and entry-1 that breaks off after two events. Returns
+    /// its id.
+    net::task<std::string> begin_stream() {
         m_first.set_default_action(engine_action::truncate);
+        std::string id;
         response got;
         const time_point end = steady_clock()() + seconds(10);
-        while (got.body.find("id: 2\n") == std::string::npos && steady_clock()() < end) {
+        while (got.body.find("data: v1e2") == std::string::npos && steady_clock()() < end) {
+            id = str_cat("begun-", ++m_requests);
             net::http_request request = daemon_fixture::request(id);
             got = co_await call("entry-1", std::move(request));
         }
         m_first.set_default_action(engine_action::serve);
-        require(got.body.find("data: v1e2") != std::string::npos,
-                "a stream begins at the first version, got " + got.body);
+        require(got.body.find("data: v1e2") != std::string::npos && !got.complete,
+                "a stream begins at the first version and breaks off, got " + got.body);
+        co_return id;
     }
     net::task<response> resume(std::string daemon, std::string id) {
         net::http_request request = daemon_fixture::request(str_cat("again-", ++m_requests));
@@ -84,8 +109,8 @@
                                    R"(","zone":"a","version":"v1","slots":8,"state":")", state,
                                    R"(","seq":2,"born":1})"));
     }
-    net::task<> check_refused(std::string daemon, std::string when) {
-        const response got = co_await resume(daemon, "begun");
+    net::task<> check_refused(std::string daemon, std::string id, std::string when) {
+        const response got = co_await resume(daemon, id);
         require(got.status == 503, str_cat("an unknown stream is refused ", when, "; status ",
                                            got.status, ", body ", got.body));
     }
@@ -93,25 +118,26 @@
     net::task<> run_checks() {
         co_await wait_until_served("entry-1");
         co_await wait_until_stored("v1");
-        co_await begin_stream("alone");
+        const std::string alone = co_await begin_stream();
         co_await restart_as("entry-2");
-        const response rest = co_await resume("entry-2", "alone");
+        const response rest = co_await resume("entry-2", alone);
         require(rest.status == 200 && rest.complete &&
                     rest.body.find("data: v1e3") != std::string::npos,
                 str_cat("a stream goes on at the only version that was in service; status ",
                         rest.status));
 
-        co_await begin_stream("begun");
+        const std::string begun = co_await begin_stream();
         add_engine("i-2", "v2");
         co_await wait_until_stored("v2");
-        co_await restart_as("entry-3");
-        co_await check_refused("entry-3", "while two versions are in service");
-        set_state(m_first, "i-1", "draining");
+        co_await check_copy_at_job_host();
         co_await restart_as("entry-4");
-        co_await check_refused("entry-4", "while the version that began it leaves");
-        m_fleet.memory.erase("servers/i-1");
+        co_await check_refused("entry-4", begun, "while two versions are in service");
+        set_state(m_first, "i-1", "draining");
         co_await restart_as("entry-5");
-        co_await check_refused("entry-5", "after the version that began it has left");
+        co_await check_refused("entry-5", begun, "while the version that began it leaves");
+        m_fleet.memory.erase("servers/i-1");
+        co_await restart_as("entry-6");
+        co_await check_refused("entry-6", begun, "after the version that began it has left");
     }
 
     daemon_fixture m_fleet;
