Copy the next owner before the store is asked to hand a job over

A daemon that hands its jobs over used the next owner's entry in the list of members after the answer of the store. When that host had left meanwhile, the entry was freed, and the call that notifies it read freed memory.

--- a/src/jobs/job_ownership.cpp
+++ b/src/jobs/job_ownership.cpp
@@ -163,13 +163,15 @@
             continue;
         }
         const std::string next_owner = preferred_owner(id, m_options.self.host);
-        const auto owner = m_context.messenger.members().find(next_owner);
-        if (owner == m_context.messenger.members().end()) {
+        const auto found = m_context.messenger.members().find(next_owner);
+        if (found == m_context.messenger.members().end()) {
             continue;
         }
+        // The members may change while the store is asked.
+        const fleet::member owner = found->second;
         job_state next = job->record().state;
         next.owner = next_owner;
-        next.owner_incarnation = owner->second.incarnation;
+        next.owner_incarnation = owner.incarnation;
         ++next.epoch;
         std::uint64_t revision = job->record().revision;
         const result<change_outcome> outcome =
@@ -186,7 +188,7 @@
             net::http_client client(m_context.executor);
             // If the call fails, the new owner finds the job in its next scan for orphans.
             const result<net::http_response> notified = co_await client.call(
-                owner->second.endpoint, std::move(request), m_context.clock() + adopt_call_timeout);
+                owner.endpoint, std::move(request), m_context.clock() + adopt_call_timeout);
             if (!notified) {
                 m_context.log.write(observe::event::target_failed, next_owner,
                                     {{"reason", notified.error().message}});
--- a/test/platform/job_cancellation.cpp
+++ b/test/platform/job_cancellation.cpp
@@ -119,6 +119,7 @@
         require(runs_of("commit-long") == 1,
                 "an item does not start again when the response to a commit from before the "
                 "cancellation arrives");
+        m_fleet.memory.delay_response = [](const auto&) { return false; };
     }
 
     /// A job is cancelled while a daemon that takes it over reads its items.
@@ -145,6 +146,7 @@
         co_await wait_for_dispatch("after-takeover-2");
         require(runs_of("takeover-long") == 1,
                 "an item of a job that was cancelled during a takeover does not run");
+        m_fleet.memory.delay_list = [](const auto&) { return false; };
     }
 
     daemon_fixture m_fleet;
