--- /dev/null
+++ b/test/soak/fleet_soak.cpp
@@ -0,0 +1,219 @@
+/// \file
+/// Runs daemons as processes, disturbs them in a random order that the seed decides, and checks
+/// that streams and texts have each event once and in order and that service is back after the last
+/// fault.
+///
+/// usage: fleet_soak PROGRAM FOLDER SEED SECONDS
+#include "base/text.hpp"
+#include "check.hpp"
+#include "soak/soak_clients.hpp"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::test;
+
+/// Streams that may hold events of two versions.
+constexpr int allowed_mixed_streams = 2;
+/// Requests that one host may lose.
+constexpr int allowed_lost_requests = 3;
+/// Time after the return of the daemons from which service must be back, and for which it is
+/// measured then.
+constexpr duration recovery_time = seconds(12);
+constexpr duration measured_time = seconds(6);
+constexpr duration settle_time = seconds(3);
+constexpr duration end_timeout = seconds(45);
+
+class soak {
+public:
+    soak(net::asio::io_context& loop, std::string program, std::string folder, std::uint64_t seed,
+         duration time)
+        : m_loop(loop), m_seed(seed), m_random(seed),
+          // What clients draw depends on the moment and must not change the disturbances.
+          m_traffic_random(seed + 1), m_time(time),
+          m_fleet(loop, m_traffic_random, std::move(program), std::move(folder)),
+          m_clients(loop, m_traffic_random, m_fleet) {}
+
+    net::task<> run() {
+        const bool started = co_await m_fleet.start();
+        require(started, "the daemons become ready");
+        if (!started) {
+            co_return;
+        }
+        co_await m_fleet.wait(settle_time);
+        m_clients.start();
+        co_await m_fleet.wait(settle_time);
+        const time_point end = steady_clock()() + m_time;
+        while (steady_clock()() < end) {
+            net::asio::co_spawn(m_loop, disturb(), net::asio::detached);
+            m_ended += m_fleet.restart_ended();
+            co_await m_fleet.wait(milliseconds(300 + m_random.next() % 2500));
+        }
+        co_await check_recovery();
+        m_clients.stop();
+        const time_point limit = steady_clock()() + end_timeout;
+        while (!m_clients.is_idle() && steady_clock()() < limit) {
+            co_await m_fleet.wait(milliseconds(100));
+        }
+        report();
+    }
+
+private:
+    /// Waits until disturbances have ended, takes the service away as a whole, and measures what is
+    /// served some time after its return.
+    net::task<> check_recovery() {
+        while (m_disturbances > 0) {
+            co_await m_fleet.wait(milliseconds(100));
+        }
+        const std::uint64_t kind = m_random.next() % 5;
+        const duration pause = milliseconds(1000 + m_random.next() % 5000);
+        note(str_cat("final fault ", kind, " for ", to_ms(pause), " ms"));
+        const std::vector<daemon_process*> all = m_fleet.all_hosts();
+        if (kind == 0) {
+            const std::vector<daemon_process*> entry_hosts = m_fleet.entry_hosts();
+            co_await m_fleet.kill_all(entry_hosts, pause);
+        } else if (kind == 1) {
+            co_await m_fleet.kill_all(all, pause);
+        } else if (kind == 2) {
+            for (daemon_process* each : all) {
+                each->signal(SIGSTOP);
+            }
+            co_await m_fleet.wait(pause);
+            for (daemon_process* each : all) {
+                each->signal(SIGCONT);
+            }
+        } else if (kind == 3) {
+            co_await m_fleet.kill_all(all, pause);
+            m_fleet.replace_engines();
+        } else {
+            net::asio::co_spawn(m_loop, m_fleet.disturb_store(store_state::silent, pause),
+                                net::asio::detached);
+            co_await m_fleet.kill_all(all, pause);
+        }
+        co_await m_fleet.wait(recovery_time);
+        const soak_counts before = m_clients.counts();
+        co_await m_fleet.wait(measured_time);
+        const soak_counts& after = m_clients.counts();
+        const int streams = after.streams - before.streams;
+        const int whole = after.whole_streams - before.whole_streams;
+        note(str_cat("after the final fault ", whole, " of ", streams, " streams whole"));
+        require(4 * whole >= streams && streams > 0, "service is back after the final fault");
+    }
+
+    net::task<> disturb() {
+        ++m_disturbances;
+        const std::vector<daemon_process*> all = m_fleet.all_hosts();
+        const std::vector<daemon_process*> entry_hosts = m_fleet.entry_hosts();
+        daemon_process& one = *all[m_random.next() % all.size()];
+        const duration pause = milliseconds(200 + m_random.next() % 3000);
+        // Each third seed leaves the daemons alone.
+        const std::uint64_t kinds = m_seed % 3 == 0 ? 7 : 12;
+        const std::uint64_t kind = m_random.next() % kinds;
+        note(str_cat("disturbance ", kind, " at ", one.spec().host, " for ", to_ms(pause), " ms"));
+        switch (kind) {
+        case 0:
+        case 1:
+            co_await m_fleet.release();
+            break;
+        case 2:
+        case 3:
+            m_fleet.change_configuration();
+            break;
+        case 4:
+            m_fleet.set_trouble(true);
+            co_await m_fleet.wait(2 * pause);
+            m_fleet.set_trouble(false);
+            break;
+        case 5:
+            co_await m_fleet.disturb_store(store_state::slow, pause);
+            break;
+        case 6:
+            co_await m_fleet.disturb_store(
+                m_random.next() % 2 == 0 ? store_state::refusing : store_state::silent, pause);
+            break;
+        case 7:
+        case 8:
+            co_await m_fleet.restart(one);
+            break;
+        case 9: {
+            const std::vector<daemon_process*> killed{&one};
+            co_await m_fleet.kill_all(killed, pause);
+            break;
+        }
+        case 10:
+            co_await m_fleet.kill_all(entry_hosts, pause / 3);
+            break;
+        default:
+            co_await m_fleet.freeze(one, pause);
+            break;
+        }
+        --m_disturbances;
+    }
+
+    void note(const std::string& text) const {
+        std::printf("%8.1f s: %s\n", to_seconds(steady_clock()() - m_start), text.c_str());
+    }
+
+    void report() {
+        const soak_counts& counts = m_clients.counts();
+        std::printf("streams: %d, whole: %d, taken up: %d, of two versions: %d; jobs accepted: %d, "
+                    "finished: %d; daemons ended by themselves: %d\n",
+                    counts.streams, counts.whole_streams, counts.resumed_streams,
+                    counts.mixed_streams, counts.accepted_jobs, counts.finished_jobs, m_ended);
+        std::printf("kept connections: %d requests, %d answered\n", counts.kept_requests,
+                    counts.answered_kept_requests);
+        for (const std::string& fault : counts.faults) {
+            require(false, fault);
+        }
+        for (const auto& [host, lost] : counts.lost_requests) {
+            std::printf("%s lost %d requests\n", host.c_str(), lost);
+            require(lost <= allowed_lost_requests, str_cat(host, " lost ", lost, " requests"));
+        }
+        require(counts.mixed_streams <= allowed_mixed_streams,
+                str_cat("streams of two versions: ", counts.mixed_streams));
+        require(m_ended == 0, "no daemon ends by itself");
+        require(counts.whole_streams > 0 && counts.finished_jobs > 0,
+                "streams and jobs are served");
+    }
+
+    net::asio::io_context& m_loop;
+    std::uint64_t m_seed;
+    random_source m_random;
+    random_source m_traffic_random;
+    duration m_time;
+    soak_fleet m_fleet;
+    soak_clients m_clients;
+    time_point m_start = steady_clock()();
+    int m_disturbances = 0;
+    int m_ended = 0;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    if (argc != 5) {
+        std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS\n");
+        return EXIT_FAILURE;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    std::filesystem::remove_all(argv[2]);
+    std::filesystem::create_directories(argv[2]);
+    net::asio::io_context loop{1};
+    auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
+                               seconds(std::atoi(argv[4])));
+    net::asio::co_spawn(loop, run->run(), [&](const std::exception_ptr& failure) {
+        require(failure == nullptr, "the soak throws no exception");
+        loop.stop();
+    });
+    loop.run();
+    const int status = finish();
+    std::fflush(stdout);
+    // Suspended coroutines refer to the fleet. The daemons end with this process.
+    std::_Exit(status);
+}
--- /dev/null
+++ b/test/soak/soak_fleet.cpp
@@ -0,0 +1,288 @@
+#include "soak/soak_fleet.hpp"
+
+#include "base/text.hpp"
+#include "net/http_client.hpp"
+#include "net/notification.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <unistd.h>
+#include <utility>
+
+namespace eelgrassdoor::test {
+
+namespace {
+
+constexpr duration event_interval = milliseconds(45);
+constexpr duration ready_timeout = seconds(15);
+constexpr duration poll_interval = milliseconds(50);
+/// The platform's grace between SIGTERM and SIGKILL.
+constexpr duration stop_grace = seconds(8);
+/// Time between two engines of a release, how long an engine serves after it has reported that it
+/// drains, and how long its entry stays.
+constexpr duration release_interval = milliseconds(700);
+constexpr duration drain_time = seconds(2);
+
+constexpr std::size_t engine_count = 4;
+/// How long a disturbance of a daemon may have effects.
+constexpr duration contact_time = seconds(3);
+/// Silence of a sound engine.
+constexpr duration engine_pause = milliseconds(1200);
+/// One answer in this many is delayed, one paused, and one broken off.
+constexpr std::uint64_t trouble_interval = 20;
+
+/// A configuration whose timeouts and limits depend on its number.
+std::string make_configuration(int number) {
+    const std::string timeout = number % 2 == 0 ? "5000" : "4700";
+    const std::string idle = number % 3 == 0 ? "15000" : "9000";
+    const std::string body = number % 4 < 2 ? "4194304" : "2097152";
+    const std::string common =
+        str_cat(R"("host":"h","timeoutMs":)", timeout, R"(,"service":"s","public":false,)");
+    return str_cat(
+        R"({"version":)", 10 + 3 * number, R"(,"routes":[{"name":"question",)", common,
+        R"("pathPrefix":"/p/","kind":"streaming","resumable":true,"gapAimMs":250,)",
+        R"("targetLatencyMs":300,"priority":0,"maxAttempts":3},{"name":"plain",)", common,
+        R"("pathPrefix":"/s/","kind":"safe","targetLatencyMs":3000,"priority":0,)",
+        R"("maxAttempts":2},{"name":"jobs",)", common,
+        R"("pathPrefix":"/j/","kind":"batch","targetLatencyMs":400,"completionTargetMs":18000,)",
+        R"("queueTtlS":120,"maxAttempts":3,"cap":0,"priority":1}],)",
+        R"("services":[{"name":"s","healthPath":"/health","maxConnections":370}],)",
+        R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":)", body,
+        R"(,"headerTimeoutMs":3000,"idleTimeoutMs":)", idle,
+        R"(},"tenants":[{"name":"c","apiKeys":["key-1"],"ratePerS":1000,"burst":1000}]})");
+}
+
+} // namespace
+
+soak_fleet::soak_fleet(net::asio::io_context& loop, random_source& random, std::string program,
+                       std::string folder)
+    : m_loop(loop), m_program(std::move(program)), m_folder(std::move(folder)),
+      // Soaks that run side by side use different addresses.
+      m_network(str_cat("127.", 20 + ::getpid() % 200, ".", 1 + ::getpid() / 200 % 250, ".")),
+      // Below the ports that the kernel gives to outgoing connections.
+      m_first_port(static_cast<int>(20'000 + random.next() % 10'000)),
+      m_store_endpoint(str_cat(m_network, "200:", m_first_port)),
+      m_store(loop.get_executor(), m_store_endpoint), m_random(random) {
+    for (const std::string zone : {"a", "b"}) {
+        for (int i = 1; i <= 2; ++i) {
+            add_daemon(str_cat("entry-", zone, "-", i), zone, true);
+        }
+    }
+    for (const std::string zone : {"a", "b"}) {
+        add_daemon(str_cat("jobs-", zone), zone, false);
+    }
+}
+
+void soak_fleet::add_daemon(const std::string& host, const std::string& zone, bool serves_callers) {
+    daemon_spec spec{.host = host,
+                     .availability_zone = zone,
+                     .address = str_cat(m_network, m_daemons.size() + 1),
+                     .first_port = m_first_port,
+                     .serves_callers = serves_callers,
+                     .store = m_store_endpoint,
+                     .seeds = m_seeds};
+    m_daemons.push_back(std::make_unique<daemon_process>(std::move(spec), m_program, m_folder));
+    if (m_seeds.size() < 3) {
+        m_seeds.push_back(m_daemons.back()->control_endpoint());
+    }
+}
+
+void soak_fleet::write_entry(const soak_engine& engine, const std::string& state) {
+    m_store.memory().put(str_cat("servers/", engine.id),
+                         str_cat(R"({"service":"s","address":")", engine.server->endpoint(),
+                                 R"(","zone":")", engine.availability_zone, R"(","version":")",
+                                 engine.version, R"(","slots":16,"state":")", state,
+                                 R"(","coldRemainingMs":0,"seq":1,"born":)", m_engines.size(),
+                                 "}"));
+}
+
+void soak_fleet::add_engine(const std::string& zone) {
+    auto engine = std::make_unique<soak_engine>();
+    engine->id = str_cat("i-", m_engines.size() + 1);
+    engine->version = str_cat("v", m_version);
+    engine->availability_zone = zone;
+    engine->server = std::make_unique<scripted_engine>(
+        m_loop.get_executor(),
+        str_cat(m_network, 100 + m_engines.size() % 90, ":", m_first_port + m_engines.size() / 90));
+    engine->server->set_events(events_per_stream);
+    engine->server->set_event_interval(event_interval);
+    engine->server->set_event_prefix(engine->version);
+    engine->server->set_pause(engine_pause);
+    engine->server->set_default_action([this](const net::http_request&) {
+        const std::uint64_t drawn = m_trouble ? m_random.below(trouble_interval) : trouble_interval;
+        return drawn == 0   ? engine_action::delay
+               : drawn == 1 ? engine_action::pause
+               : drawn == 2 ? engine_action::truncate_new
+                            : engine_action::serve;
+    });
+    m_engines.push_back(std::move(engine));
+    write_entry(*m_engines.back(), "ready");
+}
+
+void soak_fleet::change_configuration() {
+    m_store.memory().put("op/config", make_configuration(m_configuration++));
+}
+
+void soak_fleet::set_trouble(bool trouble) {
+    m_trouble = trouble;
+}
+
+std::size_t soak_fleet::started_runs() const {
+    std::size_t sum = 0;
+    for (const auto& each : m_engines) {
+        sum += each->server->received_at().size();
+    }
+    return sum;
+}
+
+bool soak_fleet::was_disturbed(const daemon_process& daemon, time_point time) const {
+    const bool is_down = std::find(m_down.begin(), m_down.end(), &daemon) != m_down.end();
+    const auto found = m_disturbed.find(&daemon);
+    return is_down || (found != m_disturbed.end() && found->second + contact_time >= time);
+}
+
+net::task<bool> soak_fleet::start() {
+    if (!m_store.start()) {
+        co_return false;
+    }
+    change_configuration();
+    for (std::size_t i = 0; i < engine_count; ++i) {
+        add_engine(i % 2 == 0 ? "a" : "b");
+    }
+    for (const auto& each : m_daemons) {
+        each->start(true);
+    }
+    const time_point end = steady_clock()() + ready_timeout;
+    for (const daemon_process* each : entry_hosts()) {
+        bool ready = false;
+        while (!ready && steady_clock()() < end) {
+            ready = co_await is_ready(each->readiness_endpoint());
+            co_await wait(poll_interval);
+        }
+        if (!ready) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+net::task<bool> soak_fleet::is_ready(std::string endpoint) {
+    net::http_client client(m_loop.get_executor());
+    net::http_request request;
+    request.method = "GET";
+    request.target = "/eelgrassdoor/ready";
+    request.headers.set("Host", endpoint);
+    const auto response =
+        co_await client.call(endpoint, std::move(request), steady_clock()() + seconds(1));
+    co_return response&& response.value().status == 200;
+}
+
+net::task<> soak_fleet::wait(duration time) {
+    net::notification timer(m_loop.get_executor());
+    co_await timer.wait_until(steady_clock()() + time);
+}
+
+std::vector<daemon_process*> soak_fleet::select(bool serves_callers) const {
+    std::vector<daemon_process*> out;
+    for (const auto& each : m_daemons) {
+        if (each->spec().serves_callers == serves_callers) {
+            out.push_back(each.get());
+        }
+    }
+    return out;
+}
+
+std::vector<daemon_process*> soak_fleet::all_hosts() const {
+    std::vector<daemon_process*> out;
+    for (const auto& each : m_daemons) {
+        out.push_back(each.get());
+    }
+    return out;
+}
+
+net::task<> soak_fleet::release() {
+    if (m_releasing) {
+        co_return;
+    }
+    m_releasing = true;
+    ++m_version;
+    const std::size_t first = m_engines.size() - engine_count;
+    for (std::size_t i = first; i < first + engine_count; ++i) {
+        const std::string zone = m_engines[i]->availability_zone;
+        add_engine(zone);
+        co_await wait(release_interval / 2);
+        write_entry(*m_engines[i], "draining");
+        co_await wait(release_interval / 2);
+    }
+    co_await wait(drain_time);
+    for (std::size_t i = first; i < first + engine_count; ++i) {
+        m_store.memory().erase(str_cat("servers/", m_engines[i]->id));
+    }
+    m_releasing = false;
+}
+
+void soak_fleet::replace_engines() {
+    const std::size_t first = m_engines.size() - engine_count;
+    for (std::size_t i = first; i < first + engine_count; ++i) {
+        m_store.memory().erase(str_cat("servers/", m_engines[i]->id));
+        const std::string zone = m_engines[i]->availability_zone;
+        add_engine(zone);
+    }
+}
+
+net::task<> soak_fleet::restart(daemon_process& daemon) {
+    m_down.push_back(&daemon);
+    mark_disturbed(daemon);
+    daemon.signal(SIGTERM);
+    const time_point end = steady_clock()() + stop_grace;
+    while (daemon.is_running() && steady_clock()() < end) {
+        co_await wait(poll_interval);
+    }
+    daemon.kill();
+    co_await wait(milliseconds(300));
+    std::erase(m_down, &daemon);
+    mark_disturbed(daemon);
+    daemon.start(false);
+}
+
+net::task<> soak_fleet::kill_all(std::vector<daemon_process*> daemons, duration pause) {
+    for (daemon_process* each : daemons) {
+        m_down.push_back(each);
+        mark_disturbed(*each);
+        each->kill();
+    }
+    co_await wait(pause);
+    for (daemon_process* each : daemons) {
+        std::erase(m_down, each);
+        mark_disturbed(*each);
+        each->start(false);
+    }
+}
+
+net::task<> soak_fleet::freeze(daemon_process& daemon, duration pause) {
+    mark_disturbed(daemon);
+    daemon.signal(SIGSTOP);
+    co_await wait(pause);
+    daemon.signal(SIGCONT);
+    mark_disturbed(daemon);
+}
+
+net::task<> soak_fleet::disturb_store(store_state state, duration time) {
+    m_store.set_state(state);
+    co_await wait(time);
+    m_store.set_state(store_state::sound);
+}
+
+int soak_fleet::restart_ended() {
+    int ended = 0;
+    for (const auto& each : m_daemons) {
+        const bool is_down = std::find(m_down.begin(), m_down.end(), each.get()) != m_down.end();
+        if (!is_down && !each->is_running()) {
+            ++ended;
+            each->start(false);
+        }
+    }
+    return ended;
+}
+
+} // namespace eelgrassdoor::test
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -60,6 +60,10 @@
     ++m_commits;
     for (const kv_write& each : change.writes) {
         m_items[each.key] = {each.key, each.value, m_revision};
+        // A key belongs to the lease of its latest write only.
+        for (auto& [lease, keys] : m_leases) {
+            keys.erase(each.key);
+        }
         if (each.lease != 0) {
             m_leases[each.lease].insert(each.key);
         }
