Malformed versions in the store tell nothing about earlier ones

A daemon that starts and finds malformed text under the key of the versions in service took it for "no versions before", and would let an unknown stream go on at the only version that it sees. It now waits as long as a stream may last, as where an older build has written none.

Evidence: service_versions, with "{" in the store, failed before ("where no valid versions were stored, earlier ones are not known") and passes now.

--- a/src/fleet/service_versions.cpp
+++ b/src/fleet/service_versions.cpp
@@ -81,11 +81,10 @@
                     {{"reason", item.error().message}});
         co_return;
     }
-    m_knows_earlier = m_first_start || item.value().has_value();
-    adopt(item.value());
+    m_knows_earlier = adopt(item.value()) || m_first_start;
 }
 
-void service_versions::adopt(const std::optional<store::kv_item>& item) {
+bool service_versions::adopt(const std::optional<store::kv_item>& item) {
     std::optional<routing::versions_by_service> versions;
     if (item && item->revision != 0) {
         versions = versions_from_json(item->value);
@@ -100,6 +99,7 @@
     m_log.write(
         observe::event::service_versions_read, service_versions_key,
         {{"versions", describe(*m_stored)}, {"revision", std::to_string(m_stored_revision)}});
+    return versions.has_value();
 }
 
 net::task<> service_versions::write(routing::versions_by_service versions) {
@@ -119,7 +119,7 @@
         m_stored = std::move(versions);
         m_stored_revision = committed->revision;
     } else if (const auto* conflict = std::get_if<store::kv_conflict>(&outcome.value())) {
-        adopt(conflict->current.front());
+        (void)adopt(conflict->current.front());
     }
 }
 
--- a/src/fleet/service_versions.hpp
+++ b/src/fleet/service_versions.hpp
@@ -43,15 +43,15 @@
     void set_targets(std::span<const routing::fleet_target> targets);
     /// The versions of \p service that may have begun a stream. Returns nothing while this is not
     /// known: before the versions have been read, or for as long as a stream may last after the
-    /// start if an older build has not written them.
+    /// start if an older build has written none or they are malformed.
     [[nodiscard]] std::optional<routing::version_set> candidates(std::string_view service) const;
 
 private:
     net::task<> run();
     net::task<> read();
     net::task<> write(routing::versions_by_service versions);
-    /// Takes over what the key-value service holds.
-    void adopt(const std::optional<store::kv_item>& item);
+    /// Takes over what the key-value service holds. Returns false when there are no valid versions.
+    bool adopt(const std::optional<store::kv_item>& item);
 
     net::asio::any_io_executor m_executor;
     store::kv_store& m_store;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -33,6 +33,7 @@
 /// Responses of targets may take one part in this many of the memory. Growing buffers and copies on
 /// the way to the caller take up to four times as much for a while.
 constexpr std::size_t memory_per_responses = 8;
+
 std::vector<std::string> mirrored_prefixes(const platform_interface& adapter, bool runs_jobs) {
     std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
                                       std::string(fleet::member_prefix)};
--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -119,14 +119,17 @@
     require(restarted.candidates("s") == version_set{"v2"}, "only one version is left");
 }
 
-void check_nothing_stored() {
+void check_nothing_stored(const std::optional<std::string>& malformed) {
     auto& f = *new version_fleet;
+    if (malformed) {
+        f.memory.put(std::string(fleet::service_versions_key), *malformed);
+    }
     const std::vector<routing::fleet_target> targets{target("b", "v2", false)};
     fleet::service_versions& daemon = f.add(false);
     daemon.set_targets(targets);
-    f.run_until("the versions are stored", [&] { return !f.stored().empty(); });
+    f.run_until("the versions are stored", [&] { return f.stored() == R"({"s":["v2"]})"; });
     require(!daemon.candidates("s"),
-            "where an older build has stored no versions, earlier ones are not known");
+            "where no valid versions were stored, earlier ones are not known");
     f.now += memory;
     require(daemon.candidates("s") == version_set{"v2"},
             "after the memory, the daemon knows by itself");
@@ -138,7 +141,8 @@
     check_history();
     check_text();
     check_restart();
-    check_nothing_stored();
+    check_nothing_stored(std::nullopt);
+    check_nothing_stored("{");
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
