--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -73,7 +73,8 @@
                 .versions = m_service_versions,
                 .codec = adapter.codec,
                 .response_memory = m_response_memory,
-                .plan = nullptr},
+                .plan = nullptr,
+                .is_partitioned = m_settings.is_partitioned},
       m_repository(adapter.store, m_clock, log),
       m_runner(
           m_settings.runs_jobs
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -43,8 +43,8 @@
     std::size_t max_memory_bytes = 256UL * 1024 * 1024;
     /// Limit of open file descriptors; it bounds the number of callers' connections.
     std::size_t max_descriptors = 4096;
-    /// Whether calls to and datagrams from a peer endpoint are dropped; simulates network
-    /// partitions in tests. May be empty.
+    /// Whether calls to and datagrams from a peer endpoint, and connections to a target's endpoint,
+    /// are dropped; simulates network partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned;
 };
 
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -2,7 +2,7 @@
 
 #include "base/digest.hpp"
 #include "base/text.hpp"
-#include "net/http_client.hpp"
+#include "serving/target_connection.hpp"
 
 namespace eelgrassdoor::serving {
 
@@ -53,8 +53,8 @@
 
 net::task<> run_check(service_context& context, routing::fleet_target target,
                       crash_suspects suspects) {
-    const auto connection = co_await net::http_client::connect(context.executor, target.endpoint,
-                                                               context.clock() + check_timeout);
+    const auto connection =
+        co_await connect_to_target(context, target.endpoint, context.clock() + check_timeout);
     if (connection) {
         connection.value()->close();
         co_return;
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -16,6 +16,9 @@
 #include "routing/service_times.hpp"
 #include "serving/protocol_codec.hpp"
 
+#include <functional>
+#include <string_view>
+
 namespace eelgrassdoor::serving {
 
 /// The daemon's shared objects, which the context refers to and which must outlive it. Used only on
@@ -42,6 +45,9 @@
     config::serving_plan_ptr plan;
     /// Mean service times of online requests, by route.
     routing::service_times service_times;
+    /// Whether connections to a target's endpoint (`IP:PORT`) fail at once; simulates network
+    /// partitions in tests. May be empty.
+    std::function<bool(std::string_view)> is_partitioned;
 };
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -2,8 +2,8 @@
 
 #include "base/digest.hpp"
 #include "base/text.hpp"
-#include "net/http_client.hpp"
 #include "serving/stall_detector.hpp"
+#include "serving/target_connection.hpp"
 
 #include <algorithm>
 
@@ -88,7 +88,7 @@
                                                          time_point response_deadline) {
     const time_point connect_by = std::min(response_deadline, m_context.clock() + connect_timeout);
     result<std::shared_ptr<net::tcp_connection>> connection =
-        co_await net::http_client::connect(m_context.executor, target().endpoint, connect_by);
+        co_await connect_to_target(m_context, target().endpoint, connect_by);
     if (!connection) {
         co_return connection.error();
     }
