Relay the requests of a host that reaches no target

Cause: a host knew one way to a target, its own connection. The class of fault is a decision that only one host can carry out, although its state allows any host to.

Three targets that are unreachable in a row, with none reached in between, are a partition. While it lasts, the request goes to the peer port of another daemon with the target in a header; that daemon connects, passes the request on and the response back as it arrives, in chunks, so that a response that breaks off there or at the relay never looks complete. All decisions (version, rate, permits, retries, load) stay at the host that has the caller. One request in 500 ms tries its target directly and so finds the end of the partition. Members say in their records whether they relay; older builds are not asked. A daemon that shuts down takes no new relayed request and ends those it has.

Weighed: to pass the caller's request to another host whole (two admissions of one request: rates, keys and versions would be decided twice), and a tunnel of bytes (the death of the relay would look like the regular end of a response without a length). To report not ready only helps new connections, and not when most hosts of a zone are cut off.

--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -4,25 +4,6 @@
 
 namespace eelgrassdoor::entry {
 
-namespace {
-
-/// Copies status and end-to-end headers of a target's response. Content-Length is left out, as the
-/// body is framed anew.
-net::http_response make_forwarded_response(const net::http_response& response) {
-    net::http_response out;
-    out.status = response.status;
-    const std::string_view connection = response.headers.get("Connection");
-    for (const net::http_header& field : response.headers.all()) {
-        if (!net::is_hop_by_hop(field.name, connection) &&
-            !equals_ignore_case(field.name, "Content-Length")) {
-            out.headers.add(field.name, field.value);
-        }
-    }
-    return out;
-}
-
-} // namespace
-
 net::task<online_proxy::attempt_outcome> online_proxy::relay(running_request& run,
                                                              target_response response) {
     if (response.not_run) {
@@ -64,7 +45,7 @@
         co_return co_await handle_target_failure(run, std::move(read_error));
     }
     record_served(m_context, run.suspects);
-    net::http_response out = make_forwarded_response(run.active_exchange->response());
+    net::http_response out = net::make_forwarded_head(run.active_exchange->response());
     out.body = std::move(run.active_exchange->response().body);
     const net::memory_reservation body_memory = run.active_exchange->take_memory();
     run.active_exchange.reset();
@@ -92,7 +73,7 @@
         run.headers_sent = true;
         record_version(run);
         run.time_to_first_event = m_context.clock() - run.caller_exchange.received_at();
-        net::http_response head = make_forwarded_response(run.active_exchange->response());
+        net::http_response head = net::make_forwarded_head(run.active_exchange->response());
         const bool sent = co_await run.caller_exchange.begin(std::move(head));
         if (!sent) {
             co_return false;
@@ -149,7 +130,7 @@
                         run_state::ran};
         co_return co_await handle_failure(run, std::move(truncated));
     }
-    const net::http_response head = make_forwarded_response(run.active_exchange->response());
+    const net::http_response head = net::make_forwarded_head(run.active_exchange->response());
     run.active_exchange.reset();
     if (!run.headers_sent) {
         co_await run.caller_exchange.begin(head);
--- a/src/fleet/member.cpp
+++ b/src/fleet/member.cpp
@@ -19,6 +19,7 @@
                           {"tokens", record.holds_tokens},
                           {"permits", record.issues_permits},
                           {"stream_versions", record.keeps_stream_versions},
+                          {"relays", record.relays_requests},
                           {"jobs", record.runs_jobs}}
         .dump();
 }
@@ -34,6 +35,7 @@
                       .holds_tokens = json.value("tokens", false),
                       .issues_permits = json.value("permits", false),
                       .keeps_stream_versions = json.value("stream_versions", false),
+                      .relays_requests = json.value("relays", false),
                       .runs_jobs = json.at("jobs")};
     } catch (const nlohmann::json::exception&) {
         return std::nullopt;
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -28,6 +28,9 @@
     /// Whether the daemon can keep the versions that began streams for others; builds before this
     /// field discard the datagrams.
     bool keeps_stream_versions = false;
+    /// Whether the daemon sends requests to targets for daemons that reach none; builds before this
+    /// field answer such calls with 404.
+    bool relays_requests = false;
     /// Whether the daemon may own and run batch jobs.
     bool runs_jobs = false;
 
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -81,6 +81,8 @@
 
     /// Replaces the set of registered daemons with the mirrored registrations.
     void set_members(const std::vector<member>& members);
+    /// The name of this host.
+    [[nodiscard]] const std::string& self() const { return m_options.self.host; }
     /// The registered daemons; only these may own jobs.
     [[nodiscard]] const member_map& members() const { return m_directory.registered(); }
     /// The registered daemons and those whose registration has lapsed recently.
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -94,7 +94,8 @@
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
       m_frontend(m_context, m_job_frontend, make_request_gate()),
       m_evacuation(m_context.executor, m_settings.host, adapter, log),
-      m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend),
+      m_relay(m_context, make_request_gate().accepts_requests),
+      m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend, m_relay),
       m_servers(m_context.executor, m_settings, make_handlers()),
       m_schedule(m_settings.shutdown_grace) {}
 
@@ -119,6 +120,7 @@
             .holds_tokens = m_settings.serves_callers,
             .issues_permits = true,
             .keeps_stream_versions = true,
+            .relays_requests = true,
             .runs_jobs = m_settings.runs_jobs};
 }
 
@@ -311,6 +313,7 @@
     std::vector<routing::fleet_target> targets = m_target_discovery.update(
         m_mirror.items(m_adapter.target_prefix), m_store_reachability.connectivity(), m_clock());
     m_service_versions.set_targets(targets);
+    m_context.reachability.set_target_count(targets.size());
     m_loads.set_targets(std::move(targets));
 }
 
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -111,6 +111,7 @@
     entry::job_frontend m_job_frontend;
     entry::frontend m_frontend;
     evacuation m_evacuation;
+    serving::target_relay m_relay;
     peer_api m_peer_api;
     daemon_servers m_servers;
     /// Revision of the last configuration that was decoded, valid or not.
--- a/src/host/fleet_daemon_metrics.cpp
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -13,6 +13,7 @@
     m_metrics.gauge("rate_limit_customers_held", static_cast<double>(m_messenger.held_customers()));
     m_metrics.gauge("evacuated_zones", static_cast<double>(m_loads.evacuated_zones().size()));
     m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
+    m_metrics.gauge("targets_unreachable", m_context.reachability.is_partitioned() ? 1 : 0);
     m_metrics.gauge("limited_targets", static_cast<double>(m_loads.limited_count()));
     m_metrics.gauge("quarantined_segments",
                     static_cast<double>(m_quarantine.quarantined_count(m_clock())));
--- a/src/host/fleet_daemon_shutdown.cpp
+++ b/src/host/fleet_daemon_shutdown.cpp
@@ -49,7 +49,7 @@
 bool fleet_daemon::is_drained() {
     net::http_server* const callers = m_servers.caller();
     const bool callers_served = callers == nullptr || callers->connections() == 0;
-    return callers_served && (!m_runner || m_runner->is_drained());
+    return callers_served && m_relay.active() == 0 && (!m_runner || m_runner->is_drained());
 }
 
 net::task<> fleet_daemon::shutdown() {
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -14,13 +14,16 @@
 } // namespace
 
 peer_api::peer_api(serving::service_context& context, store::mirror& mirrors,
-                   jobs::job_runner* runner, entry::job_frontend& job_frontend)
-    : m_mirror(mirrors), m_runner(runner), m_job_frontend(job_frontend), m_puller(context, mirrors),
-      m_snapshots(mirrors), m_transfers(max_transfer_bytes) {}
+                   jobs::job_runner* runner, entry::job_frontend& job_frontend,
+                   serving::target_relay& relay)
+    : m_mirror(mirrors), m_runner(runner), m_job_frontend(job_frontend), m_relay(relay),
+      m_puller(context, mirrors), m_snapshots(mirrors), m_transfers(max_transfer_bytes) {}
 
 net::task<> peer_api::handle(net::server_exchange& exchange) {
     const std::string_view path = exchange.request().path();
-    if (path == mirror_path) {
+    if (serving::is_relay_call(exchange.request())) {
+        co_await m_relay.handle(exchange);
+    } else if (path == mirror_path) {
         co_await handle_mirror(exchange);
     } else if (path == jobs::job_call_path && m_runner != nullptr) {
         co_await handle_job_call(exchange, false);
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Defines the API between daemons: snapshots of mirrors and calls about jobs.
+/// Defines the API between daemons: snapshots of mirrors, calls about jobs and relayed requests.
 #pragma once
 
 #include "entry/job_frontend.hpp"
@@ -8,6 +8,7 @@
 #include "host/snapshot_puller.hpp"
 #include "jobs/job_runner.hpp"
 #include "net/http_server.hpp"
+#include "serving/target_relay.hpp"
 #include "store/mirror.hpp"
 
 namespace eelgrassdoor::host {
@@ -18,10 +19,11 @@
 public:
     /// \p runner is null on daemons that run no jobs. All references must outlive this object.
     peer_api(serving::service_context& context, store::mirror& mirrors, jobs::job_runner* runner,
-             entry::job_frontend& job_frontend);
+             entry::job_frontend& job_frontend, serving::target_relay& relay);
 
-    /// Handles one request of another daemon. Responds with status 404 to an unknown path, and to a
-    /// job call when this daemon runs no jobs, and with 400 to a malformed job call.
+    /// Handles one request of another daemon, which it may have to relay to a target. Responds with
+    /// status 404 to an unknown path, and to a job call when this daemon runs no jobs, and with 400
+    /// to a malformed job call.
     net::task<> handle(net::server_exchange& exchange);
 
     /// Fetches a newer revision of a prefix; see snapshot_puller::pull().
@@ -37,6 +39,7 @@
     store::mirror& m_mirror;
     jobs::job_runner* m_runner;
     entry::job_frontend& m_job_frontend;
+    serving::target_relay& m_relay;
     snapshot_puller m_puller;
     snapshot_cache m_snapshots;
     fleet::transfer_limit m_transfers;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -111,6 +111,19 @@
     return false;
 }
 
+http_response make_forwarded_head(const http_response& response) {
+    http_response out;
+    out.status = response.status;
+    const std::string_view connection = response.headers.get("Connection");
+    for (const http_header& field : response.headers.all()) {
+        if (!is_hop_by_hop(field.name, connection) &&
+            !equals_ignore_case(field.name, "Content-Length")) {
+            out.headers.add(field.name, field.value);
+        }
+    }
+    return out;
+}
+
 std::string percent_encode(std::string_view text) {
     constexpr std::string_view digits = "0123456789ABCDEF";
     std::string out;
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -66,6 +66,10 @@
 /// value of the message's Connection field, which may name further hop-by-hop fields.
 bool is_hop_by_hop(std::string_view name, std::string_view connection_value);
 
+/// Copies status and end-to-end headers of a response that is forwarded. Content-Length is left
+/// out, as the body is framed anew.
+http_response make_forwarded_head(const http_response& response);
+
 /// Percent-encodes \p text for use as a query value. Slashes are kept.
 std::string percent_encode(std::string_view text);
 
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -130,6 +130,10 @@
     /// Records that a target instance has announced its shutdown: it gets no more requests,
     /// whatever the target list says. Returns whether this was not known before.
     bool mark_leaving(const target_instance& instance);
+    /// Whether a target instance, listed or not, has announced its shutdown.
+    [[nodiscard]] bool is_leaving(const target_instance& instance) const {
+        return m_leaving.contains(instance);
+    }
     /// The listed targets that announced their shutdown, for propagation to other daemons.
     [[nodiscard]] std::vector<target_instance> leaving() const;
     /// This daemon's requests at all targets, for propagation to other daemons. Targets without
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -53,8 +53,9 @@
 
 net::task<> run_check(service_context& context, routing::fleet_target target,
                       crash_suspects suspects) {
+    const time_point check_by = context.clock() + check_timeout;
     const auto connection =
-        co_await connect_to_target(context, target.endpoint, context.clock() + check_timeout);
+        co_await connect_to_target(context, target.id, target.endpoint, check_by);
     if (connection) {
         connection.value()->close();
         co_return;
--- /dev/null
+++ b/src/serving/relay_call.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// Defines the call by which a daemon has another one send a request to a target.
+#pragma once
+
+#include "net/http_message.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace eelgrassdoor::serving {
+
+/// Where a relayed request goes. Travels in headers of the request, which is otherwise sent as the
+/// target is to receive it.
+struct relay_order {
+    /// `IP:PORT` of the target.
+    std::string endpoint;
+    std::string target;
+    /// Start time of the target in Unix milliseconds.
+    std::uint64_t started_at = 0;
+    /// Id of the request, which the target's response names.
+    std::string request;
+};
+
+/// Why a daemon has not sent a request to its target.
+enum class relay_refusal {
+    /// It reaches no target itself.
+    partitioned,
+    /// It reaches other targets, but not this one.
+    unreachable,
+    /// The target has announced to it that it shuts down.
+    target_leaving,
+    /// It is shutting down.
+    stopping,
+};
+
+/// Whether \p request is to be relayed.
+bool is_relay_call(const net::http_request& request);
+/// Adds \p order to \p request.
+void add_relay_order(net::http_request& request, const relay_order& order);
+/// Removes the order from \p request and returns it; nothing when it is malformed.
+std::optional<relay_order> take_relay_order(net::http_request& request);
+
+/// The response that tells that the request was not sent.
+net::http_response make_refusal(relay_refusal reason);
+/// The reason if \p response is such a one, as opposed to one of the target. A reason that this
+/// build does not know counts as relay_refusal::unreachable.
+std::optional<relay_refusal> refusal_of(const net::http_response& response);
+/// Removes from a target's response what would make it look like a refusal.
+void remove_refusal(net::http_response& response);
+
+} // namespace eelgrassdoor::serving
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -14,7 +14,9 @@
 #include "routing/fleet_load.hpp"
 #include "routing/prompt_quarantine.hpp"
 #include "routing/service_times.hpp"
+#include "routing/target_reachability.hpp"
 #include "serving/protocol_codec.hpp"
+#include "serving/relay_hosts.hpp"
 
 #include <functional>
 #include <string_view>
@@ -45,6 +47,10 @@
     config::serving_plan_ptr plan;
     /// Mean service times of online requests, by route.
     routing::service_times service_times;
+    /// Whether this host reaches targets.
+    routing::target_reachability reachability;
+    /// The daemons that relay requests while it does not.
+    relay_hosts relays;
     /// Whether connections to a target's endpoint (`IP:PORT`) fail at once; simulates network
     /// partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned;
--- a/src/serving/target_connection.hpp
+++ b/src/serving/target_connection.hpp
@@ -1,18 +1,42 @@
 /// \file
-/// Defines how connections to targets are opened.
+/// Defines what an attempt at a target and a relayed one have in common.
 #pragma once
 
-#include "net/http_client.hpp"
+#include "net/http_exchange.hpp"
+#include "routing/target_instance.hpp"
 #include "serving/service_context.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace eelgrassdoor::serving {
 
-/// Connects to the target at \p endpoint (`IP:PORT`) until \p deadline. Fails like
-/// net::http_client::connect(), always with run_state::not_run.
-net::task<result<std::shared_ptr<net::tcp_connection>>>
-connect_to_target(service_context& context, std::string endpoint, time_point deadline);
+/// Timeout for connecting to a target or to a daemon that relays. A round trip between zones takes
+/// a few milliseconds, and the kernel accepts connections even when the target is busy, so only a
+/// target that vanished without a reset exceeds it. Two such timeouts leave half of the shortest
+/// latency objective.
+inline constexpr duration target_connect_timeout = milliseconds(75);
+/// Size limits of a response, which may be held in memory as a whole.
+inline constexpr net::parse_limits target_response_limits{.max_header_bytes = 32 * 1024,
+                                                          .max_body_bytes = 16ULL * 1024 * 1024};
+
+/// Connects to \p target at \p endpoint (`IP:PORT`) until \p deadline, and records whether this
+/// host reaches targets. Fails like net::http_client::connect(), always with run_state::not_run.
+net::task<result<std::shared_ptr<net::tcp_connection>>> connect_to_target(service_context& context,
+                                                                          std::string target,
+                                                                          std::string endpoint,
+                                                                          time_point deadline);
+
+/// Reads the heads of responses until that of the response to \p request_id arrives; a few
+/// responses to other requests are skipped. Calls \p on_head with each.
+net::task<result<target_response>>
+read_matching_head(const protocol_codec& codec, net::http_exchange& exchange,
+                   std::string request_id, std::function<void(const target_response&)> on_head);
+
+/// Records that a target is shutting down, so that no daemon sends it further requests.
+void mark_leaving(service_context& context, std::string_view target,
+                  const routing::target_instance& instance);
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "base/text.hpp"
+#include "net/http_client.hpp"
 #include "serving/stall_detector.hpp"
 #include "serving/target_connection.hpp"
 
@@ -11,15 +12,11 @@
 
 namespace {
 
-/// Timeout for connecting to a target. A round trip between zones takes a few milliseconds, and
-/// the kernel accepts connections even when the target is busy, so only a target that vanished
-/// without a reset exceeds it. Two such timeouts leave half of the shortest latency objective.
-constexpr duration connect_timeout = milliseconds(75);
-/// Limit of responses to other requests that are skipped while waiting for the matching one.
-constexpr int max_unrelated_responses = 3;
-/// Size limits of a response, which may be held in memory as a whole.
-constexpr net::parse_limits response_limits{.max_header_bytes = 32 * 1024,
-                                            .max_body_bytes = 16ULL * 1024 * 1024};
+/// Number of daemons that are asked to relay one request.
+constexpr std::size_t max_relays = 3;
+/// A daemon that was not heard for this long is not asked. Twice the interval at which unchanged
+/// digests are repeated.
+constexpr duration relay_silence_timeout = milliseconds(1000);
 
 } // namespace
 
@@ -55,13 +52,13 @@
     }
 }
 
-void target_exchange::mark_target_leaving() {
-    const bool changed =
-        m_context.loads.mark_leaving({stable_hash(target().id), target().started_at});
-    if (changed) {
-        m_context.log.write(observe::event::target_leaving, target().id,
-                            {{"started_at", std::to_string(target().started_at)}});
-        m_context.messenger.schedule_digest();
+routing::target_instance target_exchange::instance() const {
+    return {stable_hash(target().id), target().started_at};
+}
+
+void target_exchange::record_head(const target_response& response) {
+    if (response.target_is_leaving) {
+        mark_leaving(m_context, target().id, instance());
     }
 }
 
@@ -72,8 +69,7 @@
         return;
     }
     const bool changed = m_context.loads.request_limits().record_response(
-        {stable_hash(target().id), target().started_at}, response.request_limit, m_sent_at,
-        m_context.clock());
+        instance(), response.request_limit, m_sent_at, m_context.clock());
     if (changed) {
         const std::string limit =
             response.request_limit ? str_cat(*response.request_limit) : std::string("none");
@@ -83,47 +79,129 @@
     }
 }
 
-net::task<result<target_response>> target_exchange::open(net::http_request request,
-                                                         std::string request_id,
-                                                         time_point response_deadline) {
-    const time_point connect_by = std::min(response_deadline, m_context.clock() + connect_timeout);
-    result<std::shared_ptr<net::tcp_connection>> connection =
-        co_await connect_to_target(m_context, target().endpoint, connect_by);
-    if (!connection) {
-        co_return connection.error();
-    }
-    m_connection = std::move(connection.value());
+result<void> target_exchange::use(std::shared_ptr<net::tcp_connection> connection,
+                                  time_point response_deadline) {
+    m_connection = std::move(connection);
     if (m_closed) {
         m_connection->close();
-        co_return error{error_code::target_failed, "the exchange was closed", run_state::not_run};
+        return error{error_code::target_failed, "the exchange was closed", run_state::not_run};
     }
     m_connection->set_deadline(response_deadline);
-    m_exchange = std::make_unique<net::http_exchange>(m_connection, response_limits,
+    return success();
+}
+
+void target_exchange::send(const net::http_request& request) {
+    m_exchange = std::make_unique<net::http_exchange>(m_connection, target_response_limits,
                                                       &m_context.response_memory);
     m_exchange->send(request);
     m_sent_at = m_context.clock();
-    const stall_detector detector(m_context, target().id);
-    for (int unrelated = 0; unrelated <= max_unrelated_responses; ++unrelated) {
-        const result<void> head = co_await m_exchange->read_head();
-        if (!head) {
-            co_return head.error();
+}
+
+net::task<result<void>> target_exchange::connect(time_point response_deadline) {
+    const time_point connect_by =
+        std::min(response_deadline, m_context.clock() + target_connect_timeout);
+    result<std::shared_ptr<net::tcp_connection>> connection =
+        co_await connect_to_target(m_context, target().id, target().endpoint, connect_by);
+    if (!connection) {
+        co_return connection.error();
+    }
+    co_return use(std::move(connection.value()), response_deadline);
+}
+
+net::task<result<target_response>> target_exchange::open(net::http_request request,
+                                                         std::string request_id,
+                                                         time_point response_deadline) {
+    if (m_context.reachability.should_connect_directly(m_context.clock())) {
+        const result<void> connected = co_await connect(response_deadline);
+        if (connected) {
+            co_return co_await call_target(std::move(request), std::move(request_id));
         }
-        target_response response = m_context.codec.decode_response(m_exchange->response());
-        if (response.target_is_leaving) {
-            mark_target_leaving();
+        if (m_closed || !m_context.reachability.is_partitioned()) {
+            co_return connected.error();
         }
-        const bool refusal_without_id = response.request_id.empty() && response.not_run;
-        if (response.request_id == request_id || refusal_without_id) {
-            record_limit(response);
-            co_return response;
+    }
+    co_return co_await call_through_relay(std::move(request), std::move(request_id),
+                                          response_deadline);
+}
+
+net::task<result<target_response>> target_exchange::call_target(net::http_request request,
+                                                                std::string request_id) {
+    send(request);
+    const stall_detector detector(m_context, target().id);
+    const auto on_head = [this](const target_response& head) { record_head(head); };
+    const result<target_response> response =
+        co_await read_matching_head(m_context.codec, *m_exchange, std::move(request_id), on_head);
+    if (response) {
+        record_limit(response.value());
+    }
+    co_return response;
+}
+
+net::task<result<target_response>>
+target_exchange::call_through_relay(net::http_request request, std::string request_id,
+                                    time_point response_deadline) {
+    add_relay_order(request, {.endpoint = target().endpoint,
+                              .target = target().id,
+                              .started_at = target().started_at,
+                              .request = request_id});
+    const auto is_heard = [this](std::string_view host) {
+        return m_context.messenger.heard_within(host, relay_silence_timeout);
+    };
+    const std::vector<fleet::member> relays =
+        m_context.relays.order(m_context.messenger.active_members(), m_context.messenger.self(),
+                               is_heard, m_context.clock(), m_context.random);
+    error failure{error_code::target_failed, "no daemon that can relay the request was heard",
+                  run_state::not_run};
+    for (std::size_t i = 0; i < std::min(relays.size(), max_relays); ++i) {
+        m_context.log.write(observe::event::request_relayed, request_id,
+                            {{"target", target().id}, {"through", relays[i].host}});
+        const result<relay_outcome> outcome =
+            co_await call_relay(relays[i], request, response_deadline);
+        if (outcome && !outcome.value().refusal) {
+            record_head(outcome.value().response);
+            record_limit(outcome.value().response);
+            co_return outcome.value().response;
         }
-        const result<void> skipped = co_await m_exchange->read_all();
-        if (!skipped) {
-            co_return skipped.error();
+        failure = outcome ? error{error_code::target_failed,
+                                  str_cat(relays[i].host, " cannot relay the request"),
+                                  run_state::not_run}
+                          : outcome.error();
+        const bool is_final = outcome && outcome.value().refusal != relay_refusal::partitioned &&
+                              outcome.value().refusal != relay_refusal::stopping;
+        if (m_closed || failure.run != run_state::not_run || is_final) {
+            break;
         }
+        m_context.relays.avoid(relays[i].host, m_context.clock());
+    }
+    co_return failure;
+}
+
+net::task<result<target_exchange::relay_outcome>>
+target_exchange::call_relay(fleet::member relay, net::http_request request,
+                            time_point response_deadline) {
+    const time_point connect_by =
+        std::min(response_deadline, m_context.clock() + target_connect_timeout);
+    auto connection =
+        co_await net::http_client::connect(m_context.executor, relay.endpoint, connect_by);
+    if (!connection) {
+        co_return connection.error();
+    }
+    const result<void> used = use(std::move(connection.value()), response_deadline);
+    if (!used) {
+        co_return used.error();
+    }
+    m_context.metrics.count("relayed_requests_total");
+    send(request);
+    const stall_detector detector(m_context, target().id);
+    const result<void> head = co_await m_exchange->read_head();
+    if (!head) {
+        co_return head.error();
+    }
+    relay_outcome outcome{.refusal = refusal_of(m_exchange->response()), .response = {}};
+    if (!outcome.refusal) {
+        outcome.response = m_context.codec.decode_response(m_exchange->response());
     }
-    co_return error{error_code::target_failed, "the target's responses belong to other requests",
-                    run_state::unknown};
+    co_return outcome;
 }
 
 net::task<result<bool>> target_exchange::read_body(time_point deadline) {
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -4,9 +4,11 @@
 
 #include "net/http_exchange.hpp"
 #include "routing/fleet_load.hpp"
+#include "serving/relay_call.hpp"
 #include "serving/service_context.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace eelgrassdoor::serving {
@@ -35,7 +37,8 @@
 
 /// Sends a request over a new connection and reads the response that belongs to it. A new
 /// connection costs a round trip, but no response to an earlier request can arrive on it, and a
-/// failure to open it proves that nothing was sent. Counts as load on the target for as long as it
+/// failure to open it proves that nothing was sent. While this host reaches no target, another
+/// daemon sends the request for it. Counts as load on the target for as long as it
 /// exists. Runs on the event loop's thread.
 class target_exchange {
 public:
@@ -64,8 +67,30 @@
     void close();
 
 private:
-    /// Records that the target is shutting down, so that no daemon sends it further requests.
-    void mark_target_leaving();
+    /// Connects to the target itself.
+    net::task<result<void>> connect(time_point response_deadline);
+    /// Takes over a new connection, unless the exchange was closed meanwhile.
+    result<void> use(std::shared_ptr<net::tcp_connection> connection, time_point response_deadline);
+    /// Starts to send \p request over the connection.
+    void send(const net::http_request& request);
+    /// Sends \p request to the target and reads the head of the response to \p request_id.
+    net::task<result<target_response>> call_target(net::http_request request,
+                                                   std::string request_id);
+    /// Has another daemon send \p request to the target, and reads the head of the response.
+    net::task<result<target_response>> call_through_relay(net::http_request request,
+                                                          std::string request_id,
+                                                          time_point response_deadline);
+    /// What a daemon that was asked to relay the request has answered.
+    struct relay_outcome {
+        std::optional<relay_refusal> refusal;
+        target_response response;
+    };
+    /// The same through one daemon.
+    net::task<result<relay_outcome>> call_relay(fleet::member relay, net::http_request request,
+                                                time_point response_deadline);
+    [[nodiscard]] routing::target_instance instance() const;
+    /// Takes over what the head of a response says about the target.
+    void record_head(const target_response& response);
     /// Records the request limit that \p response names, or that it names none.
     void record_limit(const target_response& response);
 
--- /dev/null
+++ b/src/serving/target_relay.cpp
@@ -0,0 +1,103 @@
+#include "serving/target_relay.hpp"
+
+#include "base/digest.hpp"
+#include "net/http_exchange.hpp"
+#include "serving/target_connection.hpp"
+
+#include <absl/cleanup/cleanup.h>
+
+#include <utility>
+
+namespace eelgrassdoor::serving {
+
+std::optional<relay_refusal> target_relay::refusal_for(const relay_order& order) {
+    if (!m_accepts_requests()) {
+        return relay_refusal::stopping;
+    }
+    if (m_context.loads.is_leaving({stable_hash(order.target), order.started_at})) {
+        return relay_refusal::target_leaving;
+    }
+    if (!m_context.reachability.should_connect_directly(m_context.clock())) {
+        return relay_refusal::partitioned;
+    }
+    return std::nullopt;
+}
+
+net::task<> target_relay::handle(net::server_exchange& exchange) {
+    std::optional<relay_order> order = take_relay_order(exchange.request());
+    if (!order) {
+        net::http_response malformed;
+        malformed.status = 400;
+        co_await exchange.respond(std::move(malformed));
+        co_return;
+    }
+    if (const std::optional<relay_refusal> reason = refusal_for(*order)) {
+        net::http_response refusal = make_refusal(*reason);
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    ++m_active;
+    const absl::Cleanup end = [this] { --m_active; };
+    co_await relay(exchange, std::move(*order));
+}
+
+net::task<> target_relay::relay(net::server_exchange& exchange, relay_order order) {
+    const time_point connect_by = m_context.clock() + target_connect_timeout;
+    const auto connected =
+        co_await connect_to_target(m_context, order.target, order.endpoint, connect_by);
+    if (!connected) {
+        const bool partitioned = m_context.reachability.is_partitioned();
+        net::http_response refusal =
+            make_refusal(partitioned ? relay_refusal::partitioned : relay_refusal::unreachable);
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    const std::shared_ptr<net::tcp_connection> connection = connected.value();
+    // The daemon that ordered the request closes its connection at the deadline.
+    connection->set_deadline(time_point::max());
+    exchange.on_client_disconnect([connection] { connection->close(); });
+    m_context.metrics.count("relay_requests_total");
+    net::http_exchange call(connection, target_response_limits, &m_context.response_memory);
+    call.send(exchange.request());
+    exchange.request().body.clear();
+    const routing::target_instance instance{stable_hash(order.target), order.started_at};
+    const auto on_head = [&](const target_response& response) {
+        if (response.target_is_leaving) {
+            mark_leaving(m_context, order.target, instance);
+        }
+    };
+    const result<target_response> response =
+        co_await read_matching_head(m_context.codec, call, order.request, on_head);
+    if (!response) {
+        exchange.abort();
+        co_return;
+    }
+    net::http_response head = net::make_forwarded_head(call.response());
+    remove_refusal(head);
+    const bool framed = call.response().framed;
+    bool is_open = co_await exchange.begin(std::move(head));
+    bool is_empty = true;
+    while (is_open) {
+        const result<bool> more = co_await call.read_body();
+        std::string bytes = std::exchange(call.response().body, {});
+        is_empty = is_empty && bytes.empty();
+        if (!bytes.empty()) {
+            is_open = co_await exchange.write(std::move(bytes));
+        }
+        // A close right after the head does not tell an empty response from one that broke off.
+        const bool broke_off = !more || (!more.value() && is_empty && !framed);
+        if (broke_off) {
+            exchange.abort();
+            co_return;
+        }
+        if (!more.value()) {
+            break;
+        }
+    }
+    if (is_open) {
+        co_await exchange.finish();
+    }
+    connection->close();
+}
+
+} // namespace eelgrassdoor::serving
--- /dev/null
+++ b/test/correctness/relay_calls.cpp
@@ -0,0 +1,81 @@
+/// \file
+/// Guards against relayed requests that reach their target changed, and against targets' responses
+/// that are taken for a refusal of the relaying daemon.
+#include "check.hpp"
+#include "serving/relay_call.hpp"
+#include "serving/relay_hosts.hpp"
+
+#include <string>
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::test;
+using namespace eelgrassdoor::serving;
+
+namespace {
+
+void check_orders() {
+    net::http_request request;
+    request.headers.set("Host", "h");
+    require(!is_relay_call(request), "an ordinary request is not to be relayed");
+    add_relay_order(request, {"127.0.0.1:1", "target \xff", 7, std::string(5000, 'r')});
+    require(is_relay_call(request), "a request with an order is");
+    const std::string order_name = request.headers.all()[1].name;
+    net::http_request received = request;
+    const auto order = take_relay_order(received);
+    require(order && order->endpoint == "127.0.0.1:1" && order->target == "target \xff" &&
+                order->started_at == 7 && order->request == std::string(5000, 'r'),
+            "the order arrives whole");
+    require(!is_relay_call(received) && received.headers.all().size() == 1,
+            "the target gets the request without the order");
+    for (const char* malformed : {"", "????", "AAAA", "////////////"}) {
+        net::http_request damaged = request;
+        damaged.headers.set(order_name, malformed);
+        require(!take_relay_order(damaged), "a malformed order is rejected");
+    }
+}
+
+void check_refusals() {
+    for (const relay_refusal each : {relay_refusal::partitioned, relay_refusal::unreachable,
+                                     relay_refusal::target_leaving, relay_refusal::stopping}) {
+        require(refusal_of(make_refusal(each)) == each, "a refusal keeps its reason");
+    }
+    net::http_response response = make_refusal(relay_refusal::stopping);
+    const std::string header = response.headers.all().front().name;
+    response.headers.set(header, "a reason of a later build");
+    require(refusal_of(response) == relay_refusal::unreachable, "an unknown reason is a refusal");
+    remove_refusal(response);
+    require(!refusal_of(response), "a target's response is no refusal");
+}
+
+void check_choice() {
+    random_source random(1);
+    fleet::member_map members;
+    for (const std::string host : {"a", "b", "c", "old", "self", "silent"}) {
+        members[host] = {.host = host, .relays_requests = host != "old"};
+    }
+    const auto is_heard = [](std::string_view host) { return host != "silent"; };
+    relay_hosts relays;
+    const time_point now{};
+    relays.avoid("b", now);
+    for (int i = 0; i < 20; ++i) {
+        const auto order = relays.order(members, "self", is_heard, now, random);
+        require(order.size() == 3 && order.back().host == "b",
+                "heard daemons that can relay are tried, the one that could not last");
+    }
+    bool is_first = false;
+    for (int i = 0; i < 50; ++i) {
+        const auto later =
+            relays.order(members, "self", is_heard, now + relay_hosts::avoidance_time, random);
+        is_first = is_first || later.front().host == "b";
+    }
+    require(is_first, "a daemon is avoided for a while only");
+}
+
+} // namespace
+
+int main() {
+    check_orders();
+    check_refusals();
+    check_choice();
+    return finish();
+}
--- a/test/platform/partition_from_targets.cpp
+++ b/test/platform/partition_from_targets.cpp
@@ -4,9 +4,9 @@
 #include "base/text.hpp"
 #include "platform/fixture/daemon_fixture.hpp"
 
-#include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -24,7 +24,8 @@
 public:
     partition_checks() {
         for (int i = 0; i < engines; ++i) {
-            m_targets.insert(m_fleet.add_engine(str_cat("i-", i)).endpoint());
+            m_engines.push_back(&m_fleet.add_engine(str_cat("i-", i)));
+            m_targets.insert(m_engines.back()->endpoint());
         }
         m_fleet.add_daemon("cut-off", true, false, [this](std::string_view endpoint) {
             return m_partitioned && m_targets.contains(std::string(endpoint));
@@ -43,6 +44,12 @@
         co_return co_await m_fleet.call(m_fleet.caller_endpoint(host), std::move(request));
     }
 
+    void set_actions(engine_action action) {
+        for (scripted_engine* engine : m_engines) {
+            engine->set_default_action(action);
+        }
+    }
+
     net::task<> wait_until_served(std::string host) {
         int status = 0;
         const time_point end = steady_clock()() + seconds(10);
@@ -83,11 +90,19 @@
             co_await check_served(host, path);
             co_await check_served(other, path);
         }
+        set_actions(engine_action::truncate);
+        const daemon_fixture::response cut_short = co_await call(host, "/o/x");
+        require(!cut_short.complete, "a response that breaks off at the target does so here");
+        set_actions(engine_action::fail);
+        const daemon_fixture::response failed = co_await call(host, "/o/x");
+        require(failed.complete && failed.status == 500, "a target's failure arrives as such");
+        set_actions(engine_action::serve);
         m_partitioned = false;
         co_await check_served(host, "/p/x");
     }
 
     daemon_fixture m_fleet;
+    std::vector<scripted_engine*> m_engines;
     std::set<std::string> m_targets;
     bool m_partitioned = false;
     int m_requests = 0;
