Hold no crash against a request while the host reaches no target

Callers saw: after a partition had reset a host's connections to its targets, requests that were in progress there were refused by the whole fleet for ten minutes, as requests that crash targets.

Cause: a target that closes a connection and then refuses others counts as crashed. A partition that resets connections looks the same for every target at once; two targets suffice against a whole request. The class is an observation of one host that is taken for a fact about the other side.

Before a crash is recorded, up to three other targets are tried. If none can be reached, the check is inconclusive (event 324). The request that does crash a target still counts, since other targets answer.

--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -80,6 +80,9 @@
                "This host reaches no target; its requests go through other hosts."},
     event_info{event::targets_reachable, "targets_reachable", info,
                "This host reaches targets again."},
+    event_info{event::crash_check_inconclusive, "crash_check_inconclusive", warning,
+               "A target closed a request's connection and refuses others, but this host reaches"
+               " no other target either; nothing is held against the request."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -47,6 +47,7 @@
     service_versions_failed = 321,
     targets_unreachable = 322,
     targets_reachable = 323,
+    crash_check_inconclusive = 324,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -76,6 +76,24 @@
     return found == m_targets.end() ? nullptr : &found->second.target;
 }
 
+std::vector<fleet_target> fleet_load::draw_others(std::string_view id, std::size_t count,
+                                                  random_source& random) const {
+    std::vector<const fleet_target*> others;
+    for (const auto& [each, state] : m_targets) {
+        if (each != id && !state.target.leaving) {
+            others.push_back(&state.target);
+        }
+    }
+    std::vector<fleet_target> out;
+    while (!others.empty() && out.size() < count) {
+        const auto drawn =
+            others.begin() + static_cast<std::ptrdiff_t>(random.below(others.size()));
+        out.push_back(**drawn);
+        others.erase(drawn);
+    }
+    return out;
+}
+
 bool fleet_load::mark_leaving(const target_instance& instance) {
     const bool is_new = m_leaving.add(instance);
     if (is_new) {
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -117,6 +117,10 @@
     /// The listed target with this id, or null. Valid until the next set_targets().
     [[nodiscard]] const fleet_target* find(std::string_view id) const;
 
+    /// Up to \p count listed targets other than \p id, drawn at random.
+    [[nodiscard]] std::vector<fleet_target> draw_others(std::string_view id, std::size_t count,
+                                                        random_source& random) const;
+
     /// The id of a listed target, or its hash in decimal if it is not listed.
     [[nodiscard]] std::string name_of(const target_instance& instance) const;
 
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -11,6 +11,8 @@
 /// Timeout for the connection that shows whether a target is still there. One that vanished without
 /// refusing it, for instance in a network partition, gives no evidence.
 constexpr duration check_timeout = milliseconds(75);
+/// Number of other targets that are tried when one refuses connections.
+constexpr std::size_t max_control_targets = 3;
 
 std::string describe(std::span<const std::uint64_t> segments) {
     std::string out;
@@ -51,6 +53,23 @@
     }
 }
 
+/// Whether this host reaches another target, as far as a few of them show. If it does not, a target
+/// that refuses connections may have been cut off from it along with all others.
+net::task<bool> reaches_another_target(service_context& context, std::string target) {
+    const std::vector<routing::fleet_target> others =
+        context.loads.draw_others(target, max_control_targets, context.random);
+    for (const routing::fleet_target& each : others) {
+        const time_point connect_by = context.clock() + check_timeout;
+        const auto connection =
+            co_await connect_to_target(context, each.id, each.endpoint, connect_by);
+        if (connection) {
+            connection.value()->close();
+            co_return true;
+        }
+    }
+    co_return others.empty();
+}
+
 net::task<> run_check(service_context& context, routing::fleet_target target,
                       crash_suspects suspects) {
     const time_point check_by = context.clock() + check_timeout;
@@ -63,6 +82,12 @@
     if (connection.error().code == error_code::deadline_exceeded) {
         co_return;
     }
+    const bool is_reliable = co_await reaches_another_target(context, target.id);
+    if (!is_reliable) {
+        context.log.write(observe::event::crash_check_inconclusive, target.id,
+                          {{"reason", connection.error().message}});
+        co_return;
+    }
     const std::uint64_t instance =
         stable_hash(str_cat(target.id, "/", std::to_string(target.started_at)));
     record_crash(context, target.id, instance, suspects, connection.error().message);
--- a/src/serving/crash_detector.hpp
+++ b/src/serving/crash_detector.hpp
@@ -32,7 +32,7 @@
 /// before it answered. If it refuses connections, the crash counts as evidence against the request.
 /// It counts against the segments only if it is the request's first one: a second target shows that
 /// the request itself is the more likely cause. A target that only reset the connection counts as
-/// no evidence.
+/// no evidence, nor does one that refuses connections while this host reaches no other target.
 void check_for_crash(service_context& context, const routing::fleet_target& target,
                      crash_suspects suspects);
 
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -84,6 +84,9 @@
         co_await exchange.respond(std::move(out));
     } else if (action == engine_action::hang) {
         co_await hang(exchange);
+    } else if (action == engine_action::close_late) {
+        co_await wait(m_pause);
+        exchange.abort();
     } else {
         if (action == engine_action::respond_with_wrong_id_first) {
             net::http_response other = make_head(200, exchange.request());
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -43,6 +43,8 @@
     pause,
     /// Responds with all events, but is silent for a while before the response.
     delay,
+    /// Sends no response, and closes the connection after a while.
+    close_late,
     /// Sends two events and nothing more. Closes the connection as `hang` does.
     hang_in_stream,
 };
@@ -73,7 +75,8 @@
     void set_default_action(engine_action action) {
         m_default_action = [action](const net::http_request&) { return action; };
     }
-    /// How long the engine is silent in engine_action::pause and engine_action::delay.
+    /// How long the engine is silent in engine_action::pause, engine_action::delay and
+    /// engine_action::close_late.
     void set_pause(duration pause) { m_pause = pause; }
     /// Delay between events of a stream.
     void set_event_interval(duration interval) { m_event_interval = interval; }
