Cut hosts off from engines in the soak, and count first tries

Proxies in front of the engines find the daemon that opened a connection by sock_diag and /proc/PID/fd, and hang, reset, refuse or silence it.

--- a/test/soak/daemon_process.hpp
+++ b/test/soak/daemon_process.hpp
@@ -42,6 +42,8 @@
     [[nodiscard]] bool is_running();
 
     [[nodiscard]] const daemon_spec& spec() const { return m_spec; }
+    /// Process id; -1 while no process has been started or it has ended.
+    [[nodiscard]] pid_t pid() const { return m_pid; }
     /// `IP:PORT` for callers, and for the readiness check.
     [[nodiscard]] std::string caller_endpoint() const;
     [[nodiscard]] std::string readiness_endpoint() const;
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -3,7 +3,11 @@
 /// that streams and texts have each event once and in order and that service is back after the last
 /// fault.
 ///
-/// usage: fleet_soak PROGRAM FOLDER SEED SECONDS
+/// usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CUTS]
+///
+/// CUTS is hang, reset, refuse, silence (see cut_mode) or, for all of them in turn, cuts: engines
+/// stand behind proxies that cut entry hosts of one zone off, and the hosts must go on serving.
+/// Without it nothing is cut off.
 #include "base/text.hpp"
 #include "check.hpp"
 #include "soak/soak_clients.hpp"
@@ -28,18 +32,36 @@
 constexpr duration measured_time = seconds(6);
 constexpr duration settle_time = seconds(3);
 constexpr duration end_timeout = seconds(45);
+/// Time between cuts, and of a cut; both are longer by a random part.
+constexpr duration cut_interval = milliseconds(500);
+constexpr duration cut_time = seconds(3);
+/// Seeds of a run's random sources, apart from each other.
+constexpr std::uint64_t cut_seed_offset = 2;
+
+const std::map<std::string, std::vector<cut_mode>, std::less<>> cut_modes{
+    {"", {}},
+    {"hang", {cut_mode::hang}},
+    {"reset", {cut_mode::reset}},
+    {"refuse", {cut_mode::refuse}},
+    {"silence", {cut_mode::silence}},
+    {"cuts", {cut_mode::hang, cut_mode::reset, cut_mode::refuse, cut_mode::silence}},
+};
 
 class soak {
 public:
     soak(net::asio::io_context& loop, std::string program, std::string folder, std::uint64_t seed,
-         duration time)
+         duration time, std::vector<cut_mode> cuts)
         : m_loop(loop), m_seed(seed), m_random(seed),
           // What clients draw depends on the moment and must not change the disturbances.
-          m_traffic_random(seed + 1), m_time(time),
+          m_traffic_random(seed + 1), m_cut_random(seed + cut_seed_offset), m_time(time),
+          m_cuts(std::move(cuts)),
           m_fleet(loop, m_traffic_random, std::move(program), std::move(folder)),
           m_clients(loop, m_traffic_random, m_fleet) {}
 
     net::task<> run() {
+        if (!m_cuts.empty()) {
+            m_fleet.enable_cuts();
+        }
         const bool started = co_await m_fleet.start();
         require(started, "the daemons become ready");
         if (!started) {
@@ -49,6 +71,7 @@
         m_clients.start();
         co_await m_fleet.wait(settle_time);
         const time_point end = steady_clock()() + m_time;
+        net::asio::co_spawn(m_loop, cut_hosts(end), net::asio::detached);
         while (steady_clock()() < end) {
             net::asio::co_spawn(m_loop, disturb(), net::asio::detached);
             m_ended += m_fleet.restart_ended();
@@ -64,12 +87,36 @@
     }
 
 private:
+    /// Cuts some or all entry hosts of a zone off from the engines, again and again until \p end.
+    net::task<> cut_hosts(time_point end) {
+        ++m_disturbances;
+        for (std::size_t i = 0; !m_cuts.empty() && steady_clock()() < end; ++i) {
+            co_await m_fleet.wait(cut_interval + milliseconds(m_cut_random.next() % 1500));
+            const cut_mode mode = m_cuts[i % m_cuts.size()];
+            const std::string zone = m_cut_random.next() % 2 == 0 ? "a" : "b";
+            std::vector<daemon_process*> hosts = m_fleet.entry_hosts();
+            std::erase_if(hosts, [&](const daemon_process* each) {
+                return each->spec().availability_zone != zone;
+            });
+            if (m_cut_random.next() % 2 == 0) {
+                hosts.erase(hosts.begin() + m_cut_random.next() % 2);
+            }
+            const duration time = cut_time + milliseconds(m_cut_random.next() % 6000);
+            note(str_cat("cut ", static_cast<int>(mode), " of ", hosts.size(),
+                         " hosts, the first one ", hosts.front()->spec().host, ", for ",
+                         to_ms(time), " ms"));
+            co_await m_fleet.cut(hosts, mode, time);
+        }
+        --m_disturbances;
+    }
+
     /// Waits until disturbances have ended, takes the service away as a whole, and measures what is
     /// served some time after its return.
     net::task<> check_recovery() {
         while (m_disturbances > 0) {
             co_await m_fleet.wait(milliseconds(100));
         }
+        m_fault_at = steady_clock()();
         const std::uint64_t kind = m_random.next() % 5;
         const duration pause = milliseconds(1000 + m_random.next() % 5000);
         note(str_cat("final fault ", kind, " for ", to_ms(pause), " ms"));
@@ -96,6 +143,7 @@
             co_await m_fleet.kill_all(all, pause);
         }
         co_await m_fleet.wait(recovery_time);
+        m_recovered_at = steady_clock()();
         const soak_counts before = m_clients.counts();
         co_await m_fleet.wait(measured_time);
         const soak_counts& after = m_clients.counts();
@@ -113,7 +161,11 @@
         const duration pause = milliseconds(200 + m_random.next() % 3000);
         // Each third seed leaves the daemons alone.
         const std::uint64_t kinds = m_seed % 3 == 0 ? 7 : 12;
-        const std::uint64_t kind = m_random.next() % kinds;
+        std::uint64_t kind = m_random.next() % kinds;
+        if (m_fleet.is_cut() && (kind == 5 || kind == 6)) {
+            // The rule holds while the store is sound.
+            kind = 2;
+        }
         note(str_cat("disturbance ", kind, " at ", one.spec().host, " for ", to_ms(pause), " ms"));
         switch (kind) {
         case 0:
@@ -174,6 +226,9 @@
             std::printf("%s lost %d requests\n", host.c_str(), lost);
             require(lost <= allowed_lost_requests, str_cat(host, " lost ", lost, " requests"));
         }
+        m_clients.tries().check_cuts(m_fleet.cuts());
+        m_clients.tries().check_recovery(m_fault_at, m_recovered_at);
+        m_clients.check_single_runs();
         require(counts.mixed_streams <= allowed_mixed_streams,
                 str_cat("streams of two versions: ", counts.mixed_streams));
         require(m_ended == 0, "no daemon ends by itself");
@@ -185,10 +240,14 @@
     std::uint64_t m_seed;
     random_source m_random;
     random_source m_traffic_random;
+    random_source m_cut_random;
     duration m_time;
+    std::vector<cut_mode> m_cuts;
     soak_fleet m_fleet;
     soak_clients m_clients;
     time_point m_start = steady_clock()();
+    time_point m_fault_at;
+    time_point m_recovered_at;
     int m_disturbances = 0;
     int m_ended = 0;
 };
@@ -196,8 +255,9 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    if (argc != 5) {
-        std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS\n");
+    const auto cuts = cut_modes.find(argc == 6 ? argv[5] : "");
+    if (argc < 5 || argc > 6 || cuts == cut_modes.end()) {
+        std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CUTS]\n");
         return EXIT_FAILURE;
     }
     std::signal(SIGPIPE, SIG_IGN);
@@ -206,7 +266,7 @@
     std::filesystem::create_directories(argv[2]);
     net::asio::io_context loop{1};
     auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
-                               seconds(std::atoi(argv[4])));
+                               seconds(std::atoi(argv[4])), cuts->second);
     net::asio::co_spawn(loop, run->run(), [&](const std::exception_ptr& failure) {
         require(failure == nullptr, "the soak throws no exception");
         loop.stop();
--- a/test/soak/soak_clients.cpp
+++ b/test/soak/soak_clients.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_clients.hpp"
 
 #include "base/text.hpp"
+#include "check.hpp"
 #include "net/http_client.hpp"
 #include "net/http_exchange.hpp"
 
@@ -13,12 +14,14 @@
 namespace {
 
 constexpr duration stream_interval = milliseconds(60);
-constexpr duration job_interval = milliseconds(1500);
+constexpr duration job_interval = milliseconds(500);
+constexpr duration once_interval = milliseconds(150);
 constexpr duration stream_deadline = seconds(5);
 constexpr duration connect_timeout = seconds(1);
 constexpr duration retry_delay = milliseconds(350);
 constexpr int max_tries = 4;
-constexpr int items_per_job = 6;
+/// One job in three has several items.
+constexpr std::size_t items_per_job = 6;
 constexpr int kept_clients = 16;
 constexpr duration longest_pause = milliseconds(500);
 /// How long a client waits beyond its deadline for an answer.
@@ -43,6 +46,7 @@
 void soak_clients::start() {
     spawn(send_streams());
     spawn(send_jobs());
+    spawn(send_once());
     for (int i = 0; i < kept_clients; ++i) {
         spawn(run_kept_client());
     }
@@ -66,22 +70,59 @@
 
 net::task<> soak_clients::send_jobs() {
     for (int number = 0; !m_stopped; ++number) {
-        spawn(run_job(number));
+        spawn(run_job(number, number % 3 == 0 ? items_per_job : 1));
         co_await m_fleet.wait(job_interval);
     }
 }
 
+net::task<> soak_clients::send_once() {
+    while (!m_stopped) {
+        spawn(run_once());
+        co_await m_fleet.wait(once_interval);
+    }
+}
+
+net::task<> soak_clients::run_once() {
+    const time_point sent_at = steady_clock()();
+    const daemon_process& host = random_entry_host();
+    const std::string endpoint = host.caller_endpoint();
+    const std::string id = random_id();
+    const std::string target = str_cat(soak_fleet::once_path, id);
+    const std::string method = "POST";
+    const std::string body = "{}";
+    const net::http_response response = co_await call(endpoint, method, target, id, body);
+    record(host, request_kind::once, sent_at, response.status == 200);
+    if (response.status == 503 || response.status == 429) {
+        m_refused.insert(target);
+    }
+}
+
+void soak_clients::record(const daemon_process& host, request_kind kind, time_point sent_at,
+                          bool served) {
+    m_tries.add({&host, kind, sent_at, served, m_fleet.can_serve(host, sent_at)});
+}
+
+void soak_clients::check_single_runs() const {
+    for (const auto& [path, runs] : m_fleet.runs_by_path(soak_fleet::once_path)) {
+        require(runs == 1, str_cat(path, " ran ", runs, " times"));
+        require(m_refused.count(path) == 0, str_cat(path, " was refused and has run"));
+    }
+}
+
 net::task<> soak_clients::run_kept_client() {
     std::shared_ptr<net::tcp_connection> connection;
     daemon_process* host = nullptr;
     while (!m_stopped) {
         const time_point sent_at = steady_clock()();
+        const bool repeats = m_random.next() % 2 == 0;
+        const request_kind kind = repeats ? request_kind::repeated : request_kind::plain;
         if (!connection || !connection->is_open()) {
             host = &random_entry_host();
             const std::string endpoint = host->caller_endpoint();
             auto opened = co_await net::http_client::connect(m_loop.get_executor(), endpoint,
                                                              sent_at + connect_timeout);
             if (!opened) {
+                record(*host, kind, sent_at, false);
                 co_await m_fleet.wait(retry_delay);
                 continue;
             }
@@ -90,10 +131,11 @@
         const std::size_t earlier_runs = m_fleet.started_runs();
         net::http_request request;
         request.method = "POST";
-        request.target = "/s/x";
+        const std::string id = random_id();
+        request.target = str_cat("/s/", repeats ? "x" : id);
         request.body = "{}";
         request.headers.set("Host", "h");
-        request.headers.set("Attempt-Id", random_id());
+        request.headers.set("Attempt-Id", id);
         request.headers.set("Credential", "key-1");
         request.headers.set("Deadline-Ms", std::to_string(to_ms(stream_deadline)));
         connection->set_deadline(sent_at + stream_deadline + answer_slack);
@@ -105,6 +147,7 @@
             const result<void> rest = co_await exchange.read_all();
             whole = rest.has_value();
         }
+        record(*host, kind, sent_at, whole && exchange.response().status == 200);
         ++m_counts.kept_requests;
         m_counts.answered_kept_requests += whole ? 1 : 0;
         // A request that crosses the close of an idle connection has not been passed on.
@@ -125,8 +168,13 @@
     for (int attempt = 0; attempt < max_tries && !text.whole && steady_clock()() < deadline;
          ++attempt) {
         const std::uint64_t before = text.last_event;
-        const std::string endpoint = random_entry_host().caller_endpoint();
+        const daemon_process& host = random_entry_host();
+        const std::string endpoint = host.caller_endpoint();
+        const time_point sent_at = steady_clock()();
         (void)co_await try_stream(endpoint, text, deadline);
+        if (attempt == 0) {
+            record(host, request_kind::stream, sent_at, text.whole);
+        }
         text.resumed = text.resumed || (before > 0 && text.last_event > before);
         if (!text.whole) {
             co_await m_fleet.wait(retry_delay);
@@ -227,10 +275,10 @@
     co_return response ? std::move(response.value()) : net::http_response();
 }
 
-net::task<> soak_clients::run_job(int number) {
+net::task<> soak_clients::run_job(int number, std::size_t size) {
     const std::string job = str_cat("job-", number, "-", m_random.next());
     nlohmann::json items = nlohmann::json::array();
-    for (int i = 0; i < items_per_job; ++i) {
+    for (std::size_t i = 0; i < size; ++i) {
         items.push_back({{"id", str_cat(job, "-", i)},
                          {"path", str_cat("/j/", i)},
                          {"headers", {{"Model", "m"}}},
@@ -240,12 +288,18 @@
     const std::string body = nlohmann::json{{"items", items}}.dump();
     const time_point deadline = steady_clock()() + job_deadline;
     int status = 0;
+    bool is_first = true;
     while (status != 202 && steady_clock()() < deadline && !m_stopped) {
-        const std::string endpoint = random_entry_host().caller_endpoint();
+        const daemon_process& host = random_entry_host();
+        const std::string endpoint = host.caller_endpoint();
+        const time_point sent_at = steady_clock()();
         const std::string target = "/j/" + job;
         const std::string method = "POST";
         const net::http_response response = co_await call(endpoint, method, target, job, body);
         status = response.status;
+        if (std::exchange(is_first, false)) {
+            record(host, request_kind::job_acceptance, sent_at, status == 202);
+        }
         co_await m_fleet.wait(job_poll_interval);
     }
     if (status != 202) {
@@ -253,19 +307,22 @@
     }
     ++m_counts.accepted_jobs;
     std::map<std::string, std::string> known;
-    while (known.size() < items_per_job && steady_clock()() < deadline) {
-        const std::string endpoint = random_entry_host().caller_endpoint();
+    while (known.size() < size && steady_clock()() < deadline) {
+        const daemon_process& host = random_entry_host();
+        const std::string endpoint = host.caller_endpoint();
+        const time_point sent_at = steady_clock()();
         const std::string target = str_cat("/eelgrassdoor/lots/", job, "?after=0");
         const std::string method = "GET";
         const std::string id = random_id();
         const std::string no_body;
         const net::http_response response = co_await call(endpoint, method, target, id, no_body);
+        record(host, request_kind::job_read, sent_at, response.status == 200);
         if (response.status == 200) {
             check_results(job, response.body, known);
         }
         co_await m_fleet.wait(job_poll_interval);
     }
-    m_counts.finished_jobs += known.size() == items_per_job ? 1 : 0;
+    m_counts.finished_jobs += known.size() == size ? 1 : 0;
 }
 
 void soak_clients::check_results(const std::string& job, const std::string& page,
--- a/test/soak/soak_clients.hpp
+++ b/test/soak/soak_clients.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/random_source.hpp"
+#include "soak/first_tries.hpp"
 #include "soak/soak_fleet.hpp"
 
 #include <cstdint>
@@ -47,6 +48,9 @@
     /// Whether no caller is waiting any more.
     [[nodiscard]] bool is_idle() const { return m_running == 0; }
     [[nodiscard]] const soak_counts& counts() const { return m_counts; }
+    [[nodiscard]] const first_tries& tries() const { return m_tries; }
+    /// Checks that requests that may not be repeated ran once at most, and refused ones never.
+    void check_single_runs() const;
 
 private:
     /// What a caller has received of one stream over all its tries.
@@ -62,6 +66,9 @@
     void spawn(net::task<> caller);
     net::task<> send_streams();
     net::task<> send_jobs();
+    net::task<> send_once();
+    net::task<> run_once();
+    void record(const daemon_process& host, request_kind kind, time_point sent_at, bool served);
     /// Sends one request after the other over a connection, until that ends, then over another.
     net::task<> run_kept_client();
     net::task<> run_stream(int number);
@@ -70,7 +77,7 @@
     net::task<bool> try_stream(std::string endpoint, stream_text& text, time_point deadline);
     /// Takes complete events out of \p bytes into \p text.
     void take_events(std::string& bytes, stream_text& text, const std::string& attempt);
-    net::task<> run_job(int number);
+    net::task<> run_job(int number, std::size_t size);
     net::task<net::http_response> call(std::string endpoint, std::string method, std::string target,
                                        std::string id, std::string body);
     /// Checks the page that a read from position 0 returned against the results known before.
@@ -84,6 +91,9 @@
     random_source& m_random;
     soak_fleet& m_fleet;
     soak_counts m_counts;
+    first_tries m_tries;
+    /// Paths of requests that may not be repeated and were answered as not run.
+    std::set<std::string> m_refused;
     bool m_stopped = false;
     int m_running = 0;
 };
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_fleet.hpp"
 
 #include "base/text.hpp"
+#include "check.hpp"
 #include "net/http_client.hpp"
 #include "net/notification.hpp"
 
@@ -22,6 +23,8 @@
 /// drains, and how long its entry stays.
 constexpr duration release_interval = milliseconds(700);
 constexpr duration drain_time = seconds(2);
+/// From a proxy's port to that of its engine.
+constexpr int proxied_port_offset = 1000;
 
 constexpr std::size_t engine_count = 4;
 /// How long a disturbance of a daemon may have effects.
@@ -43,7 +46,9 @@
         R"("pathPrefix":"/p/","kind":"streaming","resumable":true,"gapAimMs":250,)",
         R"("targetLatencyMs":300,"priority":0,"maxAttempts":3},{"name":"plain",)", common,
         R"("pathPrefix":"/s/","kind":"safe","targetLatencyMs":3000,"priority":0,)",
-        R"("maxAttempts":2},{"name":"jobs",)", common,
+        R"("maxAttempts":2},{"name":"once",)", common,
+        R"("pathPrefix":"/u/","kind":"unsafe","targetLatencyMs":3000,"priority":0,)",
+        R"("maxAttempts":3},{"name":"jobs",)", common,
         R"("pathPrefix":"/j/","kind":"batch","targetLatencyMs":400,"completionTargetMs":18000,)",
         R"("queueTtlS":120,"maxAttempts":3,"cap":0,"priority":1}],)",
         R"("services":[{"name":"s","healthPath":"/health","maxConnections":370}],)",
@@ -89,9 +94,9 @@
 
 void soak_fleet::write_entry(const soak_engine& engine, const std::string& state) {
     m_store.memory().put(str_cat("servers/", engine.id),
-                         str_cat(R"({"service":"s","address":")", engine.server->endpoint(),
-                                 R"(","zone":")", engine.availability_zone, R"(","version":")",
-                                 engine.version, R"(","slots":16,"state":")", state,
+                         str_cat(R"({"service":"s","address":")", engine.endpoint, R"(","zone":")",
+                                 engine.availability_zone, R"(","version":")", engine.version,
+                                 R"(","slots":16,"state":")", state,
                                  R"(","coldRemainingMs":0,"seq":1,"born":)", m_engines.size(),
                                  "}"));
 }
@@ -101,14 +106,22 @@
     engine->id = str_cat("i-", m_engines.size() + 1);
     engine->version = str_cat("v", m_version);
     engine->availability_zone = zone;
-    engine->server = std::make_unique<scripted_engine>(
-        m_loop.get_executor(),
-        str_cat(m_network, 100 + m_engines.size() % 90, ":", m_first_port + m_engines.size() / 90));
+    const std::string address = str_cat(m_network, 100 + m_engines.size() % 90, ":");
+    const std::size_t port = m_first_port + m_engines.size() / 90;
+    engine->endpoint = str_cat(address, port);
+    const std::string own = m_cut ? str_cat(address, port + proxied_port_offset) : engine->endpoint;
+    engine->server = std::make_unique<scripted_engine>(m_loop.get_executor(), own);
+    if (m_cut) {
+        require(m_cut->add_proxy(engine->endpoint, own), "the engine's proxy listens");
+    }
     engine->server->set_events(events_per_stream);
     engine->server->set_event_interval(event_interval);
     engine->server->set_event_prefix(engine->version);
     engine->server->set_pause(engine_pause);
-    engine->server->set_default_action([this](const net::http_request&) {
+    engine->server->set_default_action([this](const net::http_request& request) {
+        if (request.target.starts_with(once_path)) {
+            return engine_action::serve_briefly;
+        }
         const std::uint64_t drawn = m_trouble ? m_random.below(trouble_interval) : trouble_interval;
         return drawn == 0   ? engine_action::delay
                : drawn == 1 ? engine_action::pause
@@ -141,6 +154,42 @@
     return is_down || (found != m_disturbed.end() && found->second + contact_time >= time);
 }
 
+bool soak_fleet::was_cut(const daemon_process& daemon, time_point time) const {
+    return std::any_of(m_cuts.begin(), m_cuts.end(), [&](const cut_window& each) {
+        return each.begins_at <= time && time < each.ends_at &&
+               std::find(each.hosts.begin(), each.hosts.end(), &daemon) != each.hosts.end();
+    });
+}
+
+bool soak_fleet::can_serve(const daemon_process& daemon, time_point time) const {
+    const std::vector<daemon_process*> hosts = entry_hosts();
+    return !was_disturbed(daemon, time) && m_store_disturbed + contact_time < time &&
+           std::any_of(hosts.begin(), hosts.end(), [&](const daemon_process* each) {
+               return !was_disturbed(*each, time) && !was_cut(*each, time);
+           });
+}
+
+std::map<std::string, int> soak_fleet::runs_by_path(std::string_view prefix) const {
+    std::map<std::string, int> out;
+    for (const auto& each : m_engines) {
+        for (const net::http_request& request : each->server->received()) {
+            if (request.target.starts_with(prefix)) {
+                ++out[request.target];
+            }
+        }
+    }
+    return out;
+}
+
+net::task<> soak_fleet::cut(std::vector<daemon_process*> hosts, cut_mode mode, duration time) {
+    m_cut->begin(hosts, mode);
+    const std::size_t number = m_cuts.size();
+    m_cuts.push_back({.hosts = hosts, .mode = mode, .begins_at = steady_clock()()});
+    co_await wait(time);
+    m_cuts[number].ends_at = steady_clock()();
+    m_cut->end();
+}
+
 net::task<bool> soak_fleet::start() {
     if (!m_store.start()) {
         co_return false;
@@ -269,8 +318,10 @@
 
 net::task<> soak_fleet::disturb_store(store_state state, duration time) {
     m_store.set_state(state);
+    m_store_disturbed = time_point::max() - contact_time;
     co_await wait(time);
     m_store.set_state(store_state::sound);
+    m_store_disturbed = steady_clock()();
 }
 
 int soak_fleet::restart_ended() {
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -12,6 +12,7 @@
 /// Delay between the events of a slow or endless stream.
 constexpr duration slow_event_interval = milliseconds(100);
 constexpr std::uint64_t slow_events = 12;
+constexpr std::uint64_t brief_events = 2;
 
 } // namespace
 
@@ -121,7 +122,7 @@
 }
 
 net::task<> scripted_engine::serve(net::server_exchange& exchange, engine_action action) {
-    std::uint64_t last = m_events;
+    std::uint64_t last = action == engine_action::serve_briefly ? brief_events : m_events;
     duration interval = m_event_interval;
     if (action == engine_action::serve_slowly || action == engine_action::stream_endlessly) {
         last = action == engine_action::serve_slowly ? slow_events
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -19,6 +19,8 @@
 enum class engine_action {
     /// Responds with all events.
     serve,
+    /// Responds with the first two events.
+    serve_briefly,
     /// Responds with 503 and states that the request was not run.
     refuse,
     /// Closes the connection in the middle of the third event of the response.
