--- a/test/soak/soak_clients.cpp
+++ b/test/soak/soak_clients.cpp
@@ -208,6 +208,12 @@
     request.headers.set("Attempt-Id", attempt);
     request.headers.set("Credential", "key-1");
     request.headers.set("Deadline-Ms", std::to_string(to_ms(deadline - now)));
+    if (m_fleet.has_cuts()) {
+        // As in production, requests share the first parts of their prompts.
+        const std::string own = attempt.substr(1);
+        request.headers.set("Prompt-Prefix",
+                            str_cat("a:200,", own.substr(0, 1), ":100,", own, ":20"));
+    }
     if (text.last_event > 0) {
         request.headers.set("Last-Event-Id", std::to_string(text.last_event));
         request.headers.set("Resumes", text.first_attempt);
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -42,6 +42,7 @@
 
     /// Puts proxies in front of the engines, for cut(). Must be called before start().
     void enable_cuts() { m_cut = std::make_unique<engine_cut>(m_loop.get_executor()); }
+    [[nodiscard]] bool has_cuts() const { return m_cut != nullptr; }
     /// Cuts hosts off from all engines for a while, or makes their present connections silent.
     net::task<> cut(std::vector<daemon_process*> hosts, cut_mode mode, duration time);
     [[nodiscard]] const std::vector<cut_window>& cuts() const { return m_cuts; }
