Hear daemons that restart with an earlier clock

What callers saw: after a daemon restarted with an earlier clock, every daemon that lived through ignored its load, leaving targets, crash evidence, request limits and tokens, and did not use it as a token holder, delegate or keeper of stream versions, until it or the hearer restarted.

Cause: peer_table ordered digests by (incarnation, sequence), and the incarnation is the wall clock at the start of the process.

Evidence: by the old rule peer_restarts and platform/clock_set_back fail ("a restarted daemon is heard without the store, whatever its clock", "a daemon that restarts with an earlier clock is heard"); by the new one both pass.

Fix: incarnations are told apart and not ordered by number. Another one replaces the stored one at once when it is the registered one in the mirror, and otherwise after 1 s of silence of the stored one. One that was replaced needs 15 s of silence, whatever the mirror says, so its late digests change nothing, and two daemons of one name do not alternate. The wire form is unchanged.

Weighed: - The store's order alone (incarnation in the mirrored registration) hears no daemon that restarts while the store is away, and a mirror that lags or a registration that an old run wrote late brings the old run back. - Silence alone needs no store, but makes each restart wait; a registration shortens that. - An incarnation that never decreases, such as max(clock, registered + 1), would be heard by older builds too. It needs a read of the store before the first digest, thus not in an outage, and leases of 3 to 8 s have often ended by then. Daemons of older builds remain deaf to such a restart, as before.

A restart with a later clock, heard at once before, is now heard after its registration is mirrored or 1 s of silence, whichever comes first.

host_settings::wall_clock replaces the host's clock in tests; 322 and the metric peers_heard show restarts.

--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -64,6 +64,7 @@
 struct load_digest {
     static constexpr std::uint8_t kind = 1;
     std::string host;
+    /// See member::incarnation.
     std::uint64_t incarnation = 0;
     /// Increases with each digest of one incarnation.
     std::uint64_t sequence = 0;
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -93,6 +93,7 @@
 
 void peer_messenger::set_members(const std::vector<member>& members) {
     m_directory.set_registered(members, m_clock());
+    m_peers.set_registered(m_directory.registered());
     refresh_peers();
 }
 
@@ -281,9 +282,15 @@
     if (digest->host == m_options.self.host) {
         return;
     }
+    const std::optional<std::uint64_t> before = m_peers.incarnation_of(digest->host);
     if (!m_peers.accept(*digest, m_clock())) {
         return;
     }
+    if (before && *before != digest->incarnation) {
+        m_log.write(observe::event::peer_restarted, digest->host,
+                    {{"incarnation", std::to_string(digest->incarnation)},
+                     {"before", std::to_string(*before)}});
+    }
     m_relay.relay(digest->host, bytes, m_clock());
     queue_for_forwarding(*digest, bytes, origin);
     if (digest->is_final) {
@@ -366,6 +373,10 @@
     return m_peers.peer_reaches_store(host, age, m_clock());
 }
 
+std::size_t peer_messenger::heard_peers() const {
+    return m_peers.count_heard_within(peer_silence_timeout, m_clock());
+}
+
 bool peer_messenger::heard_within(std::string_view host, duration age) const {
     return m_peers.heard_within(host, age, m_clock());
 }
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -119,6 +119,8 @@
     [[nodiscard]] bool peer_reaches_store(std::string_view host, duration age) const;
     /// Whether a digest of \p host arrived within \p age, directly or forwarded.
     [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
+    /// Number of daemons that were heard lately, directly or forwarded.
+    [[nodiscard]] std::size_t heard_peers() const;
     /// Whether datagrams from \p endpoint (`IP:PORT`) arrive directly, without a relay or gateway,
     /// so that calls to it are likely to succeed.
     [[nodiscard]] bool receives_directly_from(std::string_view endpoint) const;
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -5,14 +5,56 @@
 
 namespace eelgrassdoor::fleet {
 
+void peer_table::set_registered(const member_map& members) {
+    m_registered.clear();
+    for (const auto& [host, record] : members) {
+        m_registered.emplace(host, record.incarnation);
+    }
+}
+
+bool peer_table::is_newer(const load_digest& digest, const peer_state& stored,
+                          time_point now) const {
+    if (digest.incarnation == stored.incarnation) {
+        return digest.sequence > stored.sequence;
+    }
+    const duration silence = now - stored.heard_at;
+    const bool was_replaced = std::find(stored.replaced.begin(), stored.replaced.end(),
+                                        digest.incarnation) != stored.replaced.end();
+    if (was_replaced) {
+        return silence > return_silence;
+    }
+    const auto registered = m_registered.find(digest.host);
+    return silence > replacement_silence ||
+           (registered != m_registered.end() && registered->second == digest.incarnation);
+}
+
 bool peer_table::accept(const load_digest& digest, time_point now) {
-    peer_state& stored = m_peers[digest.host];
-    const bool newer = std::pair(digest.incarnation, digest.sequence) >
-                       std::pair(stored.incarnation, stored.sequence);
-    if (newer && !digest.is_final) {
-        stored = {digest.incarnation, digest.sequence, now, digest.reaches_store, digest.waiting};
+    const auto found = m_peers.find(digest.host);
+    if (found != m_peers.end() && !is_newer(digest, found->second, now)) {
+        return false;
+    }
+    if (digest.is_final) {
+        return true;
     }
-    return newer;
+    peer_state next{digest.incarnation,   digest.sequence, now,
+                    digest.reaches_store, digest.waiting,  {}};
+    if (found != m_peers.end()) {
+        next.replaced = std::move(found->second.replaced);
+        if (found->second.incarnation != digest.incarnation) {
+            std::erase(next.replaced, digest.incarnation);
+            next.replaced.push_back(found->second.incarnation);
+        }
+        if (next.replaced.size() > max_replaced) {
+            next.replaced.erase(next.replaced.begin());
+        }
+    }
+    m_peers.insert_or_assign(digest.host, std::move(next));
+    return true;
+}
+
+std::optional<std::uint64_t> peer_table::incarnation_of(std::string_view host) const {
+    const auto found = m_peers.find(host);
+    return found == m_peers.end() ? std::nullopt : std::optional(found->second.incarnation);
 }
 
 const peer_table::peer_state* peer_table::find_heard(std::string_view host, duration age,
@@ -25,6 +67,12 @@
     return find_heard(host, age, now) != nullptr;
 }
 
+std::size_t peer_table::count_heard_within(duration age, time_point now) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_peers.begin(), m_peers.end(),
+                      [&](const auto& entry) { return now - entry.second.heard_at <= age; }));
+}
+
 bool peer_table::peer_reaches_store(std::string_view host, duration age, time_point now) const {
     const peer_state* peer = find_heard(host, age, now);
     return peer != nullptr && peer->reaches_store;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -48,9 +48,9 @@
 fleet_daemon::fleet_daemon(net::asio::io_context& loop, host_settings settings,
                            platform_interface& adapter, observe::decision_log& log)
     : m_loop(loop), m_settings(std::move(settings)), m_adapter(adapter), m_log(log),
-      m_incarnation(static_cast<std::uint64_t>(wall_clock_ms())), m_random(secure_random_uint64()),
-      m_loads({.local_zone = m_settings.availability_zone}), m_shares(m_settings.first_start),
-      m_mirror(mirrored_prefixes(adapter, m_settings.runs_jobs)),
+      m_incarnation(static_cast<std::uint64_t>(m_settings.wall_clock())),
+      m_random(secure_random_uint64()), m_loads({.local_zone = m_settings.availability_zone}),
+      m_shares(m_settings.first_start), m_mirror(mirrored_prefixes(adapter, m_settings.runs_jobs)),
       m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
       m_messenger(
           loop.get_executor(),
@@ -88,7 +88,7 @@
                             [this](const std::string& job) {
                                 return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
                             },
-                        .wall_clock = wall_clock_ms})
+                        .wall_clock = m_settings.wall_clock})
               : nullptr),
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
       m_frontend(m_context, m_job_frontend, make_request_gate()),
--- a/src/host/fleet_daemon_metrics.cpp
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -18,6 +18,7 @@
                     static_cast<double>(m_quarantine.quarantined_count(m_clock())));
     m_metrics.gauge("quarantined_requests",
                     static_cast<double>(m_request_quarantine.quarantined_count(m_clock())));
+    m_metrics.gauge("peers_heard", static_cast<double>(m_messenger.heard_peers()));
     set_mirror_gauges();
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,8 @@
     std::size_t max_memory_bytes = 256UL * 1024 * 1024;
     /// Limit of open file descriptors; it bounds the number of callers' connections.
     std::size_t max_descriptors = 4096;
+    /// Returns the time of the host's clock in Unix milliseconds.
+    std::function<std::int64_t()> wall_clock = wall_clock_ms;
     /// Whether calls to and datagrams from a peer endpoint are dropped; simulates network
     /// partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -76,6 +76,8 @@
                "This host wrote which software versions are in service or were a short while ago."},
     event_info{event::service_versions_failed, "service_versions_failed", warning,
                "The software versions in service could not be read or written; tried again."},
+    event_info{event::peer_restarted, "peer_restarted", info,
+               "The digests of a daemon come from another run of it than before."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -45,6 +45,7 @@
     service_versions_read = 319,
     service_versions_written = 320,
     service_versions_failed = 321,
+    peer_restarted = 322,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
