Keep late digests from reviving a daemon that has stopped

What callers saw: for up to two seconds after a planned stop other daemons could count the stopped one as heard, with its load, choose it as a token holder or delegate, and go on asking it.

Cause: peer_table reported a final digest as newer without storing its number. A gateway forwards digests up to 60 ms later than the final one, which is sent directly; such a digest was newer than the stored one and was taken over.

Fix: the final digest is stored as the end of its incarnation. The daemon does not count as heard from then on, nothing else of that incarnation is accepted, and another run is heard at once.

Evidence: peer_restarts fails by the old rule ("a daemon that has stopped is not heard", "a digest that a gateway delivers after the final one is rejected") and passes by the new one. By reading, not seen in a run of daemons.

--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -24,7 +24,7 @@
         return silence > return_silence;
     }
     const auto registered = m_registered.find(digest.host);
-    return silence > replacement_silence ||
+    return stored.has_stopped || silence > replacement_silence ||
            (registered != m_registered.end() && registered->second == digest.incarnation);
 }
 
@@ -33,11 +33,13 @@
     if (found != m_peers.end() && !is_newer(digest, found->second, now)) {
         return false;
     }
-    if (digest.is_final) {
-        return true;
-    }
-    peer_state next{digest.incarnation,   digest.sequence, now,
-                    digest.reaches_store, digest.waiting,  {}};
+    peer_state next{.incarnation = digest.incarnation,
+                    .sequence = digest.sequence,
+                    .heard_at = now,
+                    .reaches_store = digest.reaches_store && !digest.is_final,
+                    .waiting = digest.waiting,
+                    .replaced = {},
+                    .has_stopped = digest.is_final};
     if (found != m_peers.end()) {
         next.replaced = std::move(found->second.replaced);
         if (found->second.incarnation != digest.incarnation) {
@@ -60,7 +62,7 @@
 const peer_table::peer_state* peer_table::find_heard(std::string_view host, duration age,
                                                      time_point now) const {
     const auto found = m_peers.find(host);
-    return found != m_peers.end() && now - found->second.heard_at <= age ? &found->second : nullptr;
+    return found != m_peers.end() && found->second.is_heard(age, now) ? &found->second : nullptr;
 }
 
 bool peer_table::heard_within(std::string_view host, duration age, time_point now) const {
@@ -70,7 +72,7 @@
 std::size_t peer_table::count_heard_within(duration age, time_point now) const {
     return static_cast<std::size_t>(
         std::count_if(m_peers.begin(), m_peers.end(),
-                      [&](const auto& entry) { return now - entry.second.heard_at <= age; }));
+                      [&](const auto& entry) { return entry.second.is_heard(age, now); }));
 }
 
 bool peer_table::peer_reaches_store(std::string_view host, duration age, time_point now) const {
@@ -80,7 +82,7 @@
 
 bool peer_table::any_peer_reaches_store(duration age, time_point now) const {
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        return entry.second.reaches_store && now - entry.second.heard_at <= age;
+        return entry.second.reaches_store && entry.second.is_heard(age, now);
     });
 }
 
--- a/src/fleet/peer_table.hpp
+++ b/src/fleet/peer_table.hpp
@@ -35,8 +35,8 @@
     /// Replaces the set of registered daemons.
     void set_registered(const member_map& members);
     /// Stores a digest. Returns false for one that is not newer than the stored one, since digests
-    /// may arrive late, duplicated or by several paths. A final digest is reported as newer but not
-    /// stored.
+    /// may arrive late, duplicated or by several paths. After a final digest the daemon does not
+    /// count as heard, and no other digest of that incarnation is accepted.
     bool accept(const load_digest& digest, time_point now);
     /// Incarnation of the stored digest of \p host; nothing when there is none.
     [[nodiscard]] std::optional<std::uint64_t> incarnation_of(std::string_view host) const;
@@ -64,6 +64,12 @@
         std::vector<waiting_tokens> waiting;
         /// The incarnations that were replaced last, the latest at the end.
         std::vector<std::uint64_t> replaced;
+        /// Whether the digest was a final one.
+        bool has_stopped = false;
+
+        [[nodiscard]] bool is_heard(duration age, time_point now) const {
+            return !has_stopped && now - heard_at <= age;
+        }
     };
 
     /// Whether \p digest is newer than what \p stored holds of its daemon.
--- a/test/correctness/peer_restarts.cpp
+++ b/test/correctness/peer_restarts.cpp
@@ -128,6 +128,24 @@
     });
 }
 
+void check_stopped() {
+    const time_point start{};
+    peer_table peers;
+    load_digest last = digest_of(later_clock, 9);
+    peers.accept(digest_of(later_clock, 7), start);
+    last.is_final = true;
+    require(peers.accept(last, start + milliseconds(10)), "a final digest is newer");
+    require(!peers.heard_within("h", seconds(1), start + milliseconds(10)),
+            "a daemon that has stopped is not heard");
+    require(!peers.accept(digest_of(later_clock, 8), start + milliseconds(70)),
+            "a digest that a gateway delivers after the final one is rejected");
+    require(peers.accept(digest_of(earlier_clock, 1), start + milliseconds(80)),
+            "another run is heard at once after a final digest");
+    require(!peers.accept(last, start + milliseconds(90)) &&
+                peers.heard_within("h", seconds(1), start + milliseconds(90)),
+            "a late final digest of the earlier run does not end the later one");
+}
+
 void check_return() {
     const time_point start{};
     peer_table peers = make_restarted(earlier_clock, later_clock, start);
@@ -144,6 +162,7 @@
     check_stale_registration();
     check_late_digests();
     check_two_daemons_of_one_name();
+    check_stopped();
     check_return();
     return eelgrassdoor::test::finish();
 }
