Count the waiting tokens of a daemon only while it may own jobs

What callers saw: after a daemon with accepted items was gone for good, or lost its registration to a cut, its last report of waiting tokens counted towards the caps for ever: jobs were refused with 429 below their cap, and while others had taken its jobs over, twice.

Cause: peer_table::sum_waiting_tokens() added the latest report of each host, however old. A restart had the opposite fault: the first digest of the new run says that nothing waits, before the jobs of the earlier run are loaded.

Fix: tokens are kept per incarnation and count while it is registered. After that they count until a scan of all jobs, begun after its registration had ended, leaves no job that its record owns. These are the scans that adopt orphaned jobs; each change of the members starts one, and they are repeated every second while orphans are left. Then the daemons that adopted the jobs count the tokens. In an outage of the store neither registrations nor scans change, so the tokens go on counting.

Left: between the change of a job's owner in the store and the next digest of the new owner its tokens count nowhere.

--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -361,8 +361,9 @@
     }
 }
 
-std::uint64_t peer_messenger::peer_waiting_tokens(std::uint64_t customer_and_route) const {
-    return m_peers.sum_waiting_tokens(customer_and_route);
+std::uint64_t peer_messenger::peer_waiting_tokens(std::uint64_t customer_and_route,
+                                                  const peer_table::owns_jobs_fn& owns_jobs) const {
+    return m_peers.sum_waiting_tokens(customer_and_route, owns_jobs);
 }
 
 bool peer_messenger::any_peer_reaches_store() const {
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -110,7 +110,9 @@
 
     /// Sum of the waiting tokens of a customer and route at all other daemons; see
     /// peer_table::sum_waiting_tokens().
-    [[nodiscard]] std::uint64_t peer_waiting_tokens(std::uint64_t customer_and_route) const;
+    [[nodiscard]] std::uint64_t
+    peer_waiting_tokens(std::uint64_t customer_and_route,
+                        const peer_table::owns_jobs_fn& owns_jobs) const;
     /// Whether any daemon heard within routing::fleet_load::peer_load_lifetime reaches the
     /// key-value service.
     [[nodiscard]] bool any_peer_reaches_store() const;
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -18,8 +18,9 @@
         return digest.sequence > stored.sequence;
     }
     const duration silence = now - stored.heard_at;
-    const bool was_replaced = std::find(stored.replaced.begin(), stored.replaced.end(),
-                                        digest.incarnation) != stored.replaced.end();
+    const bool was_replaced =
+        std::any_of(stored.replaced.begin(), stored.replaced.end(),
+                    [&](const replaced_run& run) { return run.incarnation == digest.incarnation; });
     if (was_replaced) {
         return silence > return_silence;
     }
@@ -41,10 +42,13 @@
                     .replaced = {},
                     .has_stopped = digest.is_final};
     if (found != m_peers.end()) {
-        next.replaced = std::move(found->second.replaced);
-        if (found->second.incarnation != digest.incarnation) {
-            std::erase(next.replaced, digest.incarnation);
-            next.replaced.push_back(found->second.incarnation);
+        peer_state& before = found->second;
+        next.replaced = std::move(before.replaced);
+        if (before.incarnation != digest.incarnation) {
+            std::erase_if(next.replaced, [&](const replaced_run& run) {
+                return run.incarnation == digest.incarnation;
+            });
+            next.replaced.push_back({before.incarnation, std::move(before.waiting)});
         }
         if (next.replaced.size() > max_replaced) {
             next.replaced.erase(next.replaced.begin());
@@ -72,7 +76,7 @@
 std::size_t peer_table::count_heard_within(duration age, time_point now) const {
     return static_cast<std::size_t>(
         std::count_if(m_peers.begin(), m_peers.end(),
-                      [&](const auto& entry) { return entry.second.is_heard(age, now); }));
+                      [&](const auto& entry) { return now - entry.second.heard_at <= age; }));
 }
 
 bool peer_table::peer_reaches_store(std::string_view host, duration age, time_point now) const {
@@ -86,11 +90,21 @@
     });
 }
 
-std::uint64_t peer_table::sum_waiting_tokens(std::uint64_t customer_and_route) const {
+std::uint64_t peer_table::sum_waiting_tokens(std::uint64_t customer_and_route,
+                                             const owns_jobs_fn& owns_jobs) const {
     std::uint64_t sum = 0;
+    const auto add = [&](std::string_view host, std::uint64_t incarnation,
+                         const std::vector<waiting_tokens>& waiting) {
+        for (const waiting_tokens& each : waiting) {
+            if (each.customer_and_route == customer_and_route && owns_jobs(host, incarnation)) {
+                sum += each.tokens;
+            }
+        }
+    };
     for (const auto& [host, peer] : m_peers) {
-        for (const waiting_tokens& each : peer.waiting) {
-            sum += each.customer_and_route == customer_and_route ? each.tokens : 0;
+        add(host, peer.incarnation, peer.waiting);
+        for (const replaced_run& run : peer.replaced) {
+            add(host, run.incarnation, run.waiting);
         }
     }
     return sum;
--- a/src/fleet/peer_table.hpp
+++ b/src/fleet/peer_table.hpp
@@ -7,6 +7,7 @@
 #include "fleet/message.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -50,12 +51,20 @@
                                           time_point now) const;
     /// Whether any daemon heard within the last \p age reaches the key-value service.
     [[nodiscard]] bool any_peer_reaches_store(duration age, time_point now) const;
+    /// Whether an incarnation of a daemon may own unfinished jobs.
+    using owns_jobs_fn = std::function<bool(std::string_view host, std::uint64_t incarnation)>;
     /// Sum of the waiting tokens of a customer and route at all other daemons, according to the
-    /// latest digest of each, however old.
+    /// latest digest of each incarnation, however old, for which \p owns_jobs is true. Once it is
+    /// false, other daemons count the tokens in the jobs that they have taken over.
     /// \param customer_and_route hash as in waiting_tokens::customer_and_route
-    [[nodiscard]] std::uint64_t sum_waiting_tokens(std::uint64_t customer_and_route) const;
+    [[nodiscard]] std::uint64_t sum_waiting_tokens(std::uint64_t customer_and_route,
+                                                   const owns_jobs_fn& owns_jobs) const;
 
 private:
+    struct replaced_run {
+        std::uint64_t incarnation = 0;
+        std::vector<waiting_tokens> waiting;
+    };
     struct peer_state {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
@@ -63,7 +72,7 @@
         bool reaches_store = false;
         std::vector<waiting_tokens> waiting;
         /// The incarnations that were replaced last, the latest at the end.
-        std::vector<std::uint64_t> replaced;
+        std::vector<replaced_run> replaced;
         /// Whether the digest was a final one.
         bool has_stopped = false;
 
--- a/src/jobs/job_ownership.cpp
+++ b/src/jobs/job_ownership.cpp
@@ -5,6 +5,8 @@
 #include "net/http_client.hpp"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace eelgrassdoor::jobs {
 
@@ -36,6 +38,10 @@
     m_table.adopt_wake.notify();
 }
 
+bool job_ownership::may_own_jobs(std::string_view host, std::uint64_t incarnation) const {
+    return m_owners.may_own_jobs(host, incarnation, m_context.messenger.members());
+}
+
 std::string job_ownership::preferred_owner(std::string_view job,
                                            std::string_view excluded_host) const {
     std::string preferred;
@@ -91,12 +97,13 @@
         co_return true;
     }
     m_table.wake_committer_if_unconfirmed();
+    const fleet::member_map members = m_context.messenger.members();
     const result<std::vector<versioned_state>> all =
         co_await m_repository.read_all(store::consistency::stale);
     if (!all) {
         co_return true;
     }
-    bool orphans_left = false;
+    std::set<job_owners::process> owners;
     for (const versioned_state& record : all.value()) {
         if (!is_orphan(record.state)) {
             continue;
@@ -104,8 +111,12 @@
         if (should_adopt(record.state)) {
             co_await adopt(record);
         }
-        orphans_left = orphans_left || is_orphan(record.state);
+        if (is_orphan(record.state)) {
+            owners.emplace(record.state.owner, record.state.owner_incarnation);
+        }
     }
+    const bool orphans_left = !owners.empty();
+    m_owners.record_scan(members, std::move(owners));
     co_return orphans_left;
 }
 
--- a/src/jobs/job_ownership.hpp
+++ b/src/jobs/job_ownership.hpp
@@ -2,6 +2,7 @@
 /// Defines the adoption of orphaned jobs and the handover of owned ones.
 #pragma once
 
+#include "jobs/job_owners.hpp"
 #include "jobs/job_repository.hpp"
 #include "jobs/job_table.hpp"
 
@@ -23,6 +24,8 @@
     /// Scans more often for a while for \p job, whose creation by this daemon has an unknown
     /// outcome and may still take effect.
     void track_unconfirmed_creation(const std::string& job);
+    /// Whether this incarnation of another daemon may own unfinished jobs.
+    [[nodiscard]] bool may_own_jobs(std::string_view host, std::uint64_t incarnation) const;
     /// Hands every unfinished job over to its preferred owner among the other daemons. Jobs stay
     /// when there is no such daemon or a change fails; the committer is then woken for another
     /// attempt.
@@ -57,6 +60,7 @@
     job_table& m_table;
     /// Jobs whose creation has an unknown outcome, with the end of the frequent scans for each.
     std::map<std::string, time_point, std::less<>> m_unconfirmed_creations;
+    job_owners m_owners;
 };
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -103,7 +103,11 @@
     const std::uint64_t key = backlog_key(state.customer, state.route);
     const std::uint64_t max_tokens = route->jobs.max_waiting_tokens;
     const std::uint64_t waiting_tokens =
-        m_table.waiting_tokens(key) + m_context.messenger.peer_waiting_tokens(key);
+        m_table.waiting_tokens(key) +
+        m_context.messenger.peer_waiting_tokens(
+            key, [this](std::string_view host, std::uint64_t incarnation) {
+                return m_ownership.may_own_jobs(host, incarnation);
+            });
     if (max_tokens > 0 && waiting_tokens + state.tokens > max_tokens) {
         // A resubmission of a job that was accepted before is not refused.
         const result<std::optional<versioned_state>> stored_record =
--- a/test/correctness/digest_state.cpp
+++ b/test/correctness/digest_state.cpp
@@ -20,6 +20,12 @@
     return digest;
 }
 
+/// The waiting tokens when only this incarnation owns jobs.
+std::uint64_t sum_waiting(const peer_table& peers, std::uint64_t key, std::uint64_t incarnation) {
+    return peers.sum_waiting_tokens(
+        key, [=](std::string_view, std::uint64_t each) { return each == incarnation; });
+}
+
 void check_peer_table() {
     const time_point start{};
     peer_table peers;
@@ -37,7 +43,7 @@
     require(peers.peer_reaches_store("h", seconds(1), start + seconds(1)) &&
                 peers.any_peer_reaches_store(seconds(1), start + seconds(1)),
             "rejected digests do not replace whether the daemon reaches the store");
-    require(peers.sum_waiting_tokens(7) == 100 && peers.sum_waiting_tokens(9) == 0,
+    require(sum_waiting(peers, 7, 5) == 100 && sum_waiting(peers, 9, 5) == 0,
             "waiting tokens are kept by customer and route");
     load_digest last = digest_of(5, 3);
     last.is_final = true;
@@ -47,7 +53,7 @@
     require(peers.accept(digest_of(6, 1), start + seconds(3)),
             "a digest of a later incarnation is accepted despite its lower sequence number");
     require(!peers.peer_reaches_store("h", seconds(1), start + seconds(3)) &&
-                peers.sum_waiting_tokens(7) == 0,
+                sum_waiting(peers, 7, 6) == 0,
             "a digest of a later incarnation replaces all state of the earlier one");
 }
 
