Serve targets that restart under their id with an earlier clock

What callers saw: a target that had announced its shutdown and came back under its id on a host whose clock was set back got no requests from any daemon, until its clock had passed the earlier start.

Cause: leaving_targets kept the latest start time for each target and took every instance that started before it for leaving. Start times come from the clocks of the targets' hosts.

Evidence: fleet_load fails by the old rule ("an instance that started with an earlier clock gets requests") and passes by the new one.

--- a/test/correctness/fleet_load.cpp
+++ b/test/correctness/fleet_load.cpp
@@ -311,6 +311,10 @@
     require(loads.pick_online("s", no_constraints, now, random)->id == "x",
             "a later instance with the same id gets requests");
     require(loads.leaving().empty(), "an outdated leaving instance is not reported");
+    x.started_at = 6;
+    loads.set_targets({x, target("y", "b")});
+    require(loads.pick_online("s", excluding("y"), now, random).has_value(),
+            "an instance that started with an earlier clock gets requests");
     fleet_load stale = two_targets();
     stale.mark_leaving({stable_hash("late"), 5});
     fleet_target late = target("late", "a");
