Keep to request limits of targets that restart with an earlier clock

What callers saw: the request limit of a target that came back under its id with an earlier clock was never recorded, so daemons sent more than it takes and had the requests refused.

Cause: target_limits kept the instance with the latest start time.

Fix: while a target is listed, the limit is that of the listed instance; the store orders the list. The start time decides only for targets that are not listed here yet.

Evidence: target_limits fails by the old rule ("the limit of a target that restarted with an earlier clock is recorded") and passes by the new one.

--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -31,9 +31,11 @@
     m_listed = targets;
     std::map<std::string, target_state, std::less<>> next;
     std::set<std::uint64_t> hashes;
+    std::map<std::uint64_t, std::uint64_t> started_at;
     for (fleet_target& target : targets) {
         const std::uint64_t hash = stable_hash(target.id);
         hashes.insert(hash);
+        started_at[hash] = target.started_at;
         const auto known = m_targets.find(target.id);
         target_state state;
         if (known != m_targets.end() && known->second.target.started_at == target.started_at) {
@@ -52,6 +54,7 @@
         next.emplace(std::move(id), std::move(state));
     }
     m_targets = std::move(next);
+    m_request_limits.set_listed(std::move(started_at));
     std::erase_if(m_peer_totals, [&](const auto& entry) {
         return entry.second == target_load{} && !hashes.contains(entry.first);
     });
--- a/src/routing/target_limits.cpp
+++ b/src/routing/target_limits.cpp
@@ -27,11 +27,17 @@
 }
 
 target_limits::limit_state* target_limits::find_or_create(const target_instance& instance) {
+    const auto listed = m_listed.find(instance.target);
+    const bool is_listed = listed != m_listed.end() && listed->second == instance.started_at;
+    if (listed != m_listed.end() && !is_listed) {
+        return nullptr;
+    }
     if (m_states.size() >= max_targets && !m_states.contains(instance.target)) {
         std::erase_if(m_states, [](const auto& entry) { return !entry.second.limit(); });
     }
     limit_state& state = m_states[instance.target];
-    if (state.started_at < instance.started_at) {
+    const bool is_other = state.started_at != instance.started_at;
+    if (is_other && (is_listed || state.started_at < instance.started_at)) {
         state = {.started_at = instance.started_at};
     }
     return state.started_at == instance.started_at ? &state : nullptr;
--- a/src/routing/target_limits.hpp
+++ b/src/routing/target_limits.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace eelgrassdoor::routing {
@@ -38,6 +39,12 @@
     /// digests per second, all limits in each digest would fill a link of 30 Mbit/s.
     static constexpr std::size_t max_reports = 12;
 
+    /// Replaces the instances in the target list, by target. While a target is listed, only its
+    /// listed instance has a limit: the list is ordered by the store, unlike start times, which are
+    /// taken from clocks that may be set back.
+    void set_listed(std::map<std::uint64_t, std::uint64_t> started_at) {
+        m_listed = std::move(started_at);
+    }
     /// Records a response, received at \p now, to a request that was sent at \p sent_at. \p limit
     /// is the number of requests per second that it names, or nothing. A response without a limit
     /// ends the one in force only if its request was sent after that was named, because responses
@@ -82,12 +89,15 @@
 
     /// The state for \p instance, or null when nothing or only an earlier instance is known.
     [[nodiscard]] const limit_state* find(const target_instance& instance) const;
-    /// The state for \p instance, which replaces that of an earlier instance; null when a later
-    /// instance is known.
+    /// The state for \p instance, which replaces that of another instance; null when the target is
+    /// listed with another instance, or is not listed and an instance with a later start time is
+    /// known.
     limit_state* find_or_create(const target_instance& instance);
     /// Takes over one report. Returns whether the limit has changed.
     bool merge_report(const target_limit_report& report, time_point now);
 
+    /// Start time of the listed instance by target.
+    std::map<std::uint64_t, std::uint64_t> m_listed;
     /// By target.
     std::map<std::uint64_t, limit_state> m_states;
     /// The target after which the next reports begin.
--- a/test/correctness/target_limits.cpp
+++ b/test/correctness/target_limits.cpp
@@ -54,6 +54,25 @@
             "a late response of the earlier instance does not change the limit");
 }
 
+void check_restart_with_earlier_clock() {
+    target_limits limits;
+    const target_instance restarted{.target = instance.target, .started_at = 60};
+    limits.set_listed({{instance.target, instance.started_at}});
+    limits.record_response(instance, 2.5, at(10), at(20));
+    limits.set_listed({{restarted.target, restarted.started_at}});
+    limits.record_response(restarted, 3.0, at(30), at(40));
+    require(limits.limit_of(restarted) == 3.0,
+            "the limit of a target that restarted with an earlier clock is recorded");
+    require(limits.merge(std::vector<target_limit_report>{{.instance = instance,
+                                                           .requests_per_second = 1.0,
+                                                           .named_age = {},
+                                                           .ended_age = {}}},
+                         at(50))
+                    .empty() &&
+                limits.limit_of(restarted) == 3.0,
+            "late reports on the earlier instance do not change the limit");
+}
+
 void check_other_daemons_learn() {
     target_limits observer;
     target_limits other;
@@ -132,6 +151,7 @@
     check_newest_response_counts();
     check_overtaking_responses();
     check_restarted_target();
+    check_restart_with_earlier_clock();
     check_other_daemons_learn();
     check_reports_in_turn();
     check_builds_side_by_side();
