Give up items by the daemon's own clock

What callers saw: items were listed as dead_letter before their time.

Cause: a job's age was the difference of the wall clock of the daemon that runs it and of the one that accepted it. 3 s were allowed for the difference, while skewMaxMs is 5,000, and a host's clock may jump or come back with any time.

Fix: items are given up when their job has been in the table of the daemon for the item lifetime by its steady clock. It is in the table after its first send, so this is never early. A job that was taken over may live longer, which no rule forbids: the lifetime says when items may be abandoned. The due time of a job is still taken from the clocks, as it only orders jobs, but a submission in the future counts as one now.

Weighed: a larger allowance (5 s) leaves jumps; a time from the store needs a call. Evidence: platform/item_lifetime fails by the old rule ("an item runs after the host's clock has jumped: dead_letter") and passes by the new one.

--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -11,8 +11,6 @@
 
 /// Finished jobs stay in memory for this long; later reads go to the store.
 constexpr duration finished_job_retention = seconds(120);
-/// Largest clock difference between hosts.
-constexpr std::int64_t max_clock_skew_ms = 3000;
 
 } // namespace
 
@@ -77,12 +75,15 @@
     const config::serving_route* route =
         m_context.plan ? m_context.plan->find_route(record.state.route) : nullptr;
     const duration target = route != nullptr ? route->jobs.completion_target : seconds(0);
-    const milliseconds age(m_options.wall_clock() - record.state.submitted_at);
+    // The clock of the host that accepted the job may be ahead.
+    const milliseconds age(
+        std::max<std::int64_t>(m_options.wall_clock() - record.state.submitted_at, 0));
     const std::string id = record.state.job;
     m_jobs[id] =
         std::make_shared<owned_job>(std::move(record), std::move(items),
                                     std::move(committed_results), m_context.clock() + target - age);
     m_jobs[id]->confirm(m_options.registration_generation());
+    m_added_at[id] = m_context.clock();
     m_evict_at.erase(id);
     // The cancellation may have been reported before the job was in the table, and after its record
     // was read.
@@ -106,6 +107,7 @@
         }
     }
     m_jobs.erase(job);
+    m_added_at.erase(job);
     m_evict_at.erase(job);
     wake_readers();
 }
@@ -136,9 +138,8 @@
             continue;
         }
         const config::serving_route* route = route_of(*job);
-        const std::int64_t age = m_options.wall_clock() - job->record().state.submitted_at;
         const bool expired = route != nullptr && route->jobs.item_lifetime > duration::zero() &&
-                             age > to_ms(route->jobs.item_lifetime) + max_clock_skew_ms;
+                             m_context.clock() - m_added_at[id] > route->jobs.item_lifetime;
         if (expired || route == nullptr) {
             job->fail_pending_items();
             commit_wake.notify();
@@ -156,6 +157,7 @@
     for (auto it = m_evict_at.begin(); it != m_evict_at.end();) {
         if (it->second <= now) {
             m_jobs.erase(it->first);
+            m_added_at.erase(it->first);
             it = m_evict_at.erase(it);
         } else {
             ++it;
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -76,7 +76,9 @@
     /// Removes jobs that finished more than the retention period of 120 s ago; the store still has
     /// them. Call it regularly, since the period begins with the first call after the job finished.
     void evict_finished();
-    /// Gives up the pending items of jobs whose item lifetime has passed or whose route is gone.
+    /// Gives up the pending items of jobs whose route is gone or that have been in the table for
+    /// the item lifetime. A job that was taken over may live longer: the host's clock at its
+    /// submission does not tell its age, and items must not be given up early.
     void fail_expired_items();
     /// Whether no job in the table is unfinished.
     [[nodiscard]] bool is_drained() const;
@@ -103,6 +105,8 @@
     serving::service_context& m_context;
     const runner_options& m_options;
     std::map<std::string, job_ptr, std::less<>> m_jobs;
+    /// When each job was added.
+    std::map<std::string, time_point, std::less<>> m_added_at;
     /// When each finished job is to be removed.
     std::map<std::string, time_point, std::less<>> m_evict_at;
     /// Tokens of jobs that are being created, by backlog key.
