--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -112,7 +112,9 @@
 
     /// Sum of the waiting tokens of a customer and route at all other daemons; see
     /// peer_table::sum_waiting_tokens().
-    [[nodiscard]] std::uint64_t peer_waiting_tokens(std::uint64_t customer_and_route) const;
+    [[nodiscard]] std::uint64_t
+    peer_waiting_tokens(std::uint64_t customer_and_route,
+                        const peer_table::owns_jobs_fn& owns_jobs) const;
     /// Whether any daemon heard within routing::fleet_load::peer_load_lifetime reaches the
     /// key-value service.
     [[nodiscard]] bool any_peer_reaches_store() const;
@@ -121,6 +123,8 @@
     [[nodiscard]] bool peer_reaches_store(std::string_view host, duration age) const;
     /// Whether a digest of \p host arrived within \p age, directly or forwarded.
     [[nodiscard]] bool heard_within(std::string_view host, duration age) const;
+    /// Number of daemons that were heard lately, directly or forwarded.
+    [[nodiscard]] std::size_t heard_peers() const;
     /// Whether datagrams from \p endpoint (`IP:PORT`) arrive directly, without a relay or gateway,
     /// so that calls to it are likely to succeed.
     [[nodiscard]] bool receives_directly_from(std::string_view endpoint) const;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -83,6 +83,8 @@
     event_info{event::crash_check_inconclusive, "crash_check_inconclusive", warning,
                "A target closed a request's connection and refuses others, but this host reaches"
                " no other target either; nothing is held against the request."},
+    event_info{event::peer_restarted, "peer_restarted", info,
+               "The digests of a daemon come from another run of it than before."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
