Serve although another program holds a port at the start

Callers of a host whose caller, readiness, peer or metrics port was in use when its daemon came back found no listener: the daemon printed "cannot listen on" and ended, again at each start; without a metrics port the host stayed away for good. The line was no event, and the log said "started and is listening" before.

Metrics are no condition of serving: their port is tried again while the daemon runs.

--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -73,6 +73,9 @@
 }
 
 result<void> peer_messenger::start() {
+    if (m_socket.is_open()) {
+        return success();
+    }
     BOOST_OUTCOME_TRY(own, net::parse_endpoint(m_options.self.endpoint));
     BOOST_OUTCOME_TRY(
         m_socket.open(to_udp(own), [this](std::string_view bytes, const net::udp::endpoint& from) {
--- a/src/host/daemon_servers.cpp
+++ b/src/host/daemon_servers.cpp
@@ -1,5 +1,7 @@
 #include "host/daemon_servers.hpp"
 
+#include "net/notification.hpp"
+
 namespace eelgrassdoor::host {
 
 namespace {
@@ -11,6 +13,7 @@
 constexpr std::size_t max_readiness_connections = 64;
 constexpr std::size_t max_metrics_connections = 16;
 constexpr std::size_t max_peer_connections = 512;
+constexpr duration metrics_retry_interval = seconds(1);
 
 net::client_limits peer_limits() {
     net::client_limits limits;
@@ -22,7 +25,8 @@
 } // namespace
 
 daemon_servers::daemon_servers(net::asio::any_io_executor executor, const host_settings& settings,
-                               server_handlers handlers) {
+                               server_handlers handlers)
+    : m_executor(executor) {
     const auto make_server = [&executor](const std::string& endpoint, net::request_handler handler,
                                          std::function<net::client_limits()> limits,
                                          std::size_t max_connections) {
@@ -57,13 +61,27 @@
 }
 
 result<void> daemon_servers::start() {
-    for (net::http_server* server :
-         {m_caller.get(), m_readiness.get(), m_metrics.get(), m_peer.get()}) {
-        if (server != nullptr) {
+    // Callers come last: a connection that waits to be accepted meanwhile would not be answered.
+    for (net::http_server* server : {m_peer.get(), m_readiness.get(), m_caller.get()}) {
+        if (server != nullptr && !server->is_listening()) {
             BOOST_OUTCOME_TRY(server->start());
         }
     }
+    if (m_metrics && !m_metrics->is_listening()) {
+        const result<void> started = m_metrics->start();
+        if (!started) {
+            on_metrics_unavailable(started.error().message);
+            net::asio::co_spawn(m_executor, retry_metrics(), net::asio::detached);
+        }
+    }
     return success();
 }
 
+net::task<> daemon_servers::retry_metrics() {
+    while (!m_metrics->is_listening()) {
+        co_await net::sleep_for(metrics_retry_interval);
+        (void)m_metrics->start();
+    }
+}
+
 } // namespace eelgrassdoor::host
--- a/src/host/daemon_servers.hpp
+++ b/src/host/daemon_servers.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace eelgrassdoor::host {
 
@@ -29,14 +30,22 @@
     daemon_servers(net::asio::any_io_executor executor, const host_settings& settings,
                    server_handlers handlers);
 
-    /// Starts to listen. The error names the endpoint that could not be opened.
+    /// Starts to listen. The error names the endpoint that could not be opened; then it may be
+    /// called again. The server for metrics is no condition: it is tried again while the daemon
+    /// serves.
     result<void> start();
+    /// Called with the reason when the server for metrics cannot listen yet. Must be set before
+    /// start().
+    std::function<void(const std::string& reason)> on_metrics_unavailable = [](const auto&) {};
     /// The server for callers; null if this daemon serves none.
     [[nodiscard]] net::http_server* caller() { return m_caller.get(); }
 
 private:
     using server_ptr = std::unique_ptr<net::http_server>;
 
+    net::task<> retry_metrics();
+
+    net::asio::any_io_executor m_executor;
     server_ptr m_caller;
     server_ptr m_readiness;
     server_ptr m_metrics;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -138,6 +138,12 @@
 }
 
 result<void> fleet_daemon::start() {
+    m_servers.on_metrics_unavailable = [this](const std::string& reason) {
+        m_log.write(observe::event::endpoint_unavailable, m_settings.metrics_endpoint,
+                    {{"reason", reason}});
+    };
+    BOOST_OUTCOME_TRY(m_messenger.start());
+    BOOST_OUTCOME_TRY(m_servers.start());
     m_log.write(observe::event::daemon_started, m_settings.host,
                 {{"zone", m_settings.availability_zone},
                  {"incarnation", std::to_string(m_incarnation)},
@@ -174,8 +180,6 @@
         m_messenger.on_peer_load = [this] { m_runner->on_load_change(); };
         m_messenger.collect_waiting_tokens = [this] { return m_runner->waiting_tokens(); };
     }
-    BOOST_OUTCOME_TRY(m_servers.start());
-    BOOST_OUTCOME_TRY(m_messenger.start());
     m_feed.start();
     m_registration.start();
     if (m_settings.serves_callers) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -147,12 +147,12 @@
     m_acceptor.open(endpoint.protocol(), ec);
     m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
     m_acceptor.bind(endpoint, ec);
-    if (ec) {
-        return error{error_code::unavailable,
-                     "cannot listen on " + m_options.endpoint + ": " + ec.message()};
+    if (!ec) {
+        m_acceptor.listen(listen_backlog, ec);
     }
-    m_acceptor.listen(listen_backlog, ec);
     if (ec) {
+        io_error ignored;
+        m_acceptor.close(ignored);
         return error{error_code::unavailable,
                      "cannot listen on " + m_options.endpoint + ": " + ec.message()};
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -130,8 +130,9 @@
                 request_handler handler);
 
     /// Starts to listen. Fails with error_code::invalid_request when the endpoint is malformed, and
-    /// with error_code::unavailable when it cannot be bound.
+    /// with error_code::unavailable when it cannot be bound; then it may be called again.
     result<void> start();
+    [[nodiscard]] bool is_listening() const { return m_acceptor.is_open(); }
     /// Closes each connection after the response to its next request.
     void close_connections_after_response() { m_closing = true; }
     /// Stops listening and closes idle connections. Requests in progress are completed; a request
--- a/src/net/udp_socket.cpp
+++ b/src/net/udp_socket.cpp
@@ -21,6 +21,7 @@
     m_socket.open(local.protocol(), ec);
     m_socket.bind(local, ec);
     if (ec) {
+        close();
         return error{error_code::unavailable, "cannot bind the UDP port: " + ec.message()};
     }
     m_socket.non_blocking(true, ec);
--- a/src/net/udp_socket.hpp
+++ b/src/net/udp_socket.hpp
@@ -21,8 +21,9 @@
     explicit udp_socket(const asio::any_io_executor& executor) : m_socket(executor) {}
 
     /// Binds \p local and starts to receive. Fails with error_code::unavailable when the address
-    /// cannot be bound.
+    /// cannot be bound; then it may be called again.
     result<void> open(const udp::endpoint& local, receive_handler on_received);
+    [[nodiscard]] bool is_open() const { return m_socket.is_open(); }
     /// Sends one datagram, or drops it without notice when it is too large or cannot be sent.
     void send(std::string_view bytes, const udp::endpoint& to);
     /// Stops receiving; datagrams sent afterwards are dropped.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -21,6 +21,8 @@
                "Log lines over the rate limit or the buffer size were dropped."},
     event_info{event::settings_rejected, "settings_rejected", warning,
                "The new settings are invalid; the previous settings stay in effect."},
+    event_info{event::endpoint_unavailable, "endpoint_unavailable", warning,
+               "An address could not be listened on; tried again."},
     event_info{event::configuration_in_force, "configuration_in_force", info,
                "A newer configuration version took effect."},
     event_info{event::configuration_rejected, "configuration_rejected", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -19,6 +19,7 @@
     settings_reloaded = 104,
     log_lines_dropped = 105,
     settings_rejected = 106,
+    endpoint_unavailable = 107,
     configuration_in_force = 200,
     configuration_rejected = 201,
     configuration_applied = 202,
