Send a few requests in quarantine on trial

Cause: only an answer of a target ends a quarantine early, and nothing is sent that could get one. The class is a state that cuts off the observations that would end it.

Three seconds after the last crash, the daemon that ranks first for the suspect among those that are heard sends one request on trial, and another one later. An answer ends the quarantine in the whole fleet; two more crashes end the trials.

--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -165,7 +165,8 @@
     const std::string customer = admitted.value().customer;
     if (has_quarantine(m_context)) {
         const crash_suspects suspects = suspects_of(request, customer);
-        if (const std::optional<error> quarantined = quarantine_error(m_context, suspects)) {
+        const std::optional<error> quarantined = quarantine_error(m_context, suspects);
+        if (quarantined && !may_try(m_context, suspects)) {
             co_await refuse(exchange, request.id, *quarantined);
             co_return;
         }
--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -40,7 +40,8 @@
             next = co_await continue_at_backup(*run);
             continue;
         }
-        if (std::optional<error> quarantined = quarantine_error(m_context, run->suspects)) {
+        std::optional<error> quarantined = quarantine_error(m_context, run->suspects);
+        if (quarantined && !(run->runs == 0 && begin_trial(m_context, run->suspects))) {
             error why = run->runs > 0 ? no_target_error(*run) : std::move(*quarantined);
             co_await respond_with_error(*run, std::move(why));
             break;
--- a/src/routing/prompt_quarantine.cpp
+++ b/src/routing/prompt_quarantine.cpp
@@ -52,7 +52,11 @@
     if (known != state.crashes.end() && at - known->second <= report_tolerance) {
         return false;
     }
-    state.first_crash_at = state.crashes.empty() ? at : std::min(state.first_crash_at, at);
+    if (state.crashes.empty()) {
+        state.first_crash_at = at;
+        state.trials = 0;
+    }
+    state.first_crash_at = std::min(state.first_crash_at, at);
     state.crashes[crash.instance] = at;
     m_is_active = m_is_active || quarantined_until(state).has_value();
     return true;
@@ -62,6 +66,7 @@
     std::erase_if(state.crashes,
                   [&](const auto& crash) { return crash.second <= *state.served_at; });
     state.first_crash_at = std::max(state.first_crash_at, *state.served_at);
+    state.trials = 0;
 }
 
 bool prompt_quarantine::record_crash(std::span<const std::uint64_t> segments,
@@ -90,6 +95,7 @@
         ++state.served;
         state.served_at = now;
         state.crashes.clear();
+        state.trials = 0;
     }
     return was_suspected;
 }
@@ -176,24 +182,64 @@
     if (state.crashes.size() < m_rule.min_crashes) {
         return std::nullopt;
     }
-    const auto last =
-        std::max_element(state.crashes.begin(), state.crashes.end(),
-                         [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (last->second - state.first_crash_at < m_rule.min_spread) {
+    const time_point last = last_crash(state);
+    if (last - state.first_crash_at < m_rule.min_spread) {
         return std::nullopt;
     }
-    return last->second + quarantine_time;
+    return last + quarantine_time;
+}
+
+time_point prompt_quarantine::last_crash(const segment_state& state) {
+    return std::max_element(state.crashes.begin(), state.crashes.end(),
+                            [](const auto& a, const auto& b) { return a.second < b.second; })
+        ->second;
+}
+
+const prompt_quarantine::segment_state*
+prompt_quarantine::find_in_quarantine(std::uint64_t segment, time_point now) const {
+    const auto found = m_segments.find(segment);
+    if (found == m_segments.end()) {
+        return nullptr;
+    }
+    const std::optional<time_point> until = quarantined_until(found->second);
+    return until && *until > now ? &found->second : nullptr;
+}
+
+std::optional<std::uint64_t>
+prompt_quarantine::find_quarantined(std::span<const std::uint64_t> segments, time_point now) const {
+    for (const std::uint64_t segment : segments) {
+        if (find_in_quarantine(segment, now) != nullptr) {
+            return segment;
+        }
+    }
+    return std::nullopt;
+}
+
+bool prompt_quarantine::may_try(std::span<const std::uint64_t> segments, time_point now) const {
+    return std::all_of(segments.begin(), segments.end(), [&](std::uint64_t segment) {
+        const segment_state* state = find_in_quarantine(segment, now);
+        return state == nullptr ||
+               (state->trials < max_trials && now - last_crash(*state) >= trial_interval &&
+                (state->trials == 0 || now - state->tried_at >= trial_interval));
+    });
+}
+
+void prompt_quarantine::record_trial(std::span<const std::uint64_t> segments, time_point now) {
+    for (const std::uint64_t segment : segments) {
+        if (find_in_quarantine(segment, now) != nullptr) {
+            segment_state& state = m_segments[segment];
+            ++state.trials;
+            state.tried_at = now;
+        }
+    }
 }
 
 std::optional<duration> prompt_quarantine::time_left(std::span<const std::uint64_t> segments,
                                                      time_point now) const {
     std::optional<duration> left;
     for (const std::uint64_t segment : segments) {
-        const auto found = m_segments.find(segment);
-        const std::optional<time_point> until =
-            found == m_segments.end() ? std::nullopt : quarantined_until(found->second);
-        if (until && *until > now) {
-            left = std::max(left.value_or(duration::zero()), *until - now);
+        if (const segment_state* state = find_in_quarantine(segment, now)) {
+            left = std::max(left.value_or(duration::zero()), *quarantined_until(*state) - now);
         }
     }
     return left;
--- a/src/routing/prompt_quarantine.hpp
+++ b/src/routing/prompt_quarantine.hpp
@@ -56,7 +56,9 @@
 /// A crash is blamed on the segment of the request that targets have answered least often, since
 /// segments that are shared with sound requests keep being answered. A segment is quarantined after
 /// crashes of several targets that are too far apart for one cause, such as a lost zone, with no
-/// answer since the first of them. An answer from any target ends the quarantine. The last segment
+/// answer since the first of them. An answer from any target ends the quarantine. Targets may have
+/// crashed for another reason, and then nothing is sent that they could answer, so a few requests
+/// are sent on trial. The last segment
 /// of a prompt belongs to one request or session, so it is not considered.
 ///
 /// A second instance with whole_request_rule does the same for whole requests, whose fingerprint
@@ -72,6 +74,11 @@
     /// How long a segment stays in quarantine after the last crash.
     static constexpr duration quarantine_time = std::chrono::minutes(10);
 
+    /// How long after the last crash and the last trial a request may be sent on trial.
+    static constexpr duration trial_interval = seconds(3);
+    /// Number of trials until a target has answered one.
+    static constexpr int max_trials = 2;
+
     /// Records that the target start \p instance ended before it answered a request with these
     /// segments. Returns whether this is new evidence.
     bool record_crash(std::span<const std::uint64_t> segments, std::uint64_t instance,
@@ -95,6 +102,14 @@
     /// Remaining quarantine of a request with these segments; nothing if none is in quarantine.
     [[nodiscard]] std::optional<duration> time_left(std::span<const std::uint64_t> segments,
                                                     time_point now) const;
+    /// The first of these segments that is in quarantine.
+    [[nodiscard]] std::optional<std::uint64_t>
+    find_quarantined(std::span<const std::uint64_t> segments, time_point now) const;
+    /// Whether a request with these segments, of which some are in quarantine, may be sent on
+    /// trial.
+    [[nodiscard]] bool may_try(std::span<const std::uint64_t> segments, time_point now) const;
+    /// Records that such a request is sent on trial.
+    void record_trial(std::span<const std::uint64_t> segments, time_point now);
     /// The segments in quarantine.
     [[nodiscard]] std::size_t quarantined_count(time_point now) const;
 
@@ -109,10 +124,18 @@
         std::map<std::uint64_t, time_point> crashes;
         /// Until when the last answer is reported because other daemons suspect the segment.
         time_point refutes_until{};
+        /// Trials since the last answer, and when the last one began.
+        int trials = 0;
+        time_point tried_at = time_point::min();
     };
     using state_map = std::unordered_map<std::uint64_t, segment_state>;
 
     segment_state& state_of(std::uint64_t segment);
+    /// The state of \p segment if it is in quarantine, otherwise null.
+    [[nodiscard]] const segment_state* find_in_quarantine(std::uint64_t segment,
+                                                          time_point now) const;
+    /// When the last crash was observed; \p state must have one.
+    [[nodiscard]] static time_point last_crash(const segment_state& state);
     /// End of the quarantine; nothing if \p state does not justify one.
     [[nodiscard]] std::optional<time_point> quarantined_until(const segment_state& state) const;
     /// Adds a crash unless it is known or older than the last answer.
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -11,6 +11,9 @@
 /// Timeout for the connection that shows whether a target is still there. One that vanished without
 /// refusing it, for instance in a network partition, gives no evidence.
 constexpr duration check_timeout = milliseconds(75);
+/// A daemon that was not heard for this long sends no request on trial. Twice the interval at which
+/// unchanged digests are repeated.
+constexpr duration peer_silence_timeout = milliseconds(1000);
 /// Number of other targets that are tried when one refuses connections.
 constexpr std::size_t max_control_targets = 3;
 
@@ -53,6 +56,21 @@
     }
 }
 
+/// Whether this daemon is the one, of those that serve callers and are heard, that sends requests
+/// with \p suspect on trial.
+bool tries(const service_context& context, std::uint64_t suspect) {
+    const std::string& self = context.messenger.self();
+    const std::uint64_t own_weight = rendezvous_weight(suspect, self);
+    for (const auto& [host, each] : context.messenger.active_members()) {
+        const bool is_candidate = host != self && each.serves_callers &&
+                                  context.messenger.heard_within(host, peer_silence_timeout);
+        if (is_candidate && rendezvous_weight(suspect, host) > own_weight) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// Whether this host reaches another target, as far as a few of them show. If it does not, a target
 /// that refuses connections may have been cut off from it along with all others.
 net::task<bool> reaches_another_target(service_context& context, std::string target) {
@@ -156,4 +174,33 @@
     return std::nullopt;
 }
 
+bool may_try(const service_context& context, const crash_suspects& suspects) {
+    const time_point now = context.clock();
+    const std::span<const std::uint64_t> request(suspects.request ? &*suspects.request : nullptr,
+                                                 suspects.request ? 1 : 0);
+    if (!context.request_quarantine.may_try(request, now) ||
+        !context.quarantine.may_try(suspects.segments, now)) {
+        return false;
+    }
+    std::optional<std::uint64_t> suspect =
+        context.request_quarantine.find_quarantined(request, now);
+    if (!suspect) {
+        suspect = context.quarantine.find_quarantined(suspects.segments, now);
+    }
+    return suspect && tries(context, *suspect);
+}
+
+bool begin_trial(service_context& context, const crash_suspects& suspects) {
+    if (!may_try(context, suspects)) {
+        return false;
+    }
+    const time_point now = context.clock();
+    if (suspects.request) {
+        context.request_quarantine.record_trial({&*suspects.request, 1}, now);
+    }
+    context.quarantine.record_trial(suspects.segments, now);
+    context.metrics.count("quarantine_trials_total");
+    return true;
+}
+
 } // namespace eelgrassdoor::serving
--- a/src/serving/crash_detector.hpp
+++ b/src/serving/crash_detector.hpp
@@ -50,5 +50,11 @@
 /// it is not.
 [[nodiscard]] std::optional<error> quarantine_error(const service_context& context,
                                                     const crash_suspects& suspects);
+/// Whether this daemon may send a request in quarantine on trial, to find out whether targets still
+/// crash on it. For each suspect one daemon of those that are heard does so.
+[[nodiscard]] bool may_try(const service_context& context, const crash_suspects& suspects);
+/// Records that such a request is sent on trial. Returns false, and records nothing, when that is
+/// not allowed any more.
+bool begin_trial(service_context& context, const crash_suspects& suspects);
 
 } // namespace eelgrassdoor::serving
--- a/test/correctness/prompt_quarantine.cpp
+++ b/test/correctness/prompt_quarantine.cpp
@@ -225,9 +225,37 @@
             "the digest of an older build has no reports");
 }
 
+/// Targets that crashed for another reason must get a request again before the quarantine is over.
+void check_trials() {
+    prompt_quarantine quarantine;
+    const std::vector<std::uint64_t> prompt{fatal_segment};
+    time_point now{};
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        now += milliseconds(400);
+        quarantine.record_crash(prompt, target, now);
+    }
+    require(quarantine.time_left(prompt, now).has_value() && !quarantine.may_try(prompt, now),
+            "no request is tried right after the crashes");
+    now += prompt_quarantine::trial_interval;
+    require(quarantine.may_try(prompt, now), "one is tried some time later");
+    quarantine.record_trial(prompt, now);
+    require(!quarantine.may_try(prompt, now), "one at a time");
+    quarantine.record_crash(prompt, 4, now + milliseconds(200));
+    require(!quarantine.may_try(prompt, now + prompt_quarantine::trial_interval),
+            "a trial that crashes a target delays the next one");
+    now += milliseconds(200) + prompt_quarantine::trial_interval;
+    require(quarantine.may_try(prompt, now), "another one follows");
+    quarantine.record_trial(prompt, now);
+    quarantine.record_crash(prompt, 5, now);
+    require(!quarantine.may_try(prompt, now + seconds(60)), "and no more after these");
+    quarantine.record_served(prompt, now + seconds(61));
+    require(!quarantine.time_left(prompt, now + seconds(61)), "an answer ends the quarantine");
+}
+
 } // namespace
 
 int main() {
+    check_trials();
     check_fatal_segment();
     check_restarted_daemon();
     check_lost_zone();
