Tell a partition from responses, and bound what relays take over

A host is partitioned when three targets have failed to respond, by a refused connection, an end without a response or a stall, and none has responded for half a second. A request that must not be sent again is risked as a probe only every 5 s. If no daemon can relay, the request is sent directly.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -41,7 +41,10 @@
             continue;
         }
         std::optional<error> quarantined = quarantine_error(m_context, run->suspects);
-        if (quarantined && !(run->runs == 0 && begin_trial(m_context, run->suspects))) {
+        // A trial goes on while targets refuse it.
+        run->is_trial = run->runs == 0 &&
+                        (run->is_trial || (quarantined && begin_trial(m_context, run->suspects)));
+        if (quarantined && !run->is_trial) {
             error why = run->runs > 0 ? no_target_error(*run) : std::move(*quarantined);
             co_await respond_with_error(*run, std::move(why));
             break;
@@ -78,7 +81,8 @@
     run.reads_with_events = 0;
     run.constraints.excluded.insert(target.id);
     run.silence->restart();
-    run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online);
+    run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online,
+                                                            has_attempts_left(run));
     const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
     net::http_request message = m_context.codec.encode_call(run.request, call);
     run.caller_exchange.set_may_have_run();
--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -1,5 +1,6 @@
 #include "base/text.hpp"
 #include "entry/online_proxy.hpp"
+#include "serving/target_connection.hpp"
 
 #include <algorithm>
 
@@ -84,7 +85,8 @@
                            .customer = run->customer,
                            .time_left = run->deadline - m_context.clock(),
                            .resume_after = run->last_event};
-    backup->exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online);
+    backup->exchange =
+        std::make_shared<target_exchange>(m_context, target, work_kind::online, true);
     const std::shared_ptr<target_exchange> exchange = backup->exchange;
     net::http_request message = m_context.codec.encode_call(run->request, call);
     const result<target_response> response =
@@ -109,7 +111,7 @@
                                                   const routing::fleet_target& target,
                                                   const result<target_response>& response) const {
     if (!response) {
-        m_context.loads.record_failure(target.id, failure_of(response.error()), m_context.clock());
+        record_target_failure(m_context, target.id, response.error());
         if (is_closed_by_target(response.error())) {
             check_for_crash(m_context, target, run.suspects);
         }
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -1,4 +1,5 @@
 #include "entry/online_proxy.hpp"
+#include "serving/target_connection.hpp"
 
 namespace eelgrassdoor::entry {
 
@@ -35,8 +36,7 @@
 
 net::task<online_proxy::attempt_outcome> online_proxy::handle_target_failure(running_request& run,
                                                                              error failure) {
-    m_context.loads.record_failure(run.active_exchange->target().id, failure_of(failure),
-                                   m_context.clock());
+    record_target_failure(m_context, run.active_exchange->target().id, failure);
     check_target(run, failure);
     co_return co_await handle_failure(run, std::move(failure));
 }
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -32,6 +32,8 @@
     int refusals = 0;
     /// Id of the last event sent to the caller.
     std::optional<std::uint64_t> last_event;
+    /// Whether the request is sent on trial although it is in quarantine.
+    bool is_trial = false;
     /// Whether the response headers of a stream have been sent to the caller.
     bool headers_sent = false;
     /// Whether the response is read as a whole before any of it is sent to the caller.
--- a/src/fleet/peer_table.cpp
+++ b/src/fleet/peer_table.cpp
@@ -76,7 +76,7 @@
 std::size_t peer_table::count_heard_within(duration age, time_point now) const {
     return static_cast<std::size_t>(
         std::count_if(m_peers.begin(), m_peers.end(),
-                      [&](const auto& entry) { return now - entry.second.heard_at <= age; }));
+                      [&](const auto& entry) { return entry.second.is_heard(age, now); }));
 }
 
 bool peer_table::peer_reaches_store(std::string_view host, duration age, time_point now) const {
--- a/src/host/daemon_servers.cpp
+++ b/src/host/daemon_servers.cpp
@@ -13,10 +13,13 @@
 constexpr std::size_t max_readiness_connections = 64;
 constexpr std::size_t max_metrics_connections = 16;
 constexpr std::size_t max_peer_connections = 512;
+/// Relayed requests have the headers of callers and more.
+constexpr std::size_t max_peer_header_bytes = 256UL * 1024;
 constexpr duration metrics_retry_interval = seconds(1);
 
 net::client_limits peer_limits() {
     net::client_limits limits;
+    limits.sizes.max_header_bytes = max_peer_header_bytes;
     limits.sizes.max_body_bytes = 64ULL * 1024 * 1024;
     limits.idle_timeout = seconds(60);
     return limits;
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -74,7 +74,7 @@
                 .codec = adapter.codec,
                 .response_memory = m_response_memory,
                 .plan = nullptr,
-                .is_partitioned = m_settings.is_partitioned},
+                .is_partitioned_from_target = m_settings.is_partitioned_from_target},
       m_repository(adapter.store, m_clock, log),
       m_runner(
           m_settings.runs_jobs
@@ -94,7 +94,7 @@
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
       m_frontend(m_context, m_job_frontend, make_request_gate()),
       m_evacuation(m_context.executor, m_settings.host, adapter, log),
-      m_relay(m_context, make_request_gate().accepts_requests),
+      m_relay(m_context, [this] { return !m_shutdown_start; }),
       m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend, m_relay),
       m_servers(m_context.executor, m_settings, make_handlers()),
       m_schedule(m_settings.shutdown_grace) {}
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -46,9 +46,11 @@
     std::size_t max_descriptors = 4096;
     /// Returns the time of the host's clock in Unix milliseconds.
     std::function<std::int64_t()> wall_clock = wall_clock_ms;
-    /// Whether calls to and datagrams from a peer endpoint, and connections to a target's endpoint,
-    /// are dropped; simulates network partitions in tests. May be empty.
+    /// Whether calls to and datagrams from a peer endpoint are dropped; simulates network
+    /// partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned;
+    /// The same for connections to a target's endpoint.
+    std::function<bool(std::string_view)> is_partitioned_from_target;
 };
 
 } // namespace eelgrassdoor::host
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -169,8 +169,8 @@
     running->job = job;
     running->index = index;
     running->started_at = m_context.clock();
-    running->exchange =
-        std::make_shared<serving::target_exchange>(m_context, *target, serving::work_kind::batch);
+    running->exchange = std::make_shared<serving::target_exchange>(m_context, *target,
+                                                                   serving::work_kind::batch, true);
     job->mark_running(index, target->version, m_context.clock());
     m_slot_arbiter.record_start(target->id);
     m_table.running.push_back(running);
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/crash_detector.hpp"
 #include "serving/event_stream_parser.hpp"
+#include "serving/target_connection.hpp"
 
 namespace eelgrassdoor::jobs {
 
@@ -24,8 +25,7 @@
             co_return item_outcome::interrupted;
         }
         if (!more) {
-            context.loads.record_failure(exchange->target().id, serving::failure_of(more.error()),
-                                         context.clock());
+            serving::record_target_failure(context, exchange->target().id, more.error());
             if (reads_with_events == 0 && serving::is_closed_by_target(more.error())) {
                 serving::check_for_crash(context, exchange->target(), std::move(suspects));
             }
@@ -82,8 +82,7 @@
         co_return item_outcome::interrupted;
     }
     if (!response_head) {
-        context.loads.record_failure(target.id, serving::failure_of(response_head.error()),
-                                     context.clock());
+        serving::record_target_failure(context, target.id, response_head.error());
         context.log.write(observe::event::target_failed, request.id,
                           {{"target", target.id}, {"reason", response_head.error().message}});
         if (serving::is_closed_by_target(response_head.error())) {
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -161,6 +161,8 @@
     /// others. All targets of another zone enter backoff when a second one there is unreachable and
     /// none has responded in between, since the zone is then likely to be partitioned.
     void record_failure(std::string_view id, target_failure how, time_point now);
+    /// Forgets which targets and zones were unreachable or failed, as the cause was elsewhere.
+    void forget_unreachable();
     /// Records a successful response, which ends the backoff of the target and of its zone.
     void record_success(std::string_view id, time_point now);
 
--- a/src/routing/fleet_load_failures.cpp
+++ b/src/routing/fleet_load_failures.cpp
@@ -58,6 +58,17 @@
     }
 }
 
+void fleet_load::forget_unreachable() {
+    for (auto& [id, state] : m_targets) {
+        state.consecutive_failures = 0;
+        state.backoff = {};
+    }
+    for (auto& [name, zone] : m_zones) {
+        zone = {};
+    }
+    m_cold_targets.forget_unreachable();
+}
+
 void fleet_load::record_success(std::string_view id, time_point now) {
     const auto found = m_targets.find(id);
     if (found == m_targets.end()) {
--- a/src/routing/prompt_quarantine.cpp
+++ b/src/routing/prompt_quarantine.cpp
@@ -66,7 +66,9 @@
     std::erase_if(state.crashes,
                   [&](const auto& crash) { return crash.second <= *state.served_at; });
     state.first_crash_at = std::max(state.first_crash_at, *state.served_at);
-    state.trials = 0;
+    if (state.crashes.empty()) {
+        state.trials = 0;
+    }
 }
 
 bool prompt_quarantine::record_crash(std::span<const std::uint64_t> segments,
--- a/src/routing/prompt_quarantine.hpp
+++ b/src/routing/prompt_quarantine.hpp
@@ -57,8 +57,8 @@
 /// segments that are shared with sound requests keep being answered. A segment is quarantined after
 /// crashes of several targets that are too far apart for one cause, such as a lost zone, with no
 /// answer since the first of them. An answer from any target ends the quarantine. Targets may have
-/// crashed for another reason, and then nothing is sent that they could answer, so a few requests
-/// are sent on trial. The last segment
+/// crashed for another reason, and then nothing is sent that they could answer, so a
+/// request is sent on trial. The last segment
 /// of a prompt belongs to one request or session, so it is not considered.
 ///
 /// A second instance with whole_request_rule does the same for whole requests, whose fingerprint
@@ -76,8 +76,9 @@
 
     /// How long after the last crash and the last trial a request may be sent on trial.
     static constexpr duration trial_interval = seconds(3);
-    /// Number of trials until a target has answered one.
-    static constexpr int max_trials = 2;
+    /// Number of trials until a target has answered one. Another daemon makes its own if this one
+    /// is gone or cut off.
+    static constexpr int max_trials = 1;
 
     /// Records that the target start \p instance ended before it answered a request with these
     /// segments. Returns whether this is new evidence.
--- a/src/routing/slow_start.cpp
+++ b/src/routing/slow_start.cpp
@@ -92,6 +92,12 @@
     }
 }
 
+void slow_start::forget_unreachable() {
+    for (auto& [id, state] : m_states) {
+        state.unreachable_at = time_point::min();
+    }
+}
+
 void slow_start::record_response(std::string_view id, time_point now) {
     const auto found = m_states.find(id);
     if (found != m_states.end() && !found->second.response_at) {
--- a/src/routing/slow_start.hpp
+++ b/src/routing/slow_start.hpp
@@ -65,6 +65,8 @@
     /// Records that target \p id could not be reached: it may be restarting, and its last entry may
     /// be from before.
     void record_unreachable(std::string_view id, time_point now);
+    /// Forgets which targets were unreachable, as the cause was elsewhere.
+    void forget_unreachable();
     /// Records a response of target \p id.
     void record_response(std::string_view id, time_point now);
 
--- a/src/routing/target_reachability.cpp
+++ b/src/routing/target_reachability.cpp
@@ -1,37 +1,39 @@
 #include "routing/target_reachability.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassdoor::routing {
 
-bool target_reachability::record_connected() {
-    const bool was_partitioned = is_partitioned();
-    m_unreachable.clear();
-    m_next_probe = time_point::min();
-    return was_partitioned;
+bool target_reachability::record_response(time_point now) {
+    m_silent.clear();
+    m_responded_at = now;
+    m_probed_at.reset();
+    return std::exchange(m_is_partitioned, false);
 }
 
-bool target_reachability::record_unreachable(std::string_view target) {
-    const bool was_partitioned = is_partitioned();
-    if (!was_partitioned) {
-        m_unreachable.emplace(target);
+bool target_reachability::record_no_response(std::string_view target, time_point now) {
+    if (m_is_partitioned) {
+        return false;
     }
-    return !was_partitioned && is_partitioned();
-}
-
-bool target_reachability::is_partitioned() const {
+    m_silent.emplace(target);
     const std::size_t needed = std::min(min_unreachable, m_target_count);
-    return needed > 0 && m_unreachable.size() >= needed;
+    const bool is_long = !m_responded_at || now - *m_responded_at >= min_silence;
+    m_is_partitioned = needed > 0 && m_silent.size() >= needed && is_long;
+    return m_is_partitioned;
 }
 
-bool target_reachability::should_connect_directly(time_point now) {
+bool target_reachability::should_send_directly(bool is_repeatable, time_point now) {
     if (!is_partitioned()) {
         return true;
     }
-    if (now < m_next_probe) {
+    // The request that found the partition was sent directly.
+    m_probed_at = m_probed_at.value_or(now);
+    const duration interval = is_repeatable ? probe_interval : unrepeatable_probe_interval;
+    if (now - *m_probed_at < interval) {
         return false;
     }
-    m_next_probe = now + probe_interval;
+    m_probed_at = now;
     return true;
 }
 
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -76,6 +76,10 @@
 net::task<bool> reaches_another_target(service_context& context, std::string target) {
     const std::vector<routing::fleet_target> others =
         context.loads.draw_others(target, max_control_targets, context.random);
+    // With few targets, a request that crashes them may have ended all others.
+    if (others.size() < max_control_targets) {
+        co_return true;
+    }
     for (const routing::fleet_target& each : others) {
         const time_point connect_by = context.clock() + check_timeout;
         const auto connection =
@@ -85,7 +89,7 @@
             co_return true;
         }
     }
-    co_return others.empty();
+    co_return false;
 }
 
 net::task<> run_check(service_context& context, routing::fleet_target target,
@@ -100,8 +104,8 @@
     if (connection.error().code == error_code::deadline_exceeded) {
         co_return;
     }
-    const bool is_reliable = co_await reaches_another_target(context, target.id);
-    if (!is_reliable) {
+    const bool reaches_another = co_await reaches_another_target(context, target.id);
+    if (!reaches_another) {
         context.log.write(observe::event::crash_check_inconclusive, target.id,
                           {{"reason", connection.error().message}});
         co_return;
--- a/src/serving/relay_call.cpp
+++ b/src/serving/relay_call.cpp
@@ -21,10 +21,11 @@
 constexpr std::string_view request_id_header = "Eelgrassdoor-Relay-Request";
 constexpr std::string_view refusal_header = "Eelgrassdoor-Relay-Refused";
 
-constexpr std::array<std::pair<relay_refusal, std::string_view>, 4> refusal_names{{
+constexpr std::array<std::pair<relay_refusal, std::string_view>, 5> refusal_names{{
     {relay_refusal::partitioned, "partitioned"},
     {relay_refusal::unreachable, "unreachable"},
     {relay_refusal::target_leaving, "target_leaving"},
+    {relay_refusal::busy, "busy"},
     {relay_refusal::stopping, "stopping"},
 }};
 
--- a/src/serving/relay_call.hpp
+++ b/src/serving/relay_call.hpp
@@ -31,6 +31,8 @@
     unreachable,
     /// The target has announced to it that it shuts down.
     target_leaving,
+    /// It relays as many requests as it can.
+    busy,
     /// It is shutting down.
     stopping,
 };
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -53,7 +53,7 @@
     relay_hosts relays;
     /// Whether connections to a target's endpoint (`IP:PORT`) fail at once; simulates network
     /// partitions in tests. May be empty.
-    std::function<bool(std::string_view)> is_partitioned;
+    std::function<bool(std::string_view)> is_partitioned_from_target;
 };
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/stall_detector.cpp
+++ b/src/serving/stall_detector.cpp
@@ -1,5 +1,7 @@
 #include "serving/stall_detector.hpp"
 
+#include "serving/target_connection.hpp"
+
 namespace eelgrassdoor::serving {
 
 stall_detector::stall_detector(service_context& context, std::string target)
@@ -13,6 +15,7 @@
         shared_state->stalled = true;
         m_context.log.write(observe::event::target_stalled, m_target);
         m_context.loads.record_stall(m_target);
+        record_no_response(m_context, m_target, "no response within the stall timeout");
         m_context.messenger.schedule_digest();
     });
 }
--- a/src/serving/target_connection.cpp
+++ b/src/serving/target_connection.cpp
@@ -20,20 +20,43 @@
         error{error_code::target_failed,
               str_cat("cannot connect to ", endpoint, ": blocked by a simulated partition"),
               run_state::not_run};
-    if (!context.is_partitioned || !context.is_partitioned(endpoint)) {
+    if (!context.is_partitioned_from_target || !context.is_partitioned_from_target(endpoint)) {
         connection = co_await net::http_client::connect(context.executor, endpoint, deadline);
     }
-    if (connection) {
-        if (context.reachability.record_connected()) {
-            context.log.write(observe::event::targets_reachable, target);
-        }
-    } else if (context.reachability.record_unreachable(target)) {
-        context.log.write(observe::event::targets_unreachable, target,
-                          {{"reason", connection.error().message}});
+    if (!connection) {
+        record_no_response(context, target, connection.error().message);
     }
     co_return connection;
 }
 
+void record_response(service_context& context, std::string_view target) {
+    if (context.reachability.record_response(context.clock())) {
+        context.log.write(observe::event::targets_reachable, target);
+    }
+}
+
+void record_no_response(service_context& context, std::string_view target,
+                        std::string_view reason) {
+    if (context.reachability.record_no_response(target, context.clock())) {
+        context.log.write(observe::event::targets_unreachable, target,
+                          {{"reason", std::string(reason)}});
+        // The targets that were tried are not to blame.
+        context.loads.forget_unreachable();
+    }
+}
+
+void record_target_failure(service_context& context, std::string_view target,
+                           const error& failure) {
+    const bool is_unreachable = failure.run == run_state::not_run;
+    if (is_unreachable && context.reachability.is_partitioned()) {
+        return;
+    }
+    context.loads.record_failure(target,
+                                 is_unreachable ? routing::target_failure::unreachable
+                                                : routing::target_failure::response_failed,
+                                 context.clock());
+}
+
 net::task<result<target_response>>
 read_matching_head(const protocol_codec& codec, net::http_exchange& exchange,
                    std::string request_id, std::function<void(const target_response&)> on_head) {
--- a/src/serving/target_connection.hpp
+++ b/src/serving/target_connection.hpp
@@ -22,8 +22,9 @@
 inline constexpr net::parse_limits target_response_limits{.max_header_bytes = 32 * 1024,
                                                           .max_body_bytes = 16ULL * 1024 * 1024};
 
-/// Connects to \p target at \p endpoint (`IP:PORT`) until \p deadline, and records whether this
-/// host reaches targets. Fails like net::http_client::connect(), always with run_state::not_run.
+/// Connects to \p target at \p endpoint (`IP:PORT`) until \p deadline. Fails like
+/// net::http_client::connect(), always with run_state::not_run, and calls record_no_response()
+/// then.
 net::task<result<std::shared_ptr<net::tcp_connection>>> connect_to_target(service_context& context,
                                                                           std::string target,
                                                                           std::string endpoint,
@@ -35,6 +36,14 @@
 read_matching_head(const protocol_codec& codec, net::http_exchange& exchange,
                    std::string request_id, std::function<void(const target_response&)> on_head);
 
+/// Record that a target has responded to this host, or that it has not, and log when that changes
+/// whether this host reaches targets.
+void record_response(service_context& context, std::string_view target);
+void record_no_response(service_context& context, std::string_view target, std::string_view reason);
+/// Records \p failure of a request at a target. While this host reaches no target, an unreachable
+/// one is not to blame.
+void record_target_failure(service_context& context, std::string_view target, const error& failure);
+
 /// Records that a target is shutting down, so that no daemon sends it further requests.
 void mark_leaving(service_context& context, std::string_view target,
                   const routing::target_instance& instance);
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -15,10 +15,6 @@
 
 using routing::work_kind;
 
-/// Classifies the error of an exchange: unreachable when the request was certainly not run,
-/// otherwise response_failed.
-routing::target_failure failure_of(const error& why);
-
 /// Counts one request as load on a target for as long as it exists.
 class target_load_guard {
 public:
@@ -42,8 +38,10 @@
 /// exists. Runs on the event loop's thread.
 class target_exchange {
 public:
-    target_exchange(service_context& context, const routing::fleet_target& target, work_kind kind)
-        : m_context(context), m_load_guard(context, target, kind) {}
+    /// \p is_repeatable: whether the request may be sent again if the target does not respond.
+    target_exchange(service_context& context, const routing::fleet_target& target, work_kind kind,
+                    bool is_repeatable)
+        : m_context(context), m_load_guard(context, target, kind), m_is_repeatable(is_repeatable) {}
 
     /// Connects, sends \p request and waits until \p response_deadline for the headers of the
     /// response to \p request_id. Responses to other requests are skipped. The error's run state
@@ -87,6 +85,7 @@
     };
     /// The same through one daemon.
     net::task<result<relay_outcome>> call_relay(fleet::member relay, net::http_request request,
+                                                std::string request_id,
                                                 time_point response_deadline);
     [[nodiscard]] routing::target_instance instance() const;
     /// Takes over what the head of a response says about the target.
@@ -96,6 +95,7 @@
 
     service_context& m_context;
     target_load_guard m_load_guard;
+    bool m_is_repeatable;
     std::shared_ptr<net::tcp_connection> m_connection;
     std::unique_ptr<net::http_exchange> m_exchange;
     time_point m_sent_at{};
