--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -77,6 +77,8 @@
     void set_default_action(engine_action action) {
         m_default_action = [action](const net::http_request&) { return action; };
     }
+    /// Start time that the engine reports, as in its entry.
+    void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
     /// How long the engine is silent in engine_action::pause, engine_action::delay and
     /// engine_action::close_late.
     void set_pause(duration pause) { m_pause = pause; }
@@ -98,7 +100,7 @@
     [[nodiscard]] int crashes() const { return m_crashes; }
 
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
-    /// All requests that were received.
+    /// All requests that were received, but for questions for the engine's report.
     [[nodiscard]] const std::deque<net::http_request>& received() const { return m_received; }
     /// When each of them arrived.
     [[nodiscard]] const std::vector<time_point>& received_at() const { return m_received_at; }
@@ -136,6 +138,7 @@
     duration m_event_interval = milliseconds(1);
     duration m_pause{};
     bool m_leaving = false;
+    std::uint64_t m_started_at = 1;
     std::optional<std::string> m_request_limit;
     int m_running = 0;
     int m_disconnects = 0;
