--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -15,8 +15,8 @@
     std::string availability_zone;
     /// `IP:PORT` for datagrams and calls between daemons.
     std::string endpoint;
-    /// Start time of the process in Unix milliseconds; tells two runs on one host apart but does not
-    /// order them, since the host's clock may have been set back between them.
+    /// Start time of the process in Unix milliseconds; tells two runs on one host apart but does
+    /// not order them, since the host's clock may have been set back between them.
     std::uint64_t incarnation = 0;
     /// Whether the daemon admits callers' requests.
     bool serves_callers = false;
