Share the start of tests and soaks; clearer names of the relay's parts

Cause: a read of the change as a newcomer. Two tests and the partition fixture waited for the first served request with the same lines, both soaks ended with the same main; the metrics relayed_requests_total and relay_requests_total differed by two letters; should_send_directly() looked like a query but takes the probe; tries() and reaches_another_target() did not say what they tell. Change: daemon_fixture::wait_until_served(), run_soak(); the metrics are requests_sent_through_relay_total (at the host that reaches no target) and requests_relayed_total (at the one that sends for it); the functions are try_begin_direct_attempt(), is_trial_host() and is_check_reliable().

--- a/src/routing/target_reachability.cpp
+++ b/src/routing/target_reachability.cpp
@@ -23,7 +23,7 @@
     return m_is_partitioned;
 }
 
-bool target_reachability::should_send_directly(bool is_repeatable, time_point now) {
+bool target_reachability::try_begin_direct_attempt(bool is_repeatable, time_point now) {
     if (!is_partitioned()) {
         return true;
     }
--- a/src/routing/target_reachability.hpp
+++ b/src/routing/target_reachability.hpp
@@ -39,9 +39,9 @@
 
     /// Whether this host reaches no target.
     [[nodiscard]] bool is_partitioned() const { return m_is_partitioned; }
-    /// Whether to send a request directly: always unless the host is partitioned, and otherwise
-    /// once in each probe interval.
-    bool should_send_directly(bool is_repeatable, time_point now);
+    /// Whether a request may be sent directly: always unless the host is partitioned, and otherwise
+    /// once in each probe interval, of which a new one begins when this returns true.
+    bool try_begin_direct_attempt(bool is_repeatable, time_point now);
 
 private:
     std::size_t m_target_count = 0;
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -58,7 +58,7 @@
 
 /// Whether this daemon is the one, of those that serve callers and are heard, that sends requests
 /// with \p suspect on trial.
-bool tries(const service_context& context, std::uint64_t suspect) {
+bool is_trial_host(const service_context& context, std::uint64_t suspect) {
     const std::string& self = context.messenger.self();
     const std::uint64_t own_weight = rendezvous_weight(suspect, self);
     for (const auto& [host, each] : context.messenger.active_members()) {
@@ -71,9 +71,9 @@
     return true;
 }
 
-/// Whether this host reaches another target, as far as a few of them show. If it does not, a target
-/// that refuses connections may have been cut off from it along with all others.
-net::task<bool> reaches_another_target(service_context& context, std::string target) {
+/// Whether a target that refuses connections has ended, as opposed to being cut off from this host
+/// along with all others: whether one of a few others can be reached.
+net::task<bool> is_check_reliable(service_context& context, std::string target) {
     const std::vector<routing::fleet_target> others =
         context.loads.draw_others(target, max_control_targets, context.random);
     // With few targets, a request that crashes them may have ended all others.
@@ -104,8 +104,8 @@
     if (connection.error().code == error_code::deadline_exceeded) {
         co_return;
     }
-    const bool reaches_another = co_await reaches_another_target(context, target.id);
-    if (!reaches_another) {
+    const bool is_reliable = co_await is_check_reliable(context, target.id);
+    if (!is_reliable) {
         context.log.write(observe::event::crash_check_inconclusive, target.id,
                           {{"reason", connection.error().message}});
         co_return;
@@ -191,7 +191,7 @@
     if (!suspect) {
         suspect = context.quarantine.find_quarantined(suspects.segments, now);
     }
-    return suspect && tries(context, *suspect);
+    return suspect && is_trial_host(context, *suspect);
 }
 
 bool begin_trial(service_context& context, const crash_suspects& suspects) {
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -107,7 +107,7 @@
                                                          std::string request_id,
                                                          time_point response_deadline) {
     const bool is_direct =
-        m_context.reachability.should_send_directly(m_is_repeatable, m_context.clock());
+        m_context.reachability.try_begin_direct_attempt(m_is_repeatable, m_context.clock());
     if (!is_direct) {
         result<target_response> relayed =
             co_await call_through_relay(request, request_id, response_deadline);
@@ -203,7 +203,7 @@
     if (!used) {
         co_return used.error();
     }
-    m_context.metrics.count("relayed_requests_total");
+    m_context.metrics.count("requests_sent_through_relay_total");
     send(request);
     const result<void> head = co_await m_exchange->read_head();
     if (!head) {
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -78,7 +78,7 @@
     // The request is framed anew.
     exchange.request().headers.remove("Content-Length");
     exchange.request().headers.remove("Connection");
-    m_context.metrics.count("relay_requests_total");
+    m_context.metrics.count("requests_relayed_total");
     net::http_exchange call(*connection, target_response_limits, &m_context.response_memory);
     call.send(exchange.request());
     exchange.request().body.clear();
--- a/test/correctness/target_reachability.cpp
+++ b/test/correctness/target_reachability.cpp
@@ -33,21 +33,22 @@
     require(reachability.record_no_response("f", now) && reachability.is_partitioned(),
             "several lost targets and no response for a while are a partition");
     require(!reachability.record_no_response("g", now), "a partition begins once");
-    require(!reachability.should_send_directly(true, now),
+    require(!reachability.try_begin_direct_attempt(true, now),
             "right after the begin no request is sent directly");
-    require(!reachability.should_send_directly(true, now + interval / 2),
+    require(!reachability.try_begin_direct_attempt(true, now + interval / 2),
             "nor are those before the interval has passed");
-    require(!reachability.should_send_directly(false, now + interval),
+    require(!reachability.try_begin_direct_attempt(false, now + interval),
             "one that must not be sent again is not risked so soon");
-    require(reachability.should_send_directly(true, now + interval),
+    require(reachability.try_begin_direct_attempt(true, now + interval),
             "one that can be sent again is sent directly after the interval");
-    require(!reachability.should_send_directly(true, now + interval), "one at a time");
-    require(reachability.should_send_directly(
+    require(!reachability.try_begin_direct_attempt(true, now + interval), "one at a time");
+    require(reachability.try_begin_direct_attempt(
                 false, now + interval + target_reachability::unrepeatable_probe_interval),
             "if there are no others, one that must not be sent again is risked");
     require(reachability.record_response(now) && !reachability.is_partitioned(),
             "a response ends the partition");
-    require(reachability.should_send_directly(false, now), "then all requests are sent directly");
+    require(reachability.try_begin_direct_attempt(false, now),
+            "then all requests are sent directly");
 }
 
 void check_few_targets() {
--- a/test/platform/stream_resumption.cpp
+++ b/test/platform/stream_resumption.cpp
@@ -66,14 +66,7 @@
     net::task<> wait_until_served() {
         m_fleet.configure(1);
         for (const std::string name : {"entry-1", "entry-2", "entry-3"}) {
-            int status = 0;
-            const time_point end = steady_clock()() + seconds(10);
-            while (status != 200 && steady_clock()() < end) {
-                net::http_request request = daemon_fixture::request(str_cat("w-", ++m_requests));
-                const response got = co_await call(name, std::move(request));
-                status = got.status;
-            }
-            require(status == 200, name + " serves requests");
+            co_await m_fleet.wait_until_served(name);
         }
     }
 
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -10,12 +10,12 @@
 /// Without it nothing is cut off.
 #include "base/text.hpp"
 #include "check.hpp"
+#include "soak/run_soak.hpp"
 #include "soak/soak_clients.hpp"
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 
 namespace {
 
@@ -260,20 +260,9 @@
         std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CUTS]\n");
         return EXIT_FAILURE;
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    std::setvbuf(stdout, nullptr, _IOLBF, 0);
-    std::filesystem::remove_all(argv[2]);
-    std::filesystem::create_directories(argv[2]);
-    net::asio::io_context loop{1};
-    auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
-                               seconds(std::atoi(argv[4])), cuts->second);
-    net::asio::co_spawn(loop, run->run(), [&](const std::exception_ptr& failure) {
-        require(failure == nullptr, "the soak throws no exception");
-        loop.stop();
+    run_soak(argv[2], [&](net::asio::io_context& loop) {
+        auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
+                                   seconds(std::atoi(argv[4])), cuts->second);
+        return run->run();
     });
-    loop.run();
-    const int status = finish();
-    std::fflush(stdout);
-    // Suspended coroutines refer to the fleet. The daemons end with this process.
-    std::_Exit(status);
 }
--- a/test/soak/recovery_soak.cpp
+++ b/test/soak/recovery_soak.cpp
@@ -19,13 +19,13 @@
 #include "net/http_client.hpp"
 #include "net/http_exchange.hpp"
 #include "soak/recovery_fleet.hpp"
+#include "soak/run_soak.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 #include <map>
 
 namespace {
@@ -337,24 +337,13 @@
         std::fprintf(stderr, "usage: recovery_soak PROGRAM FOLDER SEED CONDITION,...\n");
         return EXIT_FAILURE;
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    std::setvbuf(stdout, nullptr, _IOLBF, 0);
-    std::filesystem::remove_all(argv[2]);
-    std::filesystem::create_directories(argv[2]);
     std::set<std::string> conditions;
     for (const std::string_view each : split(argv[4], ',')) {
         conditions.emplace(each);
     }
-    net::asio::io_context loop{1};
-    auto* const run =
-        new recovery_soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10), conditions);
-    net::asio::co_spawn(loop, run->run(), [&](const std::exception_ptr& failure) {
-        require(failure == nullptr, "the soak throws no exception");
-        loop.stop();
+    run_soak(argv[2], [&](net::asio::io_context& loop) {
+        auto* const run = new recovery_soak(loop, argv[1], argv[2],
+                                            std::strtoull(argv[3], nullptr, 10), conditions);
+        return run->run();
     });
-    loop.run();
-    const int status = finish();
-    std::fflush(stdout);
-    // Suspended coroutines refer to the fleet. The daemons end with this process.
-    std::_Exit(status);
 }
