Let the raw target and the engines of recovery_soak answer for their report

Engines of the platform say in their report when they started. scripted_engine did so already; the other two stand-ins treated the question like a request.

--- a/test/soak/recovery_engine.cpp
+++ b/test/soak/recovery_engine.cpp
@@ -66,6 +66,14 @@
 }
 
 net::task<> recovery_engine::handle(net::server_exchange& exchange) {
+    if (exchange.request().target == "/eelgrassdoor/report") {
+        net::http_response report;
+        report.status = 200;
+        report.headers.set("Content-Type", "application/json");
+        report.body = str_cat(R"({"stage":"both","seq":1,"born":)", born, "}");
+        co_await exchange.respond(std::move(report));
+        co_return;
+    }
     const int start = m_start;
     const net::header_list& headers = exchange.request().headers;
     const std::string attempt(headers.get("Attempt-Id"));
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -1,5 +1,6 @@
 #include "stand_in/raw_target.hpp"
 
+#include "base/text.hpp"
 #include "net/endpoint.hpp"
 #include "net/http_parser.hpp"
 #include "stand_in/scripted_engine.hpp"
@@ -30,7 +31,8 @@
     }
 }
 
-net::task<> raw_target::serve(std::shared_ptr<net::tcp_connection> connection) {
+net::task<std::optional<net::http_request>>
+raw_target::read_request(std::shared_ptr<net::tcp_connection> connection) {
     net::request_parser parser({});
     while (!parser.complete()) {
         const std::size_t used = parser.feed(connection->input());
@@ -40,11 +42,28 @@
         }
         const net::io_error ec = co_await connection->read_more();
         if (ec || parser.fault() != net::parse_fault::none) {
-            co_return;
+            co_return std::nullopt;
         }
     }
+    co_return std::move(parser.message());
+}
+
+net::task<> raw_target::serve(std::shared_ptr<net::tcp_connection> connection) {
+    std::optional<net::http_request> request = co_await read_request(connection);
+    while (request && request->target == "/eelgrassdoor/report") {
+        net::http_response report;
+        report.status = 200;
+        report.headers.set("Content-Type", "application/json");
+        report.body = str_cat(R"({"stage":"both","seq":0,"born":)", m_started_at, "}");
+        const std::string bytes = net::serialize(report);
+        co_await connection->write(bytes);
+        request = co_await read_request(connection);
+    }
+    if (!request) {
+        co_return;
+    }
     ++m_received;
-    const response answer = m_respond(parser.message());
+    const response answer = m_respond(*request);
     co_await connection->write(answer.bytes);
     if (!answer.endless_tail.empty()) {
         co_await send_endlessly(*connection, answer.endless_tail);
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -6,14 +6,16 @@
 #include "net/http_message.hpp"
 #include "net/tcp_connection.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace eelgrassdoor::test {
 
 /// A server that reads one request per connection, sends the bytes that a function returns for it,
-/// and ends the connection.
+/// and ends the connection. Before the request it answers questions for its report.
 class raw_target {
 public:
     struct response {
@@ -31,6 +33,8 @@
     void start();
     /// Sets the function that is called for each complete request.
     void set_responder(responder respond) { m_respond = std::move(respond); }
+    /// Start time that the target reports, as in its entry.
+    void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
     /// The loopback `IP:PORT` of the target.
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
     /// Number of complete requests that were received.
@@ -43,11 +47,15 @@
 private:
     net::task<> accept_loop();
     net::task<> serve(std::shared_ptr<net::tcp_connection> connection);
+    /// Nothing when the connection ends before a complete request.
+    static net::task<std::optional<net::http_request>>
+    read_request(std::shared_ptr<net::tcp_connection> connection);
     net::task<> send_endlessly(net::tcp_connection& connection, std::string_view tail);
 
     std::string m_endpoint;
     net::tcp::acceptor m_acceptor;
     responder m_respond;
+    std::uint64_t m_started_at = 1;
     int m_received = 0;
     std::size_t m_tail_bytes = 0;
     int m_endless_responses = 0;
