Take the version of a run from the process that runs it

Cause: the version was that of the store's entry at the moment of the choice. The entry may describe the process before, by a heartbeat or, with the store silent, for long. Both ends were wrong: the version that a stream began with, which copies then spread, and the one at which it went on.

A connection leads to one process for as long as it lasts. So the daemon that connects asks on the very connection that will carry the request for the target's report and compares its start time with the entry's; requests that no other run goes on with aren't preceded by a question. What goes on is sent to the process of the entry only; what begins elsewhere has an unknown version, and nothing goes on with it. A host that relays asks at its own connection and tells the start time. A target with an outdated entry gets requests only when there is no other.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -67,16 +67,14 @@
 
 net::task<online_proxy::attempt_outcome>
 online_proxy::attempt(running_request& run, const routing::fleet_target& target) {
-    const target_call call{.target_id = target.id,
-                           .customer = run.customer,
-                           .time_left = run.deadline - m_context.clock(),
-                           .resume_after = run.last_event};
     m_context.log.write(
         run.headers_sent ? observe::event::stream_resumed : observe::event::target_chosen,
         run.request.id,
         {{"target", target.id},
          {"online", std::to_string(m_context.loads.total(target.id, m_context.clock()).online)},
-         {"left_ms", std::to_string(to_ms(*call.time_left))}});
+         {"version", target.version},
+         {"started_at", std::to_string(target.started_at)},
+         {"left_ms", std::to_string(to_ms(run.deadline - m_context.clock()))}});
     run.sent_at = m_context.clock();
     run.reads_with_events = 0;
     run.constraints.excluded.insert(target.id);
@@ -84,10 +82,10 @@
     run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online,
                                                             has_attempts_left(run));
     const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
-    net::http_request message = m_context.codec.encode_call(run.request, call);
+    const auto make_message = message_maker(run, target);
     run.caller_exchange.set_may_have_run();
-    result<target_response> response =
-        co_await opened_exchange->open(std::move(message), run.request.id, run.deadline);
+    result<target_response> response = co_await opened_exchange->open(
+        make_message, run.request.id, run.deadline, process_check_for(run));
     if (run.caller_exchange.client_disconnected()) {
         log_finished(run, "caller_left");
         co_return attempt_outcome::done;
@@ -100,6 +98,28 @@
     co_return co_await relay(run, std::move(response.value()));
 }
 
+target_exchange::make_request_fn
+online_proxy::message_maker(const running_request& run, const routing::fleet_target& target) const {
+    return [this, &run, id = target.id] {
+        const target_call call{.target_id = id,
+                               .customer = run.customer,
+                               .time_left = run.deadline - m_context.clock(),
+                               .resume_after = run.last_event};
+        return m_context.codec.encode_call(run.request, call);
+    };
+}
+
+process_check online_proxy::process_check_for(const running_request& run) {
+    if (!run.route.resumable) {
+        return process_check::none;
+    }
+    return run.constraints.version ? process_check::require_listed : process_check::identify;
+}
+
+bool online_proxy::can_go_on(const running_request& run) {
+    return !run.headers_sent || (run.route.resumable && run.constraints.version);
+}
+
 void online_proxy::log_finished(const running_request& run, std::string_view outcome) const {
     if (run.caller_exchange.interrupted()) {
         outcome = "ended_by_shutdown";
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -60,9 +60,17 @@
     net::task<bool> find_version(running_request& run);
     /// The version that must have begun an unknown stream of \p service, if only one can have.
     [[nodiscard]] std::optional<std::string> only_version(std::string_view service) const;
-    /// Restricts a stream, when its first event is sent, to the version of its current target, and
-    /// lets other daemons know that version.
+    /// Restricts a stream, when its first event is sent, to the version of the process that sent
+    /// it, and lets other daemons know that version, or that it is unknown.
     void record_version(running_request& run) const;
+    /// Encodes the request for \p target as it is at the moment of the call. \p run must outlive
+    /// the function.
+    [[nodiscard]] target_exchange::make_request_fn
+    message_maker(const running_request& run, const routing::fleet_target& target) const;
+    /// What has to be known of the process that gets the request next.
+    [[nodiscard]] static process_check process_check_for(const running_request& run);
+    /// Whether another attempt can serve the rest of the response.
+    [[nodiscard]] static bool can_go_on(const running_request& run);
     net::task<attempt_outcome> attempt(running_request& run, const routing::fleet_target& target);
     net::task<attempt_outcome> relay(running_request& run, target_response response);
     net::task<attempt_outcome> relay_stream(running_request& run);
--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -26,8 +26,7 @@
 }
 
 bool online_proxy::may_back_up(const running_request& run) const {
-    const bool can_go_on = !run.headers_sent || run.route.resumable;
-    return has_attempts_left(run) && run.refusals < max_refusals && can_go_on &&
+    return has_attempts_left(run) && run.refusals < max_refusals && can_go_on(run) &&
            !run.relays_full_response && run.deadline - m_context.clock() >= min_retry_time &&
            !quarantine_error(m_context, run.suspects);
 }
@@ -81,16 +80,13 @@
                          {"events", std::to_string(run->events)}});
     backup->sent_at = m_context.clock();
     run->constraints.excluded.insert(target.id);
-    const target_call call{.target_id = target.id,
-                           .customer = run->customer,
-                           .time_left = run->deadline - m_context.clock(),
-                           .resume_after = run->last_event};
     backup->exchange =
         std::make_shared<target_exchange>(m_context, target, work_kind::online, true);
     const std::shared_ptr<target_exchange> exchange = backup->exchange;
-    net::http_request message = m_context.codec.encode_call(run->request, call);
+    const auto make_message = message_maker(*run, target);
+    const process_check check = process_check_for(*run);
     const result<target_response> response =
-        co_await exchange->open(std::move(message), run->request.id, run->deadline);
+        co_await exchange->open(make_message, run->request.id, run->deadline, check);
     if (backup->withdrawn) {
         co_return;
     }
--- a/src/entry/online_proxy_targets.cpp
+++ b/src/entry/online_proxy_targets.cpp
@@ -63,7 +63,7 @@
     if (!run.constraints.version) {
         run.constraints.version = only_version(run.service);
     }
-    if (run.constraints.version) {
+    if (run.constraints.version && run.constraints.version != routing::unknown_version) {
         co_return true;
     }
     error unknown{error_code::unavailable,
@@ -80,10 +80,11 @@
 }
 
 void online_proxy::record_version(running_request& run) const {
-    const std::string& version = run.active_exchange->target().version;
-    run.constraints.version = version;
+    run.constraints.version = run.active_exchange->software_version();
     if (run.route.resumable && !run.request.resume_after) {
-        m_context.messenger.streams().record(run.customer, run.request.id, version);
+        m_context.messenger.streams().record(
+            run.customer, run.request.id,
+            run.constraints.version.value_or(std::string(routing::unknown_version)));
     }
 }
 
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -72,12 +72,16 @@
                                     .customer = state.customer,
                                     .time_left = {},
                                     .resume_after = item.last_event};
+    const serving::process_check check =
+        item.has_text() ? serving::process_check::require_listed : serving::process_check::identify;
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::crash_suspects suspects =
         serving::suspects_of(context.codec.decode_prompt(item.content.headers));
-    net::http_request message = context.codec.encode_call(request, call);
+    const serving::target_exchange::make_request_fn make_message = [&] {
+        return context.codec.encode_call(request, call);
+    };
     const result<serving::target_response> response_head = co_await exchange->open(
-        std::move(message), request.id, context.clock() + first_event_timeout);
+        make_message, request.id, context.clock() + first_event_timeout, check);
     if (running.stopped) {
         co_return item_outcome::interrupted;
     }
@@ -91,6 +95,7 @@
         co_return item_outcome::interrupted;
     }
     context.loads.record_success(target.id, context.clock());
+    running.job->set_version(running.index, exchange->software_version());
     if (response_head.value().not_run) {
         co_return item_outcome::interrupted;
     }
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "jobs/job_repository.hpp"
+#include "routing/fleet_target.hpp"
 #include "serving/event_stream_parser.hpp"
 
 #include <cstdint>
@@ -48,8 +49,8 @@
     std::optional<std::uint64_t> last_event;
     std::string output;
     std::size_t events = 0;
-    /// Software version of the target of the latest run. All events of the text are of this
-    /// version.
+    /// Software version of the target of the latest run, or routing::unknown_version. All events of
+    /// the text are of this version.
     std::string version;
     /// Time that targets have spent on the text, from the start of each run to its last event.
     duration text_time{};
@@ -88,6 +89,11 @@
     /// Starts a run at a target of this software version. The item's progress is discarded when it
     /// is of another version, as what two versions write does not fit together.
     void mark_running(std::size_t index, std::string_view version, time_point now);
+    /// Records the software version of the process that runs the item; nothing when it is not
+    /// known, and no other run goes on with the text then.
+    void set_version(std::size_t index, const std::optional<std::string>& version) {
+        m_items[index].version = version.value_or(std::string(routing::unknown_version));
+    }
     /// Appends events of a run to the item's output and skips those that it already has. Returns
     /// false when an event id is missing in the sequence; the run must then be aborted.
     bool add_events(std::size_t index, const std::vector<serving::stream_event>& events,
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -87,6 +87,9 @@
                " no other target either; nothing is held against the request."},
     event_info{event::peer_restarted, "peer_restarted", info,
                "The digests of a daemon come from another run of it than before."},
+    event_info{event::target_outdated, "target_outdated", warning,
+               "A target has restarted and its entry still describes the process before; it"
+               " receives requests only when there is no other target."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -50,6 +50,7 @@
     targets_reachable = 323,
     crash_check_inconclusive = 324,
     peer_restarted = 325,
+    target_outdated = 326,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -41,6 +41,7 @@
         if (known != m_targets.end() && known->second.target.started_at == target.started_at) {
             state.consecutive_failures = known->second.consecutive_failures;
             state.backoff = known->second.backoff;
+            state.is_outdated = known->second.is_outdated;
         }
         if (const auto local = m_local_load.find(target.id); local != m_local_load.end()) {
             state.local = local->second;
@@ -107,6 +108,14 @@
     return is_new;
 }
 
+bool fleet_load::mark_outdated(std::string_view id, std::uint64_t started_at) {
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || found->second.target.started_at != started_at) {
+        return false;
+    }
+    return !std::exchange(found->second.is_outdated, true);
+}
+
 std::vector<target_instance> fleet_load::leaving() const {
     std::vector<target_instance> out;
     for (const auto& [id, state] : m_targets) {
@@ -233,7 +242,7 @@
         if (constraints.excluded.contains(target.id) || !is_eligible(*state, kind, now)) {
             continue;
         }
-        if (is_backing_off(*state, now)) {
+        if (state->is_outdated || is_backing_off(*state, now)) {
             m_backing_off.push_back(state);
         } else {
             (state->is_degraded() ? m_degraded : m_healthy).push_back(state);
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -134,6 +134,10 @@
     /// Records that a target instance has announced its shutdown: it gets no more requests,
     /// whatever the target list says. Returns whether this was not known before.
     bool mark_leaving(const target_instance& instance);
+    /// Records that a listed target runs another process than the one that started at
+    /// \p started_at, whose entry is therefore out of date. Until the entry changes, the target is
+    /// picked only when no other one is left. Returns whether this was not known before.
+    bool mark_outdated(std::string_view id, std::uint64_t started_at);
     /// Whether a target instance, listed or not, has announced its shutdown.
     [[nodiscard]] bool is_leaving(const target_instance& instance) const {
         return m_leaving.contains(instance);
@@ -225,6 +229,8 @@
         target_instance instance;
         int consecutive_failures = 0;
         backoff_state backoff;
+        /// Whether the target runs another process than the listed one.
+        bool is_outdated = false;
         target_load local;
         /// Load from all peers, summed as their reports arrive, so that a pick costs one pass over
         /// the targets whatever the number of daemons. Points into m_peer_totals.
@@ -252,8 +258,8 @@
     /// Whether \p target may get a request of this kind, whatever its load and failures.
     [[nodiscard]] bool is_eligible(const target_state& state, work_kind kind, time_point now);
     /// The targets within \p constraints that may get a request: the healthy ones, else the
-    /// degraded ones, else those in backoff. Targets of another version count in none of them.
-    /// Valid until the next call.
+    /// degraded ones, else those in backoff or with an outdated entry. Targets of another version
+    /// count in none of them. Valid until the next call.
     [[nodiscard]] const std::vector<const target_state*>&
     candidates(std::string_view service, const target_constraints& constraints, work_kind kind,
                time_point now);
--- a/src/routing/fleet_target.hpp
+++ b/src/routing/fleet_target.hpp
@@ -7,9 +7,13 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace eelgrassdoor::routing {
 
+/// Stands for a software version that is not known. Nothing goes on with what it has written.
+inline constexpr std::string_view unknown_version = "(unknown)";
+
 /// One run of a target process.
 struct fleet_target {
     std::string id;
--- a/src/serving/protocol_codec.hpp
+++ b/src/serving/protocol_codec.hpp
@@ -143,6 +143,11 @@
     std::function<std::vector<prompt_segment>(const net::header_list&)> decode_prompt;
     /// Reads the headers of a target's response; the body need not have arrived.
     std::function<target_response(const net::http_response&)> decode_response;
+    /// Encodes the question for the report of the target at `IP:PORT`.
+    std::function<net::http_request(std::string_view endpoint)> encode_report_call;
+    /// Reads from a target's report when its process started, in Unix milliseconds; nothing when
+    /// the response is no report or does not say.
+    std::function<std::optional<std::uint64_t>(const net::http_response&)> decode_start_time;
     /// Encodes an error for the caller.
     std::function<net::http_response(const error&)> encode_error;
     /// Encodes a page of results for the caller.
--- a/src/serving/relay_call.cpp
+++ b/src/serving/relay_call.cpp
@@ -9,9 +9,9 @@
 namespace eelgrassdoor::serving {
 
 template <typename Archive> void serialize(Archive& ar, relay_order& order) {
-    peer::serialize_string(ar, order.endpoint);
-    peer::serialize_string(ar, order.target);
-    ar(order.started_at);
+    peer::serialize_string(ar, order.process.endpoint);
+    peer::serialize_string(ar, order.process.target);
+    ar(order.process.started_at);
 }
 
 namespace {
@@ -20,15 +20,25 @@
 /// Apart from the order, since callers choose the ids of requests and how long they are.
 constexpr std::string_view request_id_header = "Eelgrassdoor-Relay-Request";
 constexpr std::string_view refusal_header = "Eelgrassdoor-Relay-Refused";
+constexpr std::string_view process_start_header = "Eelgrassdoor-Relay-Process";
 
-constexpr std::array<std::pair<relay_refusal, std::string_view>, 5> refusal_names{{
+constexpr std::array<std::pair<relay_refusal, std::string_view>, 6> refusal_names{{
     {relay_refusal::partitioned, "partitioned"},
     {relay_refusal::unreachable, "unreachable"},
     {relay_refusal::target_leaving, "target_leaving"},
+    {relay_refusal::other_process, "other_process"},
     {relay_refusal::busy, "busy"},
     {relay_refusal::stopping, "stopping"},
 }};
 
+/// The check that follows an order; none in the order of an older build.
+process_check read_check(std::string_view bytes) {
+    const std::uint8_t value = bytes.empty() ? 0 : static_cast<std::uint8_t>(bytes.front());
+    return value <= static_cast<std::uint8_t>(process_check::require_listed)
+               ? static_cast<process_check>(value)
+               : process_check::none;
+}
+
 } // namespace
 
 bool is_relay_call(const net::http_request& request) {
@@ -36,15 +46,20 @@
 }
 
 void add_relay_order(net::http_request& request, const relay_order& order) {
-    request.headers.set(order_header, to_base64(peer::encode(order)));
+    // Older builds ignore the bytes behind the order.
+    const std::string bytes =
+        peer::encode(order) + static_cast<char>(static_cast<std::uint8_t>(order.check));
+    request.headers.set(order_header, to_base64(bytes));
     request.headers.set(request_id_header, order.request);
 }
 
 std::optional<relay_order> take_relay_order(net::http_request& request) {
     const std::string bytes = from_base64(request.headers.get(order_header));
-    std::optional<relay_order> order = peer::decode<relay_order>(bytes);
+    std::string_view rest = bytes;
+    std::optional<relay_order> order = peer::decode_front<relay_order>(rest);
     if (order) {
         order->request = request.headers.get(request_id_header);
+        order->check = read_check(rest);
     }
     request.headers.remove(order_header);
     request.headers.remove(request_id_header);
@@ -75,8 +90,20 @@
     return relay_refusal::unreachable;
 }
 
-void remove_refusal(net::http_response& response) {
+void remove_relay_headers(net::http_response& response) {
     response.headers.remove(refusal_header);
+    response.headers.remove(process_start_header);
+}
+
+void add_process_start(net::http_response& response, std::uint64_t started_at) {
+    response.headers.set(process_start_header, std::to_string(started_at));
+}
+
+std::optional<std::uint64_t> take_process_start(net::http_response& response) {
+    std::uint64_t started_at = 0;
+    const bool is_valid = parse_int(response.headers.get(process_start_header), started_at);
+    response.headers.remove(process_start_header);
+    return is_valid ? std::optional(started_at) : std::nullopt;
 }
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/relay_call.hpp
+++ b/src/serving/relay_call.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/http_message.hpp"
+#include "serving/target_process.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -14,11 +15,8 @@
 /// Where a relayed request goes. Travels in headers of the request, which is otherwise sent as the
 /// target is to receive it.
 struct relay_order {
-    /// `IP:PORT` of the target.
-    std::string endpoint;
-    std::string target;
-    /// Start time of the target in Unix milliseconds.
-    std::uint64_t started_at = 0;
+    listed_process process;
+    process_check check = process_check::none;
     /// Id of the request, which the target's response names.
     std::string request;
 };
@@ -31,6 +29,8 @@
     unreachable,
     /// The target has announced to it that it shuts down.
     target_leaving,
+    /// The target does not run the process that must get the request.
+    other_process,
     /// It relays as many requests as it can.
     busy,
     /// It is shutting down.
@@ -49,7 +49,11 @@
 /// The reason if \p response is such a one, as opposed to one of the target. A reason that this
 /// build does not know counts as relay_refusal::unreachable.
 std::optional<relay_refusal> refusal_of(const net::http_response& response);
-/// Removes from a target's response what would make it look like a refusal.
-void remove_refusal(net::http_response& response);
+/// Removes from a target's response what only the relay may add.
+void remove_relay_headers(net::http_response& response);
+/// Adds to a target's response when the process that sent it started.
+void add_process_start(net::http_response& response, std::uint64_t started_at);
+/// Removes that from \p response and returns it; nothing when it is missing or malformed.
+std::optional<std::uint64_t> take_process_start(net::http_response& response);
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_connection.cpp
+++ b/src/serving/target_connection.cpp
@@ -48,7 +48,8 @@
 void record_target_failure(service_context& context, std::string_view target,
                            const error& failure) {
     const bool is_unreachable = failure.run == run_state::not_run;
-    if (is_unreachable && context.reachability.is_partitioned()) {
+    const bool is_recorded = is_unreachable && failure.code == error_code::unavailable;
+    if (is_recorded || (is_unreachable && context.reachability.is_partitioned())) {
         return;
     }
     context.loads.record_failure(target,
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -74,15 +74,25 @@
     }
 }
 
-result<void> target_exchange::use(std::shared_ptr<net::tcp_connection> connection,
-                                  time_point response_deadline) {
-    m_connection = std::move(connection);
+listed_process target_exchange::listed() const {
+    return {
+        .target = target().id, .endpoint = target().endpoint, .started_at = target().started_at};
+}
+
+std::optional<std::string> target_exchange::software_version() const {
+    return m_process_started_at == target().started_at ? std::optional(target().version)
+                                                       : std::nullopt;
+}
+
+void target_exchange::use(const std::shared_ptr<net::tcp_connection>& connection) {
+    m_connection = connection;
     if (m_closed) {
         m_connection->close();
-        return error{error_code::target_failed, "the exchange was closed", run_state::not_run};
     }
-    m_connection->set_deadline(response_deadline);
-    return success();
+}
+
+error target_exchange::closed_error() {
+    return {error_code::target_failed, "the exchange was closed", run_state::not_run};
 }
 
 void target_exchange::send(const net::http_request& request) {
@@ -92,39 +102,48 @@
     m_sent_at = m_context.clock();
 }
 
-net::task<result<void>> target_exchange::connect(time_point response_deadline) {
-    const time_point connect_by =
-        std::min(response_deadline, m_context.clock() + target_connect_timeout);
-    result<std::shared_ptr<net::tcp_connection>> connection =
-        co_await connect_to_target(m_context, target().id, target().endpoint, connect_by);
-    if (!connection) {
-        co_return connection.error();
+net::task<result<void>> target_exchange::connect(time_point response_deadline,
+                                                 process_check check) {
+    const on_open_fn on_open = [this](const std::shared_ptr<net::tcp_connection>& connection) {
+        use(connection);
+    };
+    const listed_process process = listed();
+    const result<process_connection> opened =
+        co_await connect_to_process(m_context, process, check, response_deadline, on_open);
+    if (m_closed) {
+        co_return closed_error();
     }
-    co_return use(std::move(connection.value()), response_deadline);
+    if (!opened) {
+        co_return opened.error();
+    }
+    m_process_started_at = opened.value().started_at;
+    co_return success();
 }
 
-net::task<result<target_response>> target_exchange::open(net::http_request request,
+net::task<result<target_response>> target_exchange::open(make_request_fn make_request,
                                                          std::string request_id,
-                                                         time_point response_deadline) {
+                                                         time_point response_deadline,
+                                                         process_check check) {
     const bool is_direct =
         m_context.reachability.try_begin_direct_attempt(m_is_repeatable, m_context.clock());
     if (!is_direct) {
         result<target_response> relayed =
-            co_await call_through_relay(request, request_id, response_deadline);
+            co_await call_through_relay(make_request, request_id, response_deadline, check);
         const bool is_sent = relayed || relayed.error().run != run_state::not_run;
         if (is_sent || m_closed || m_context.loads.is_leaving(instance())) {
             co_return relayed;
         }
     }
-    const result<void> connected = co_await connect(response_deadline);
+    const result<void> connected = co_await connect(response_deadline, check);
     if (connected) {
+        net::http_request request = make_request();
         co_return co_await call_target(std::move(request), std::move(request_id));
     }
     if (!is_direct || m_closed || !m_context.reachability.is_partitioned()) {
         co_return connected.error();
     }
-    co_return co_await call_through_relay(std::move(request), std::move(request_id),
-                                          response_deadline);
+    co_return co_await call_through_relay(std::move(make_request), std::move(request_id),
+                                          response_deadline, check);
 }
 
 net::task<result<target_response>> target_exchange::call_target(net::http_request request,
@@ -143,13 +162,11 @@
     co_return response;
 }
 
-net::task<result<target_response>>
-target_exchange::call_through_relay(net::http_request request, std::string request_id,
-                                    time_point response_deadline) {
-    add_relay_order(request, {.endpoint = target().endpoint,
-                              .target = target().id,
-                              .started_at = target().started_at,
-                              .request = request_id});
+net::task<result<target_response>> target_exchange::call_through_relay(make_request_fn make_request,
+                                                                       std::string request_id,
+                                                                       time_point response_deadline,
+                                                                       process_check check) {
+    const relay_order order{.process = listed(), .check = check, .request = request_id};
     const auto is_heard = [this](std::string_view host) {
         return m_context.messenger.heard_within(host, relay_silence_timeout);
     };
@@ -161,8 +178,10 @@
     for (std::size_t i = 0; i < std::min(relays.size(), max_relays); ++i) {
         m_context.log.write(observe::event::request_relayed, request_id,
                             {{"target", target().id}, {"through", relays[i].host}});
-        const result<relay_outcome> outcome =
-            co_await call_relay(relays[i], request, request_id, response_deadline);
+        net::http_request request = make_request();
+        add_relay_order(request, order);
+        const result<relay_outcome> outcome = co_await call_relay(
+            relays[i], std::move(request), request_id, response_deadline, check);
         if (outcome && !outcome.value().refusal) {
             record_head(outcome.value().response);
             record_limit(outcome.value().response);
@@ -175,9 +194,11 @@
         if (outcome && outcome.value().refusal == relay_refusal::target_leaving) {
             mark_leaving(m_context, target().id, instance());
         }
-        // Another daemon would not reach that target either.
-        const bool is_final = outcome && (outcome.value().refusal == relay_refusal::unreachable ||
-                                          outcome.value().refusal == relay_refusal::target_leaving);
+        // Another daemon would not reach that process either.
+        const bool is_final =
+            outcome && (outcome.value().refusal == relay_refusal::unreachable ||
+                        outcome.value().refusal == relay_refusal::target_leaving ||
+                        outcome.value().refusal == relay_refusal::other_process);
         if (m_closed || is_final) {
             break;
         }
@@ -191,7 +212,7 @@
 
 net::task<result<target_exchange::relay_outcome>>
 target_exchange::call_relay(fleet::member relay, net::http_request request, std::string request_id,
-                            time_point response_deadline) {
+                            time_point response_deadline, process_check check) {
     const time_point connect_by =
         std::min(response_deadline, m_context.clock() + target_connect_timeout);
     auto connection =
@@ -199,10 +220,11 @@
     if (!connection) {
         co_return connection.error();
     }
-    const result<void> used = use(std::move(connection.value()), response_deadline);
-    if (!used) {
-        co_return used.error();
+    use(connection.value());
+    if (m_closed) {
+        co_return closed_error();
     }
+    m_connection->set_deadline(response_deadline);
     m_context.metrics.count("requests_sent_through_relay_total");
     send(request);
     const result<void> head = co_await m_exchange->read_head();
@@ -213,6 +235,7 @@
     if (outcome.refusal) {
         co_return outcome;
     }
+    m_process_started_at = take_process_start(m_exchange->response());
     outcome.response = m_context.codec.decode_response(m_exchange->response());
     const bool refusal_without_id = outcome.response.request_id.empty() && outcome.response.not_run;
     if (outcome.response.request_id != request_id && !refusal_without_id) {
@@ -222,6 +245,15 @@
                         str_cat(relay.host, " answered a relayed request with status ", status),
                         status < 500 ? run_state::not_run : run_state::unknown};
     }
+    // An older build does not check the process.
+    const bool is_unchecked = check == process_check::require_listed && !outcome.response.not_run &&
+                              m_process_started_at != target().started_at;
+    if (is_unchecked) {
+        m_connection->close();
+        co_return error{error_code::target_failed,
+                        str_cat(relay.host, " does not tell which process responded"),
+                        run_state::unknown};
+    }
     co_return outcome;
 }
 
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -6,7 +6,9 @@
 #include "routing/fleet_load.hpp"
 #include "serving/relay_call.hpp"
 #include "serving/service_context.hpp"
+#include "serving/target_process.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,17 +40,23 @@
 /// exists. Runs on the event loop's thread.
 class target_exchange {
 public:
+    /// Encodes the request at the moment at which it is sent.
+    using make_request_fn = std::function<net::http_request()>;
+
     /// \p is_repeatable: whether the request may be sent again if the target does not respond.
     target_exchange(service_context& context, const routing::fleet_target& target, work_kind kind,
                     bool is_repeatable)
         : m_context(context), m_load_guard(context, target, kind), m_is_repeatable(is_repeatable) {}
 
-    /// Connects, sends \p request and waits until \p response_deadline for the headers of the
-    /// response to \p request_id. Responses to other requests are skipped. The error's run state
-    /// tells whether the target may have run the request. Must be called before the other members
-    /// that read.
-    net::task<result<target_response>> open(net::http_request request, std::string request_id,
-                                            time_point response_deadline);
+    /// Connects to a process that passes \p check, sends the request and waits until
+    /// \p response_deadline for the headers of the response to \p request_id. Responses to other
+    /// requests are skipped. The error's run state tells whether the target may have run the
+    /// request. Must be called before the other members that read.
+    net::task<result<target_response>> open(make_request_fn make_request, std::string request_id,
+                                            time_point response_deadline, process_check check);
+    /// Software version of the process that has the request; nothing when it is not known to be the
+    /// process of the target's entry.
+    [[nodiscard]] std::optional<std::string> software_version() const;
     /// Appends the next bytes of the body to response(), waiting until \p deadline at most. Returns
     /// false when the response is complete.
     net::task<result<bool>> read_body(time_point deadline);
@@ -66,18 +74,20 @@
 
 private:
     /// Connects to the target itself.
-    net::task<result<void>> connect(time_point response_deadline);
-    /// Takes over a new connection, unless the exchange was closed meanwhile.
-    result<void> use(std::shared_ptr<net::tcp_connection> connection, time_point response_deadline);
+    net::task<result<void>> connect(time_point response_deadline, process_check check);
+    /// Takes over a new connection; closes it if the exchange was closed meanwhile.
+    void use(const std::shared_ptr<net::tcp_connection>& connection);
+    [[nodiscard]] static error closed_error();
     /// Starts to send \p request over the connection.
     void send(const net::http_request& request);
     /// Sends \p request to the target and reads the head of the response to \p request_id.
     net::task<result<target_response>> call_target(net::http_request request,
                                                    std::string request_id);
     /// Has another daemon send \p request to the target, and reads the head of the response.
-    net::task<result<target_response>> call_through_relay(net::http_request request,
+    net::task<result<target_response>> call_through_relay(make_request_fn make_request,
                                                           std::string request_id,
-                                                          time_point response_deadline);
+                                                          time_point response_deadline,
+                                                          process_check check);
     /// What a daemon that was asked to relay the request has answered.
     struct relay_outcome {
         std::optional<relay_refusal> refusal;
@@ -86,8 +96,9 @@
     /// The same through one daemon.
     net::task<result<relay_outcome>> call_relay(fleet::member relay, net::http_request request,
                                                 std::string request_id,
-                                                time_point response_deadline);
+                                                time_point response_deadline, process_check check);
     [[nodiscard]] routing::target_instance instance() const;
+    [[nodiscard]] listed_process listed() const;
     /// Takes over what the head of a response says about the target.
     void record_head(const target_response& response);
     /// Records the request limit that \p response names, or that it names none.
@@ -98,6 +109,8 @@
     bool m_is_repeatable;
     std::shared_ptr<net::tcp_connection> m_connection;
     std::unique_ptr<net::http_exchange> m_exchange;
+    /// Start time of the process that has the request; nothing while it is not known.
+    std::optional<std::uint64_t> m_process_started_at;
     time_point m_sent_at{};
     bool m_closed = false;
 };
--- /dev/null
+++ b/src/serving/target_process.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// Defines how a daemon tells which process of a target answers it. A target may restart under its
+/// id and at its address, with another software version, while its entry still describes the
+/// process before. A connection leads to one process for as long as it lasts.
+#pragma once
+
+#include "net/tcp_connection.hpp"
+#include "serving/service_context.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace eelgrassdoor::serving {
+
+/// What has to be known of the process that gets a request. The values are part of the calls
+/// between daemons.
+enum class process_check : std::uint8_t {
+    /// Nothing: no other run goes on with its response.
+    none = 0,
+    /// Which one it is, if it tells.
+    identify = 1,
+    /// That it is the process of the target's entry; no other one gets the request.
+    require_listed = 2,
+};
+
+/// A process of a target, as its entry describes it.
+struct listed_process {
+    std::string target;
+    /// `IP:PORT`.
+    std::string endpoint;
+    /// Start time in Unix milliseconds.
+    std::uint64_t started_at = 0;
+};
+
+/// A connection to a target and the process at its other end.
+struct process_connection {
+    std::shared_ptr<net::tcp_connection> connection;
+    /// Start time of the process in Unix milliseconds; nothing when it was not asked or does not
+    /// tell.
+    std::optional<std::uint64_t> started_at;
+};
+
+/// Called with a connection when it has been opened.
+using on_open_fn = std::function<void(const std::shared_ptr<net::tcp_connection>&)>;
+
+/// Opens a connection to a target and asks the process at the other end when it started, as \p
+/// check demands. Calls \p on_open with each connection that is opened, which may be closed to end
+/// the operation. All of it ends at \p deadline, which stays set. An error has run_state::not_run,
+/// and error_code::unavailable once a connection was open. What the target's answer, or the lack of
+/// it, tells about the target is recorded.
+net::task<result<process_connection>> connect_to_process(service_context& context,
+                                                         listed_process listed, process_check check,
+                                                         time_point deadline, on_open_fn on_open);
+
+} // namespace eelgrassdoor::serving
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -17,11 +17,23 @@
 
 } // namespace
 
+relay_refusal target_relay::refusal_after(const relay_order& order, const error& failure) const {
+    if (m_context.loads.is_leaving({stable_hash(order.process.target), order.process.started_at})) {
+        return relay_refusal::target_leaving;
+    }
+    if (m_context.reachability.is_partitioned()) {
+        return relay_refusal::partitioned;
+    }
+    // The target has accepted the connection.
+    return failure.code == error_code::unavailable ? relay_refusal::other_process
+                                                   : relay_refusal::unreachable;
+}
+
 std::optional<relay_refusal> target_relay::refusal_for(const relay_order& order) {
     if (!m_accepts_requests()) {
         return relay_refusal::stopping;
     }
-    if (m_context.loads.is_leaving({stable_hash(order.target), order.started_at})) {
+    if (m_context.loads.is_leaving({stable_hash(order.process.target), order.process.started_at})) {
         return relay_refusal::target_leaving;
     }
     if (m_active >= max_relayed_requests) {
@@ -59,22 +71,25 @@
             (*connection)->close();
         }
     });
-    const time_point connect_by = m_context.clock() + target_connect_timeout;
-    const auto connected =
-        co_await connect_to_target(m_context, order.target, order.endpoint, connect_by);
-    if (!connected) {
-        const bool partitioned = m_context.reachability.is_partitioned();
-        net::http_response refusal =
-            make_refusal(partitioned ? relay_refusal::partitioned : relay_refusal::unreachable);
-        co_await exchange.respond(std::move(refusal));
+    const on_open_fn on_open = [&](const std::shared_ptr<net::tcp_connection>& opened) {
+        *connection = opened;
+        if (exchange.client_disconnected()) {
+            opened->close();
+        }
+    };
+    const auto connected = co_await connect_to_process(m_context, order.process, order.check,
+                                                       time_point::max(), on_open);
+    if (exchange.client_disconnected()) {
+        if (connected) {
+            connected.value().connection->close();
+        }
         co_return;
     }
-    *connection = connected.value();
-    if (exchange.client_disconnected()) {
-        (*connection)->close();
+    if (!connected) {
+        net::http_response refusal = make_refusal(refusal_after(order, connected.error()));
+        co_await exchange.respond(std::move(refusal));
         co_return;
     }
-    (*connection)->set_deadline(time_point::max());
     // The request is framed anew.
     exchange.request().headers.remove("Content-Length");
     exchange.request().headers.remove("Connection");
@@ -82,24 +97,29 @@
     net::http_exchange call(*connection, target_response_limits, &m_context.response_memory);
     call.send(exchange.request());
     exchange.request().body.clear();
-    const routing::target_instance instance{stable_hash(order.target), order.started_at};
+    const routing::target_instance instance{stable_hash(order.process.target),
+                                            order.process.started_at};
     const auto on_head = [&](const target_response& response) {
         if (response.target_is_leaving) {
-            mark_leaving(m_context, order.target, instance);
+            mark_leaving(m_context, order.process.target, instance);
         }
     };
     const result<target_response> response =
         co_await read_matching_head(m_context.codec, call, order.request, on_head);
     if (!response) {
         if (!exchange.client_disconnected()) {
-            record_no_response(m_context, order.target, response.error().message);
+            record_no_response(m_context, order.process.target, response.error().message);
         }
         exchange.abort();
         co_return;
     }
-    record_response(m_context, order.target);
+    record_response(m_context, order.process.target);
     net::http_response head = net::make_forwarded_head(call.response());
-    remove_refusal(head);
+    remove_relay_headers(head);
+    const std::optional<std::uint64_t> process_start = connected.value().started_at;
+    if (process_start) {
+        add_process_start(head, *process_start);
+    }
     const bool framed = call.response().framed;
     bool is_open = co_await exchange.begin(std::move(head));
     bool is_empty = true;
--- a/src/serving/target_relay.hpp
+++ b/src/serving/target_relay.hpp
@@ -31,6 +31,8 @@
 private:
     /// Why the request is not sent, as far as it is known without trying.
     [[nodiscard]] std::optional<relay_refusal> refusal_for(const relay_order& order);
+    /// Why the request was not sent after \p failure to connect to its process.
+    [[nodiscard]] relay_refusal refusal_after(const relay_order& order, const error& failure) const;
     net::task<> relay(net::server_exchange& exchange, relay_order order);
 
     service_context& m_context;
--- a/test/correctness/fleet_load_versions.cpp
+++ b/test/correctness/fleet_load_versions.cpp
@@ -21,6 +21,41 @@
     return {.excluded = {}, .version = version};
 }
 
+void check_outdated_entry() {
+    const time_point now{};
+    random_source random(1);
+    fleet_load loads({.local_zone = "a"});
+    fleet_target restarted = target("x", "a", 3);
+    restarted.started_at = 1;
+    loads.set_targets({restarted, target("y", "a", 3)});
+    const auto picks = [&](const target_constraints& constraints) {
+        std::set<std::string> ids;
+        for (int i = 0; i < 200; ++i) {
+            const auto online = loads.pick_online("s", constraints, now, random);
+            const auto batch = loads.pick_batch("s", constraints, now, random, any_target);
+            ids.insert(online ? online->id : "none");
+            ids.insert(batch ? batch->id : "none");
+        }
+        return ids;
+    };
+    using id_set = std::set<std::string>;
+    require(!loads.mark_outdated("x", 2) && !loads.mark_outdated("z", 1),
+            "only an entry that is listed can be outdated");
+    require(picks(no_constraints) == id_set{"x", "y"}, "both targets are picked");
+    require(loads.mark_outdated("x", 1) && !loads.mark_outdated("x", 1),
+            "an entry becomes outdated once");
+    require(picks(no_constraints) == id_set{"y"}, "a target with an outdated entry is avoided");
+    require(picks({.excluded = {"y"}, .version = {}}) == id_set{"x"},
+            "a target with an outdated entry is picked when there is no other");
+    restarted.cold_remaining = seconds(0);
+    loads.set_targets({restarted, target("y", "a", 3)});
+    require(picks(no_constraints) == id_set{"y"}, "an update of the entry is no new entry");
+    restarted.started_at = 2;
+    loads.set_targets({restarted, target("y", "a", 3)});
+    require(picks(no_constraints) == id_set{"x", "y"},
+            "a target is picked again when its entry names the new process");
+}
+
 void check_versions() {
     const time_point now{};
     random_source random(1);
@@ -131,5 +166,6 @@
 
 int main() {
     check_versions();
+    check_outdated_entry();
     return eelgrassdoor::test::finish();
 }
--- a/test/correctness/relay_calls.cpp
+++ b/test/correctness/relay_calls.cpp
@@ -17,16 +17,28 @@
     net::http_request request;
     request.headers.set("Host", "h");
     require(!is_relay_call(request), "an ordinary request is not to be relayed");
-    add_relay_order(request, {"127.0.0.1:1", "target \xff", 7, std::string(5000, 'r')});
+    const relay_order sent{.process = {"target \xff", "127.0.0.1:1", 7},
+                           .check = process_check::require_listed,
+                           .request = std::string(5000, 'r')};
+    add_relay_order(request, sent);
     require(is_relay_call(request), "a request with an order is");
     const std::string order_name = request.headers.all()[1].name;
     net::http_request received = request;
     const auto order = take_relay_order(received);
-    require(order && order->endpoint == "127.0.0.1:1" && order->target == "target \xff" &&
-                order->started_at == 7 && order->request == std::string(5000, 'r'),
+    require(order && order->process.endpoint == "127.0.0.1:1" &&
+                order->process.target == "target \xff" && order->process.started_at == 7 &&
+                order->check == process_check::require_listed &&
+                order->request == std::string(5000, 'r'),
             "the order arrives whole");
     require(!is_relay_call(received) && received.headers.all().size() == 1,
             "the target gets the request without the order");
+    // An older build sends the order alone.
+    const std::string whole = from_base64(request.headers.get(order_name));
+    net::http_request older = request;
+    older.headers.set(order_name, to_base64(std::string_view(whole).substr(0, whole.size() - 1)));
+    const auto older_order = take_relay_order(older);
+    require(older_order && older_order->check == process_check::none,
+            "the order of an older build demands no check");
     for (const char* malformed : {"", "????", "AAAA", "////////////"}) {
         net::http_request damaged = request;
         damaged.headers.set(order_name, malformed);
@@ -35,16 +47,22 @@
 }
 
 void check_refusals() {
-    for (const relay_refusal each : {relay_refusal::partitioned, relay_refusal::unreachable,
-                                     relay_refusal::target_leaving, relay_refusal::stopping}) {
+    for (const relay_refusal each :
+         {relay_refusal::partitioned, relay_refusal::unreachable, relay_refusal::target_leaving,
+          relay_refusal::other_process, relay_refusal::stopping}) {
         require(refusal_of(make_refusal(each)) == each, "a refusal keeps its reason");
     }
     net::http_response response = make_refusal(relay_refusal::stopping);
     const std::string header = response.headers.all().front().name;
     response.headers.set(header, "a reason of a later build");
     require(refusal_of(response) == relay_refusal::unreachable, "an unknown reason is a refusal");
-    remove_refusal(response);
-    require(!refusal_of(response), "a target's response is no refusal");
+    add_process_start(response, 7);
+    net::http_response received = response;
+    require(take_process_start(received) == 7 && !take_process_start(received),
+            "the start of the target's process is read and removed");
+    remove_relay_headers(response);
+    require(!refusal_of(response) && !take_process_start(response),
+            "a target's response is no refusal and names no process");
 }
 
 void check_choice() {
