Confirm the end of a response without framing

A response with neither a length nor chunks ends with its connection.

Cause: an end by close was taken for a planned one. It tells that the process closed the connection or that it is gone, and not which.

Now such an end counts once the process that sent the response has answered on a new connection with the start time that it had; only the end waits meanwhile. Without that answer the response broke off: what may be repeated goes on elsewhere, any other caller gets an incomplete response. It holds for streams, items, plain responses, and for the host that relays.

--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -134,6 +134,9 @@
                " which software version began it."},
     event_info{event::request_relayed, "request_relayed", info,
                "A request was sent to its target through another host."},
+    event_info{event::response_end_unconfirmed, "response_end_unconfirmed", warning,
+               "The connection of a response without framing was closed, and the target's process"
+               " does not answer any more; the response counts as broken off."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -74,6 +74,7 @@
     stream_version_found = 516,
     stream_version_unknown = 517,
     request_relayed = 518,
+    response_end_unconfirmed = 519,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -257,14 +257,37 @@
     co_return outcome;
 }
 
+net::task<result<void>> target_exchange::confirm_end(time_point deadline) {
+    if (response().framed || m_is_end_confirmed) {
+        co_return success();
+    }
+    listed_process process = listed();
+    process.started_at = m_process_started_at.value_or(process.started_at);
+    const result<void> confirmed =
+        co_await confirm_running(m_context, std::move(process), deadline);
+    m_is_end_confirmed = confirmed.has_value();
+    co_return confirmed;
+}
+
 net::task<result<bool>> target_exchange::read_body(time_point deadline) {
     m_connection->set_deadline(deadline);
-    co_return co_await m_exchange->read_body();
+    result<bool> more = co_await m_exchange->read_body();
+    if (more && !more.value()) {
+        const result<void> confirmed = co_await confirm_end(deadline);
+        if (!confirmed) {
+            co_return confirmed.error();
+        }
+    }
+    co_return more;
 }
 
 net::task<result<void>> target_exchange::read_all(time_point deadline) {
     m_connection->set_deadline(deadline);
-    co_return co_await m_exchange->read_all();
+    const result<void> read = co_await m_exchange->read_all();
+    if (!read) {
+        co_return read.error();
+    }
+    co_return co_await confirm_end(deadline);
 }
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -58,7 +58,8 @@
     /// process of the target's entry.
     [[nodiscard]] std::optional<std::string> software_version() const;
     /// Appends the next bytes of the body to response(), waiting until \p deadline at most. Returns
-    /// false when the response is complete.
+    /// false when the response is complete. One that ends with its connection is complete if the
+    /// target's process is still running then.
     net::task<result<bool>> read_body(time_point deadline);
 
     /// Reads the rest of the response into response(), waiting until \p deadline at most.
@@ -78,6 +79,8 @@
     /// Takes over a new connection; closes it if the exchange was closed meanwhile.
     void use(const std::shared_ptr<net::tcp_connection>& connection);
     [[nodiscard]] static error closed_error();
+    /// Confirms the end of a response that ended with its connection.
+    net::task<result<void>> confirm_end(time_point deadline);
     /// Starts to send \p request over the connection.
     void send(const net::http_request& request);
     /// Sends \p request to the target and reads the head of the response to \p request_id.
@@ -112,6 +115,7 @@
     /// Start time of the process that has the request; nothing while it is not known.
     std::optional<std::uint64_t> m_process_started_at;
     time_point m_sent_at{};
+    bool m_is_end_confirmed = false;
     bool m_closed = false;
 };
 
--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "net/http_exchange.hpp"
+#include "net/notification.hpp"
 #include "serving/stall_detector.hpp"
 #include "serving/target_connection.hpp"
 
@@ -13,6 +14,9 @@
 
 /// Connections that are opened to ask for a report. A target may close one after its report.
 constexpr int max_asked_connections = 2;
+/// A target at its connection limit resets new connections until one of its others ends.
+constexpr int max_confirm_attempts = 6;
+constexpr duration confirm_interval = milliseconds(50);
 
 /// What the answer to the question for a report tells.
 struct process_report {
@@ -121,4 +125,33 @@
     co_return out;
 }
 
+net::task<result<void>> confirm_running(service_context& context, listed_process process,
+                                        time_point deadline) {
+    const time_point end = std::min(deadline, context.clock() + confirm_timeout);
+    const error unconfirmed{error_code::target_failed,
+                            "the connection was closed, and the target's process may have ended",
+                            run_state::unknown};
+    for (int attempt = 0; attempt < max_confirm_attempts && context.clock() < end; ++attempt) {
+        const time_point connect_by = std::min(end, context.clock() + target_connect_timeout);
+        const auto connected =
+            co_await connect_to_target(context, process.target, process.endpoint, connect_by);
+        if (!connected) {
+            break;
+        }
+        connected.value()->set_deadline(end);
+        const auto report = co_await ask(context.codec, connected.value(), process.endpoint);
+        connected.value()->close();
+        if (report) {
+            if (report.value().started_at == process.started_at) {
+                co_return success();
+            }
+            break;
+        }
+        co_await net::sleep_for(confirm_interval);
+    }
+    context.log.write(observe::event::response_end_unconfirmed, process.target,
+                      {{"started_at", std::to_string(process.started_at)}});
+    co_return unconfirmed;
+}
+
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_process.hpp
+++ b/src/serving/target_process.hpp
@@ -55,4 +55,13 @@
                                                          listed_process listed, process_check check,
                                                          time_point deadline, on_open_fn on_open);
 
+/// Confirms that \p process still answers. The end of a connection alone does not tell a process
+/// that has closed it from one that was killed. Takes confirm_timeout at most, and ends at
+/// \p deadline. An error has run_state::unknown.
+net::task<result<void>> confirm_running(service_context& context, listed_process process,
+                                        time_point deadline);
+
+/// A sound target may be silent for about a second.
+inline constexpr duration confirm_timeout = milliseconds(1500);
+
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -140,6 +140,16 @@
             break;
         }
     }
+    if (is_open && !framed) {
+        listed_process process = order.process;
+        process.started_at = process_start.value_or(process.started_at);
+        const result<void> confirmed =
+            co_await confirm_running(m_context, std::move(process), time_point::max());
+        if (!confirmed) {
+            exchange.abort();
+            co_return;
+        }
+    }
     if (is_open) {
         co_await exchange.finish();
     }
