Keep targets with outdated entries in use, and bound what reports cost

Found by a reviewer who had not seen the work, by reading: targets whose entries are outdated were used only when no other was listed, so that a fleet restarted in place while the store is silent would refuse requests with most targets idle; an item with a text could be sent again and again to targets that don't run its version; four mismatches ended a request although the fifth target would serve; a whole text whose end was not confirmed could never become complete; reports were read outside of the memory limits; a relayed request could state more time than was left.

Now such a target counts as one of an unknown version and is picked when no other has room. Mismatches are no refusals. The end of a resumed run without events counts once it is confirmed. A process is asked for up to 1.5 s while its connections are reset, and no longer than the caller waits. Reports have limits of 64 KiB and count in the memory for responses; a host that relays waits 300 ms for one.

--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -49,7 +49,11 @@
 
 void online_proxy::count_failure(running_request& run, std::string_view target,
                                  const error& failure) const {
-    (failure.run == run_state::not_run ? run.refusals : run.runs) += 1;
+    if (failure.run != run_state::not_run) {
+        ++run.runs;
+    } else if (!is_other_process(failure)) {
+        ++run.refusals;
+    }
     m_context.log.write(observe::event::target_failed, run.request.id,
                         {{"target", std::string(target)},
                          {"reason", failure.message},
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -121,8 +121,9 @@
             break;
         }
     }
-    // A close right after the head does not tell an empty stream from one that broke off.
-    const bool no_body = run.reads_with_events == 0 && !run.active_exchange->response().framed;
+    // A new stream without events has broken off right after its head.
+    const bool no_body =
+        !run.last_event && run.reads_with_events == 0 && !run.active_exchange->response().framed;
     if (no_body || !parser.partial_event().empty()) {
         error truncated{error_code::target_failed,
                         no_body ? "the stream ended before its first event"
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -47,8 +47,9 @@
             co_return item_outcome::interrupted;
         }
         if (!more.value()) {
-            // A close right after the head does not tell an empty stream from one that broke off.
-            const bool no_body = reads_with_events == 0 && !exchange->response().framed;
+            // A new stream without events has broken off right after its head.
+            const bool no_body =
+                !running.job->item(running.index).has_text() && !exchange->response().framed;
             const bool whole = !no_body && parser.partial_event().empty();
             co_return whole ? item_outcome::complete : item_outcome::interrupted;
         }
@@ -87,6 +88,10 @@
     }
     if (!response_head) {
         serving::record_target_failure(context, target.id, response_head.error());
+        if (serving::is_other_process(response_head.error()) &&
+            item.may_start_over(context.clock())) {
+            running.job->set_version(running.index, std::nullopt);
+        }
         context.log.write(observe::event::target_failed, request.id,
                           {{"target", target.id}, {"reason", response_head.error().message}});
         if (serving::is_closed_by_target(response_head.error())) {
@@ -95,10 +100,10 @@
         co_return item_outcome::interrupted;
     }
     context.loads.record_success(target.id, context.clock());
-    running.job->set_version(running.index, exchange->software_version());
     if (response_head.value().not_run) {
         co_return item_outcome::interrupted;
     }
+    running.job->set_version(running.index, exchange->software_version());
     const int status = exchange->response().status;
     if (status == 422) {
         co_return item_outcome::rejected;
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -55,7 +55,7 @@
 
 void owned_job::mark_running(std::size_t index, std::string_view version, time_point now) {
     owned_item& item = m_items[index];
-    if (item.has_text() && item.version != version) {
+    if (item.has_text() && (item.version != version || version == routing::unknown_version)) {
         item.last_event.reset();
         item.output.clear();
         item.events = 0;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -89,7 +89,7 @@
                "The digests of a daemon come from another run of it than before."},
     event_info{event::target_outdated, "target_outdated", warning,
                "A target has restarted and its entry still describes the process before; it"
-               " receives requests only when there is no other target."},
+               " receives requests only when no other target has room."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -16,12 +16,24 @@
 /// Cost of using a target that limits its requests, in requests per slot: its permits are kept
 /// until the other targets are in use to this part.
 constexpr double limited_cost = 0.3;
+/// Cost of using a target whose entry is out of date, in requests per slot: above that of any load
+/// with which a target is picked, so that it serves when the others are full.
+constexpr double outdated_cost = 100;
 /// Cost of stopping a batch stream, in requests per slot.
 constexpr double preemption_cost = 0.05;
 /// Range of the random cost that spreads the picks of daemons with the same view of the load, in
 /// requests per slot.
 constexpr double tie_break_jitter = 0.02;
 
+/// The target of \p state with what is known of the process that it runs.
+template <typename State> fleet_target as_running(const State& state) {
+    fleet_target out = state.target;
+    if (state.is_outdated) {
+        out.version = unknown_version;
+    }
+    return out;
+}
+
 } // namespace
 
 void fleet_load::set_targets(std::vector<fleet_target> targets) {
@@ -235,14 +247,14 @@
     std::size_t of_version = 0;
     for (const target_state* state : listed->second) {
         const fleet_target& target = state->target;
-        if (constraints.version && target.version != *constraints.version) {
+        if (constraints.version && (state->is_outdated || target.version != *constraints.version)) {
             continue;
         }
         ++of_version;
         if (constraints.excluded.contains(target.id) || !is_eligible(*state, kind, now)) {
             continue;
         }
-        if (state->is_outdated || is_backing_off(*state, now)) {
+        if (is_backing_off(*state, now)) {
             m_backing_off.push_back(state);
         } else {
             (state->is_degraded() ? m_degraded : m_healthy).push_back(state);
@@ -261,7 +273,7 @@
 std::optional<fleet_target> fleet_load::pick_online(std::string_view service,
                                                     const target_constraints& constraints,
                                                     time_point now, random_source& random) {
-    const fleet_target* best = nullptr;
+    const target_state* best = nullptr;
     double best_cost = 0;
     for (const target_state* state : candidates(service, constraints, work_kind::online, now)) {
         const fleet_target& target = state->target;
@@ -274,23 +286,24 @@
         cost += target.availability_zone == m_options.local_zone ? 0 : cross_zone_cost;
         cost += load.online + load.batch >= target.slots ? preemption_cost : 0;
         cost += m_request_limits.limit_of(state->instance) ? limited_cost : 0;
+        cost += state->is_outdated ? outdated_cost : 0;
         if (best == nullptr || cost < best_cost) {
-            best = &target;
+            best = state;
             best_cost = cost;
         }
     }
     if (best == nullptr) {
         return std::nullopt;
     }
-    m_cold_targets.record_sent(*best, now);
-    return *best;
+    m_cold_targets.record_sent(best->target, now);
+    return as_running(*best);
 }
 
 std::optional<fleet_target> fleet_load::pick_batch(std::string_view service,
                                                    const target_constraints& constraints,
                                                    time_point now, random_source& random,
                                                    const may_start_fn& may_start) {
-    const fleet_target* best = nullptr;
+    const target_state* best = nullptr;
     double best_score = 0;
     for (const target_state* state : candidates(service, constraints, work_kind::batch, now)) {
         const fleet_target& target = state->target;
@@ -300,13 +313,14 @@
         if (free <= 0 || !allowed) {
             continue;
         }
-        const double score = free + random.uniform();
+        const double score =
+            free + random.uniform() - (state->is_outdated ? outdated_cost * target.slots : 0);
         if (best == nullptr || score > best_score) {
-            best = &target;
+            best = state;
             best_score = score;
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(*best);
+    return best == nullptr ? std::nullopt : std::optional(as_running(*best));
 }
 
 int fleet_load::batch_streams_to_preempt(std::string_view id, std::string_view local_name,
@@ -349,6 +363,7 @@
     return listed != m_by_service.end() && std::any_of(listed->second.begin(), listed->second.end(),
                                                        [version](const target_state* state) {
                                                            return !state->target.leaving &&
+                                                                  !state->is_outdated &&
                                                                   state->target.version == version;
                                                        });
 }
@@ -360,7 +375,8 @@
         return versions;
     }
     for (const target_state* state : listed->second) {
-        if (!state->target.leaving && !versions.contains(state->target.version)) {
+        if (!state->target.leaving && !state->is_outdated &&
+            !versions.contains(state->target.version)) {
             versions.insert(state->target.version);
         }
     }
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -134,9 +134,9 @@
     /// Records that a target instance has announced its shutdown: it gets no more requests,
     /// whatever the target list says. Returns whether this was not known before.
     bool mark_leaving(const target_instance& instance);
-    /// Records that a listed target runs another process than the one that started at
-    /// \p started_at, whose entry is therefore out of date. Until the entry changes, the target is
-    /// picked only when no other one is left. Returns whether this was not known before.
+    /// Records that the process that started at \p started_at has been replaced at a listed target.
+    /// Until the entry changes, the target's version is routing::unknown_version, and it is picked
+    /// only when no other one has room. Returns whether this was not known before.
     bool mark_outdated(std::string_view id, std::uint64_t started_at);
     /// Whether a target instance, listed or not, has announced its shutdown.
     [[nodiscard]] bool is_leaving(const target_instance& instance) const {
@@ -258,8 +258,8 @@
     /// Whether \p target may get a request of this kind, whatever its load and failures.
     [[nodiscard]] bool is_eligible(const target_state& state, work_kind kind, time_point now);
     /// The targets within \p constraints that may get a request: the healthy ones, else the
-    /// degraded ones, else those in backoff or with an outdated entry. Targets of another version
-    /// count in none of them. Valid until the next call.
+    /// degraded ones, else those in backoff. Targets of another or an unknown version count in none
+    /// of them. Valid until the next call.
     [[nodiscard]] const std::vector<const target_state*>&
     candidates(std::string_view service, const target_constraints& constraints, work_kind kind,
                time_point now);
--- a/src/serving/relay_call.hpp
+++ b/src/serving/relay_call.hpp
@@ -15,7 +15,7 @@
 /// Where a relayed request goes. Travels in headers of the request, which is otherwise sent as the
 /// target is to receive it.
 struct relay_order {
-    listed_process process;
+    target_process process;
     process_check check = process_check::none;
     /// Id of the request, which the target's response names.
     std::string request;
--- a/src/serving/target_connection.cpp
+++ b/src/serving/target_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/text.hpp"
 #include "net/http_client.hpp"
+#include "serving/target_process.hpp"
 
 namespace eelgrassdoor::serving {
 
@@ -48,13 +49,14 @@
 void record_target_failure(service_context& context, std::string_view target,
                            const error& failure) {
     const bool is_unreachable = failure.run == run_state::not_run;
-    const bool is_recorded = is_unreachable && failure.code == error_code::unavailable;
-    if (is_recorded || (is_unreachable && context.reachability.is_partitioned())) {
+    if (is_other_process(failure) || (is_unreachable && context.reachability.is_partitioned())) {
         return;
     }
+    // A target without a report has accepted the connection.
+    const bool was_connected = !is_unreachable || failure.code == error_code::overloaded;
     context.loads.record_failure(target,
-                                 is_unreachable ? routing::target_failure::unreachable
-                                                : routing::target_failure::response_failed,
+                                 was_connected ? routing::target_failure::response_failed
+                                               : routing::target_failure::unreachable,
                                  context.clock());
 }
 
--- a/src/serving/target_connection.hpp
+++ b/src/serving/target_connection.hpp
@@ -40,8 +40,8 @@
 /// whether this host reaches targets.
 void record_response(service_context& context, std::string_view target);
 void record_no_response(service_context& context, std::string_view target, std::string_view reason);
-/// Records \p failure of a request at a target, unless connect_to_process() has done so. While this
-/// host reaches no target, an unreachable one is not to blame.
+/// Records \p failure of a request at a target. While this host reaches no target, an unreachable
+/// one is not to blame, nor is one that runs another process.
 void record_target_failure(service_context& context, std::string_view target, const error& failure);
 
 /// Records that a target is shutting down, so that no daemon sends it further requests.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -18,6 +18,14 @@
 /// digests are repeated.
 constexpr duration relay_silence_timeout = milliseconds(1000);
 
+/// The error for a request that \p host has not sent to its target.
+error refusal_error(std::string_view host, relay_refusal reason) {
+    const bool is_other =
+        reason == relay_refusal::target_leaving || reason == relay_refusal::other_process;
+    return {is_other ? error_code::unavailable : error_code::target_failed,
+            str_cat(host, " cannot relay the request"), run_state::not_run};
+}
+
 } // namespace
 
 target_load_guard::target_load_guard(service_context& context, routing::fleet_target target,
@@ -74,14 +82,15 @@
     }
 }
 
-listed_process target_exchange::listed() const {
+target_process target_exchange::listed() const {
     return {
         .target = target().id, .endpoint = target().endpoint, .started_at = target().started_at};
 }
 
 std::optional<std::string> target_exchange::software_version() const {
-    return m_process_started_at == target().started_at ? std::optional(target().version)
-                                                       : std::nullopt;
+    const bool is_known =
+        m_process_started_at == target().started_at && target().version != routing::unknown_version;
+    return is_known ? std::optional(target().version) : std::nullopt;
 }
 
 void target_exchange::use(const std::shared_ptr<net::tcp_connection>& connection) {
@@ -107,7 +116,7 @@
     const on_open_fn on_open = [this](const std::shared_ptr<net::tcp_connection>& connection) {
         use(connection);
     };
-    const listed_process process = listed();
+    const target_process process = listed();
     const result<process_connection> opened =
         co_await connect_to_process(m_context, process, check, response_deadline, on_open);
     if (m_closed) {
@@ -124,6 +133,10 @@
                                                          std::string request_id,
                                                          time_point response_deadline,
                                                          process_check check) {
+    // Whether it still runs decides on an unframed response, so it is to be known.
+    if (check == process_check::none && target().version == routing::unknown_version) {
+        check = process_check::identify;
+    }
     const bool is_direct =
         m_context.reachability.try_begin_direct_attempt(m_is_repeatable, m_context.clock());
     if (!is_direct) {
@@ -187,10 +200,8 @@
             record_limit(outcome.value().response);
             co_return outcome.value().response;
         }
-        failure = outcome ? error{error_code::target_failed,
-                                  str_cat(relays[i].host, " cannot relay the request"),
-                                  run_state::not_run}
-                          : outcome.error();
+        failure =
+            outcome ? refusal_error(relays[i].host, *outcome.value().refusal) : outcome.error();
         if (outcome && outcome.value().refusal == relay_refusal::target_leaving) {
             mark_leaving(m_context, target().id, instance());
         }
@@ -261,10 +272,11 @@
     if (response().framed || m_is_end_confirmed) {
         co_return success();
     }
-    listed_process process = listed();
+    target_process process = listed();
     process.started_at = m_process_started_at.value_or(process.started_at);
+    const std::function<bool()> is_cancelled = [this] { return m_closed; };
     const result<void> confirmed =
-        co_await confirm_running(m_context, std::move(process), deadline);
+        co_await confirm_running(m_context, std::move(process), deadline, is_cancelled);
     m_is_end_confirmed = confirmed.has_value();
     co_return confirmed;
 }
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -101,7 +101,7 @@
                                                 std::string request_id,
                                                 time_point response_deadline, process_check check);
     [[nodiscard]] routing::target_instance instance() const;
-    [[nodiscard]] listed_process listed() const;
+    [[nodiscard]] target_process listed() const;
     /// Takes over what the head of a response says about the target.
     void record_head(const target_response& response);
     /// Records the request limit that \p response names, or that it names none.
--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -14,9 +14,14 @@
 
 /// Connections that are opened to ask for a report. A target may close one after its report.
 constexpr int max_asked_connections = 2;
-/// A target at its connection limit resets new connections until one of its others ends.
-constexpr int max_confirm_attempts = 6;
-constexpr duration confirm_interval = milliseconds(50);
+/// Reports are a few hundred bytes.
+constexpr net::parse_limits report_limits{.max_header_bytes = 16 * 1024,
+                                          .max_body_bytes = 64 * 1024};
+/// Connections that may fail to open before a process counts as gone.
+constexpr int max_failed_connects = 2;
+/// Interval at which a process is asked again, doubled each time: a target at its connection limit
+/// resets new connections until one of its others ends.
+constexpr duration confirm_interval = milliseconds(25);
 
 /// What the answer to the question for a report tells.
 struct process_report {
@@ -29,10 +34,11 @@
 };
 
 /// Asks the process at the other end of \p connection for its report.
-net::task<result<process_report>> ask(const protocol_codec& codec,
+net::task<result<process_report>> ask(service_context& context,
                                       std::shared_ptr<net::tcp_connection> connection,
                                       std::string endpoint) {
-    net::http_exchange exchange(connection, target_response_limits);
+    const protocol_codec& codec = context.codec;
+    net::http_exchange exchange(connection, report_limits, &context.response_memory);
     exchange.send(codec.encode_report_call(endpoint));
     result<void> read = co_await exchange.read_head();
     const net::http_response& response = exchange.response();
@@ -46,7 +52,7 @@
         read = co_await exchange.read_all();
     }
     if (!read) {
-        co_return error{error_code::unavailable, "no report: " + read.error().message,
+        co_return error{error_code::overloaded, "no report: " + read.error().message,
                         run_state::not_run};
     }
     co_return process_report{.is_report = true,
@@ -55,7 +61,7 @@
                              .is_reusable = exchange.reusable()};
 }
 
-void record_process(service_context& context, const listed_process& listed,
+void record_process(service_context& context, const target_process& listed,
                     std::uint64_t started_at) {
     const bool is_new = started_at != listed.started_at &&
                         context.loads.mark_outdated(listed.target, listed.started_at);
@@ -69,7 +75,7 @@
 } // namespace
 
 net::task<result<process_connection>> connect_to_process(service_context& context,
-                                                         listed_process listed, process_check check,
+                                                         target_process listed, process_check check,
                                                          time_point deadline, on_open_fn on_open) {
     process_connection out;
     int questions_left = check == process_check::none ? 0 : max_asked_connections;
@@ -87,13 +93,11 @@
             break;
         }
         const stall_detector detector(context, listed.target);
-        const auto report = co_await ask(context.codec, out.connection, listed.endpoint);
+        const auto report = co_await ask(context, out.connection, listed.endpoint);
         if (!report) {
             const bool was_cancelled = !out.connection->is_open() && !out.connection->timed_out();
             if (!was_cancelled) {
                 record_no_response(context, listed.target, report.error().message);
-                context.loads.record_failure(
-                    listed.target, routing::target_failure::response_failed, context.clock());
             }
             out.connection->close();
             co_return report.error();
@@ -104,8 +108,9 @@
             record_process(context, listed, *started_at);
         }
         if (report.value().is_leaving) {
-            mark_leaving(context, listed.target,
-                         {stable_hash(listed.target), started_at.value_or(listed.started_at)});
+            const std::uint64_t hash = stable_hash(listed.target);
+            mark_leaving(context, listed.target, {hash, listed.started_at});
+            mark_leaving(context, listed.target, {hash, started_at.value_or(listed.started_at)});
             out.connection->close();
             co_return error{error_code::unavailable, "the target is shutting down",
                             run_state::not_run};
@@ -125,33 +130,43 @@
     co_return out;
 }
 
-net::task<result<void>> confirm_running(service_context& context, listed_process process,
-                                        time_point deadline) {
+bool is_other_process(const error& failure) {
+    return failure.run == run_state::not_run && failure.code == error_code::unavailable;
+}
+
+net::task<result<void>> confirm_running(service_context& context, target_process process,
+                                        time_point deadline, std::function<bool()> is_cancelled) {
     const time_point end = std::min(deadline, context.clock() + confirm_timeout);
-    const error unconfirmed{error_code::target_failed,
-                            "the connection was closed, and the target's process may have ended",
-                            run_state::unknown};
-    for (int attempt = 0; attempt < max_confirm_attempts && context.clock() < end; ++attempt) {
+    int failed_connects = 0;
+    duration interval = confirm_interval;
+    while (!is_cancelled() && context.clock() < end && failed_connects < max_failed_connects) {
         const time_point connect_by = std::min(end, context.clock() + target_connect_timeout);
         const auto connected =
             co_await connect_to_target(context, process.target, process.endpoint, connect_by);
-        if (!connected) {
-            break;
-        }
-        connected.value()->set_deadline(end);
-        const auto report = co_await ask(context.codec, connected.value(), process.endpoint);
-        connected.value()->close();
-        if (report) {
-            if (report.value().started_at == process.started_at) {
+        if (connected) {
+            connected.value()->set_deadline(end);
+            const auto report = co_await ask(context, connected.value(), process.endpoint);
+            connected.value()->close();
+            if (report && report.value().started_at == process.started_at) {
                 co_return success();
             }
-            break;
+            if (report) {
+                if (report.value().started_at) {
+                    record_process(context, process, *report.value().started_at);
+                }
+                break;
+            }
+        } else {
+            ++failed_connects;
         }
-        co_await net::sleep_for(confirm_interval);
+        co_await net::sleep_for(interval);
+        interval *= 2;
     }
     context.log.write(observe::event::response_end_unconfirmed, process.target,
                       {{"started_at", std::to_string(process.started_at)}});
-    co_return unconfirmed;
+    co_return error{error_code::target_failed,
+                    "the connection was closed, and the target's process may have ended",
+                    run_state::unknown};
 }
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_process.hpp
+++ b/src/serving/target_process.hpp
@@ -18,7 +18,7 @@
 /// What has to be known of the process that gets a request. The values are part of the calls
 /// between daemons.
 enum class process_check : std::uint8_t {
-    /// Nothing: no other run goes on with its response.
+    /// Nothing: no other run will go on with its response.
     none = 0,
     /// Which one it is, if it tells.
     identify = 1,
@@ -26,8 +26,8 @@
     require_listed = 2,
 };
 
-/// A process of a target, as its entry describes it.
-struct listed_process {
+/// A process of a target and where it answers.
+struct target_process {
     std::string target;
     /// `IP:PORT`.
     std::string endpoint;
@@ -49,19 +49,20 @@
 /// Opens a connection to a target and asks the process at the other end when it started, as \p
 /// check demands. Calls \p on_open with each connection that is opened, which may be closed to end
 /// the operation. All of it ends at \p deadline, which stays set. An error has run_state::not_run,
-/// and error_code::unavailable once a connection was open. What the target's answer, or the lack of
-/// it, tells about the target is recorded.
+/// and error_code::overloaded when the target has accepted a connection but not told anything.
 net::task<result<process_connection>> connect_to_process(service_context& context,
-                                                         listed_process listed, process_check check,
+                                                         target_process listed, process_check check,
                                                          time_point deadline, on_open_fn on_open);
-
-/// Confirms that \p process still answers. The end of a connection alone does not tell a process
-/// that has closed it from one that was killed. Takes confirm_timeout at most, and ends at
-/// \p deadline. An error has run_state::unknown.
-net::task<result<void>> confirm_running(service_context& context, listed_process process,
-                                        time_point deadline);
+/// Whether \p failure of connect_to_process() means that the target has told that it runs another
+/// process or is shutting down, which is no failure of the target.
+[[nodiscard]] bool is_other_process(const error& failure);
 
 /// A sound target may be silent for about a second.
 inline constexpr duration confirm_timeout = milliseconds(1500);
+/// Confirms that \p process still answers. The end of a connection alone does not tell a process
+/// that has closed it from one that was killed. Ends after confirm_timeout, at \p deadline, or once
+/// \p is_cancelled returns true. An error has run_state::unknown.
+net::task<result<void>> confirm_running(service_context& context, target_process process,
+                                        time_point deadline, std::function<bool()> is_cancelled);
 
 } // namespace eelgrassdoor::serving
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -14,6 +14,9 @@
 
 /// Relayed requests hold a connection to a daemon and one to a target, and peers have other calls.
 constexpr std::size_t max_relayed_requests = 96;
+/// Timeout for connecting to a process and for its report. The request states the time that is left
+/// to the target as it was when the request was ordered.
+constexpr duration relay_connect_timeout = milliseconds(300);
 
 } // namespace
 
@@ -24,9 +27,7 @@
     if (m_context.reachability.is_partitioned()) {
         return relay_refusal::partitioned;
     }
-    // The target has accepted the connection.
-    return failure.code == error_code::unavailable ? relay_refusal::other_process
-                                                   : relay_refusal::unreachable;
+    return is_other_process(failure) ? relay_refusal::other_process : relay_refusal::unreachable;
 }
 
 std::optional<relay_refusal> target_relay::refusal_for(const relay_order& order) {
@@ -77,8 +78,9 @@
             opened->close();
         }
     };
-    const auto connected = co_await connect_to_process(m_context, order.process, order.check,
-                                                       time_point::max(), on_open);
+    const time_point connect_by = m_context.clock() + relay_connect_timeout;
+    const auto connected =
+        co_await connect_to_process(m_context, order.process, order.check, connect_by, on_open);
     if (exchange.client_disconnected()) {
         if (connected) {
             connected.value().connection->close();
@@ -90,6 +92,7 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
+    (*connection)->set_deadline(time_point::max());
     // The request is framed anew.
     exchange.request().headers.remove("Content-Length");
     exchange.request().headers.remove("Connection");
@@ -141,10 +144,11 @@
         }
     }
     if (is_open && !framed) {
-        listed_process process = order.process;
+        target_process process = order.process;
         process.started_at = process_start.value_or(process.started_at);
-        const result<void> confirmed =
-            co_await confirm_running(m_context, std::move(process), time_point::max());
+        const std::function<bool()> is_cancelled = [&] { return exchange.client_disconnected(); };
+        const result<void> confirmed = co_await confirm_running(m_context, std::move(process),
+                                                                time_point::max(), is_cancelled);
         if (!confirmed) {
             exchange.abort();
             co_return;
--- a/test/correctness/fleet_load_versions.cpp
+++ b/test/correctness/fleet_load_versions.cpp
@@ -47,6 +47,17 @@
     require(picks(no_constraints) == id_set{"y"}, "a target with an outdated entry is avoided");
     require(picks({.excluded = {"y"}, .version = {}}) == id_set{"x"},
             "a target with an outdated entry is picked when there is no other");
+    require(picks({.excluded = {"y"}, .version = restarted.version}) == id_set{"none"},
+            "it is not picked for a version that its process may not have");
+    const auto picked = loads.pick_online("s", {.excluded = {"y"}, .version = {}}, now, random);
+    require(picked && picked->version == unknown_version, "its version is unknown");
+    for (int i = 0; i < 100; ++i) {
+        loads.record_online_sent("y");
+    }
+    require(picks(no_constraints) == id_set{"x"}, "it is picked when the other target is full");
+    for (int i = 0; i < 100; ++i) {
+        loads.record_online_ended("y");
+    }
     restarted.cold_remaining = seconds(0);
     loads.set_targets({restarted, target("y", "a", 3)});
     require(picks(no_constraints) == id_set{"y"}, "an update of the entry is no new entry");
