Run the engines of fleet_soak as processes

Cause: its engines lived in the driver, so none could be killed, and no connection to one ended as those of a killed process do. Their entries named another start time than their reports, and another one at each write.

Change: the program soak_engine, built on scripted_engine, is started and killed as daemons are (child_process, taken out of daemon_process). It appends a line per request to a file before it answers, from which the driver knows what has run. Trouble is switched by signals. The start time of the report and of the entry is the Unix time of the start. scripted_engine may send responses without framing, as yet unused.

--- a/test/soak/daemon_process.hpp
+++ b/test/soak/daemon_process.hpp
@@ -2,8 +2,9 @@
 /// Defines a daemon that a soak runs as a process of its own.
 #pragma once
 
+#include "soak/child_process.hpp"
+
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace eelgrassdoor::test {
@@ -23,27 +24,20 @@
     std::vector<std::string> seeds;
 };
 
-/// Starts the program with a settings file, and signals it. Ends it with the thread that started
-/// it. Only processes that this class has started are signalled.
+/// Starts the program with a settings file, and signals it; see child_process.
 class daemon_process {
 public:
     /// \p folder takes the settings file and the log.
     daemon_process(daemon_spec spec, std::string program, std::string folder);
-    ~daemon_process();
-    daemon_process(const daemon_process&) = delete;
-    daemon_process& operator=(const daemon_process&) = delete;
 
     /// Starts the process unless it runs. \p first_start tells it that the fleet is new.
     void start(bool first_start);
-    void signal(int number) const;
-    /// Ends the process at once and waits until it is gone.
-    void kill();
-    /// Whether the process runs; a stopped (SIGSTOP) one does.
-    [[nodiscard]] bool is_running();
+    void signal(int number) const { m_process.signal(number); }
+    void kill() { m_process.kill(); }
+    [[nodiscard]] bool is_running() { return m_process.is_running(); }
 
     [[nodiscard]] const daemon_spec& spec() const { return m_spec; }
-    /// Process id; -1 while no process has been started or it has ended.
-    [[nodiscard]] pid_t pid() const { return m_pid; }
+    [[nodiscard]] pid_t pid() const { return m_process.pid(); }
     /// `IP:PORT` for callers, and for the readiness check.
     [[nodiscard]] std::string caller_endpoint() const;
     [[nodiscard]] std::string readiness_endpoint() const;
@@ -55,7 +49,7 @@
     daemon_spec m_spec;
     std::string m_program;
     std::string m_folder;
-    pid_t m_pid = -1;
+    child_process m_process;
 };
 
 } // namespace eelgrassdoor::test
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -136,7 +136,7 @@
             }
         } else if (kind == 3) {
             co_await m_fleet.kill_all(all, pause);
-            m_fleet.replace_engines();
+            co_await m_fleet.engines().replace();
         } else {
             net::asio::co_spawn(m_loop, m_fleet.disturb_store(store_state::silent, pause),
                                 net::asio::detached);
@@ -170,16 +170,16 @@
         switch (kind) {
         case 0:
         case 1:
-            co_await m_fleet.release();
+            co_await m_fleet.engines().release();
             break;
         case 2:
         case 3:
             m_fleet.change_configuration();
             break;
         case 4:
-            m_fleet.set_trouble(true);
+            m_fleet.engines().set_trouble(true);
             co_await m_fleet.wait(2 * pause);
-            m_fleet.set_trouble(false);
+            m_fleet.engines().set_trouble(false);
             break;
         case 5:
             co_await m_fleet.disturb_store(store_state::slow, pause);
@@ -232,6 +232,7 @@
         require(counts.mixed_streams <= allowed_mixed_streams,
                 str_cat("streams of two versions: ", counts.mixed_streams));
         require(m_ended == 0, "no daemon ends by itself");
+        require(m_fleet.engines().ended() == 0, "no engine ends by itself");
         require(counts.whole_streams > 0 && counts.finished_jobs > 0,
                 "streams and jobs are served");
     }
--- a/test/soak/soak_clients.cpp
+++ b/test/soak/soak_clients.cpp
@@ -4,6 +4,7 @@
 #include "check.hpp"
 #include "net/http_client.hpp"
 #include "net/http_exchange.hpp"
+#include "soak/traffic.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -87,7 +88,7 @@
     const daemon_process& host = random_entry_host();
     const std::string endpoint = host.caller_endpoint();
     const std::string id = random_id();
-    const std::string target = str_cat(soak_fleet::once_path, id);
+    const std::string target = str_cat(once_path, id);
     const std::string method = "POST";
     const std::string body = "{}";
     const net::http_response response = co_await call(endpoint, method, target, id, body);
@@ -103,7 +104,7 @@
 }
 
 void soak_clients::check_single_runs() const {
-    for (const auto& [path, runs] : m_fleet.runs_by_path(soak_fleet::once_path)) {
+    for (const auto& [path, runs] : m_fleet.engines().requests().runs_by_path(once_path)) {
         require(runs == 1, str_cat(path, " ran ", runs, " times"));
         require(m_refused.count(path) == 0, str_cat(path, " was refused and has run"));
     }
@@ -128,7 +129,7 @@
             }
             connection = std::move(opened.value());
         }
-        const std::size_t earlier_runs = m_fleet.started_runs();
+        const std::size_t earlier_runs = m_fleet.engines().requests().count();
         net::http_request request;
         request.method = "POST";
         const std::string id = random_id();
@@ -151,7 +152,7 @@
         ++m_counts.kept_requests;
         m_counts.answered_kept_requests += whole ? 1 : 0;
         // A request that crosses the close of an idle connection has not been passed on.
-        const bool passed_on = m_fleet.started_runs() > earlier_runs;
+        const bool passed_on = m_fleet.engines().requests().count() > earlier_runs;
         if (!head && passed_on && !m_fleet.was_disturbed(*host, sent_at)) {
             ++m_counts.lost_requests[host->spec().host];
         }
@@ -184,7 +185,7 @@
     m_counts.whole_streams += text.whole ? 1 : 0;
     m_counts.resumed_streams += text.resumed ? 1 : 0;
     m_counts.mixed_streams += text.versions.size() > 1 ? 1 : 0;
-    if (text.whole && text.last_event != soak_fleet::events_per_stream) {
+    if (text.whole && text.last_event != events_per_stream) {
         m_counts.faults.push_back(str_cat("stream ", number, " (", text.first_attempt,
                                           ") is whole after event ", text.last_event));
     }
@@ -364,7 +365,7 @@
         versions.insert(std::string(line.substr(0, mark)));
         ++next;
     }
-    if (next != soak_fleet::events_per_stream + 1 || versions.size() != 1) {
+    if (next != events_per_stream + 1 || versions.size() != 1) {
         m_counts.faults.push_back(str_cat(item, ": the text has ", next - 1, " events of ",
                                           versions.size(), " versions"));
     }
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <unistd.h>
 #include <utility>
 
@@ -14,26 +15,12 @@
 
 namespace {
 
-constexpr duration event_interval = milliseconds(45);
 constexpr duration ready_timeout = seconds(15);
 constexpr duration poll_interval = milliseconds(50);
 /// The platform's grace between SIGTERM and SIGKILL.
 constexpr duration stop_grace = seconds(8);
-/// Time between two engines of a release, how long an engine serves after it has reported that it
-/// drains, and how long its entry stays.
-constexpr duration release_interval = milliseconds(700);
-constexpr duration drain_time = seconds(2);
-/// From a proxy's port to that of its engine.
-constexpr int proxied_port_offset = 1000;
-
-constexpr std::size_t engine_count = 4;
 /// How long a disturbance of a daemon may have effects.
 constexpr duration contact_time = seconds(3);
-/// Silence of a sound engine.
-constexpr duration engine_pause = milliseconds(1200);
-/// One answer in this many is delayed, one paused, and one broken off.
-constexpr std::uint64_t trouble_interval = 20;
-
 /// A configuration whose timeouts and limits depend on its number.
 std::string make_configuration(int number) {
     const std::string timeout = number % 2 == 0 ? "5000" : "4700";
@@ -57,6 +44,11 @@
         R"(},"tenants":[{"name":"c","apiKeys":["key-1"],"ratePerS":1000,"burst":1000}]})");
 }
 
+/// Path of a program in the folder of this one.
+std::string program_beside(const std::string& name) {
+    return std::filesystem::read_symlink("/proc/self/exe").replace_filename(name).string();
+}
+
 } // namespace
 
 soak_fleet::soak_fleet(net::asio::io_context& loop, random_source& random, std::string program,
@@ -67,7 +59,13 @@
       // Below the ports that the kernel gives to outgoing connections.
       m_first_port(static_cast<int>(20'000 + random.next() % 10'000)),
       m_store_endpoint(str_cat(m_network, "200:", m_first_port)),
-      m_store(loop.get_executor(), m_store_endpoint), m_random(random) {
+      m_store(loop.get_executor(), m_store_endpoint),
+      m_engines(loop.get_executor(), m_store.memory(),
+                {.program = program_beside("soak_engine"),
+                 .folder = m_folder,
+                 .network = m_network,
+                 .first_port = m_first_port,
+                 .seed = random.next()}) {
     for (const std::string zone : {"a", "b"}) {
         for (int i = 1; i <= 2; ++i) {
             add_daemon(str_cat("entry-", zone, "-", i), zone, true);
@@ -92,62 +90,15 @@
     }
 }
 
-void soak_fleet::write_entry(const soak_engine& engine, const std::string& state) {
-    m_store.memory().put(str_cat("servers/", engine.id),
-                         str_cat(R"({"service":"s","address":")", engine.endpoint, R"(","zone":")",
-                                 engine.availability_zone, R"(","version":")", engine.version,
-                                 R"(","slots":16,"state":")", state,
-                                 R"(","coldRemainingMs":0,"seq":1,"born":)", m_engines.size(),
-                                 "}"));
-}
-
-void soak_fleet::add_engine(const std::string& zone) {
-    auto engine = std::make_unique<soak_engine>();
-    engine->id = str_cat("i-", m_engines.size() + 1);
-    engine->version = str_cat("v", m_version);
-    engine->availability_zone = zone;
-    const std::string address = str_cat(m_network, 100 + m_engines.size() % 90, ":");
-    const std::size_t port = m_first_port + m_engines.size() / 90;
-    engine->endpoint = str_cat(address, port);
-    const std::string own = m_cut ? str_cat(address, port + proxied_port_offset) : engine->endpoint;
-    engine->server = std::make_unique<scripted_engine>(m_loop.get_executor(), own);
-    if (m_cut) {
-        require(m_cut->add_proxy(engine->endpoint, own), "the engine's proxy listens");
-    }
-    engine->server->set_events(events_per_stream);
-    engine->server->set_event_interval(event_interval);
-    engine->server->set_event_prefix(engine->version);
-    engine->server->set_pause(engine_pause);
-    engine->server->set_default_action([this](const net::http_request& request) {
-        if (request.target.starts_with(once_path)) {
-            return engine_action::serve_briefly;
-        }
-        const std::uint64_t drawn = m_trouble ? m_random.below(trouble_interval) : trouble_interval;
-        return drawn == 0   ? engine_action::delay
-               : drawn == 1 ? engine_action::pause
-               : drawn == 2 ? engine_action::truncate_new
-                            : engine_action::serve;
-    });
-    m_engines.push_back(std::move(engine));
-    write_entry(*m_engines.back(), "ready");
+void soak_fleet::enable_cuts() {
+    m_cut = std::make_unique<engine_cut>(m_loop.get_executor());
+    m_engines.set_cut(*m_cut);
 }
 
 void soak_fleet::change_configuration() {
     m_store.memory().put("op/config", make_configuration(m_configuration++));
 }
 
-void soak_fleet::set_trouble(bool trouble) {
-    m_trouble = trouble;
-}
-
-std::size_t soak_fleet::started_runs() const {
-    std::size_t sum = 0;
-    for (const auto& each : m_engines) {
-        sum += each->server->received_at().size();
-    }
-    return sum;
-}
-
 bool soak_fleet::was_disturbed(const daemon_process& daemon, time_point time) const {
     const bool is_down = std::find(m_down.begin(), m_down.end(), &daemon) != m_down.end();
     const auto found = m_disturbed.find(&daemon);
@@ -169,18 +120,6 @@
            });
 }
 
-std::map<std::string, int> soak_fleet::runs_by_path(std::string_view prefix) const {
-    std::map<std::string, int> out;
-    for (const auto& each : m_engines) {
-        for (const net::http_request& request : each->server->received()) {
-            if (request.target.starts_with(prefix)) {
-                ++out[request.target];
-            }
-        }
-    }
-    return out;
-}
-
 net::task<> soak_fleet::cut(std::vector<daemon_process*> hosts, cut_mode mode, duration time) {
     m_cut->begin(hosts, mode);
     const std::size_t number = m_cuts.size();
@@ -195,9 +134,7 @@
         co_return false;
     }
     change_configuration();
-    for (std::size_t i = 0; i < engine_count; ++i) {
-        add_engine(i % 2 == 0 ? "a" : "b");
-    }
+    co_await m_engines.start();
     for (const auto& each : m_daemons) {
         each->start(true);
     }
@@ -249,36 +186,6 @@
     return out;
 }
 
-net::task<> soak_fleet::release() {
-    if (m_releasing) {
-        co_return;
-    }
-    m_releasing = true;
-    ++m_version;
-    const std::size_t first = m_engines.size() - engine_count;
-    for (std::size_t i = first; i < first + engine_count; ++i) {
-        const std::string zone = m_engines[i]->availability_zone;
-        add_engine(zone);
-        co_await wait(release_interval / 2);
-        write_entry(*m_engines[i], "draining");
-        co_await wait(release_interval / 2);
-    }
-    co_await wait(drain_time);
-    for (std::size_t i = first; i < first + engine_count; ++i) {
-        m_store.memory().erase(str_cat("servers/", m_engines[i]->id));
-    }
-    m_releasing = false;
-}
-
-void soak_fleet::replace_engines() {
-    const std::size_t first = m_engines.size() - engine_count;
-    for (std::size_t i = first; i < first + engine_count; ++i) {
-        m_store.memory().erase(str_cat("servers/", m_engines[i]->id));
-        const std::string zone = m_engines[i]->availability_zone;
-        add_engine(zone);
-    }
-}
-
 net::task<> soak_fleet::restart(daemon_process& daemon) {
     m_down.push_back(&daemon);
     mark_disturbed(daemon);
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -68,6 +68,7 @@
         co_await exchange.respond(std::move(report));
         co_return;
     }
+    m_on_request(exchange.request());
     m_received.push_back(exchange.request());
     m_received_at.push_back(steady_clock()());
     if (is_fatal(exchange.request())) {
@@ -133,7 +134,9 @@
 }
 
 net::task<> scripted_engine::serve(net::server_exchange& exchange, engine_action action) {
-    std::uint64_t last = action == engine_action::serve_briefly ? brief_events : m_events;
+    const bool unframed = m_is_unframed(exchange.request());
+    std::uint64_t last =
+        action == engine_action::serve_briefly ? brief_events : m_events(exchange.request());
     duration interval = m_event_interval;
     if (action == engine_action::serve_slowly || action == engine_action::stream_endlessly) {
         last = action == engine_action::serve_slowly ? slow_events
@@ -142,9 +145,7 @@
     }
     std::uint64_t first = 0;
     (void)parse_int(exchange.request().headers.get("Last-Event-Id"), first);
-    net::http_response out = make_head(200, exchange.request());
-    out.headers.set("Content-Type", "text/event-stream");
-    bool open = co_await exchange.begin(std::move(out));
+    bool open = co_await begin(exchange, unframed);
     exchange.on_client_disconnect([] {});
     for (std::uint64_t id = first + 1; open && id <= last; ++id) {
         const std::string event = str_cat("id: ", id, "\ndata: ", m_event_prefix, "e", id, "\n\n");
@@ -158,11 +159,12 @@
         const bool truncates = action == engine_action::truncate ||
                                (action == engine_action::truncate_new && first == 0);
         if (id == first + 3 && truncates) {
-            co_await exchange.write(event.substr(0, event.size() / 2));
+            std::string part = event.substr(0, event.size() / 2);
+            co_await write(exchange, std::move(part), unframed);
             exchange.abort();
             co_return;
         }
-        open = co_await exchange.write(event);
+        open = co_await write(exchange, event, unframed);
         co_await wait(interval);
         open = open && !exchange.client_disconnected();
     }
@@ -171,9 +173,40 @@
         exchange.abort();
         co_return;
     }
+    if (unframed) {
+        exchange.abort();
+        co_return;
+    }
     co_await exchange.finish();
 }
 
+net::task<bool> scripted_engine::begin(net::server_exchange& exchange, bool unframed) {
+    net::http_response head = make_head(200, exchange.request());
+    head.headers.set("Content-Type", "text/event-stream");
+    bool open = false;
+    if (unframed) {
+        head.headers.set("Connection", "close");
+        const std::string bytes = net::serialize_head(head);
+        const net::io_error ec = co_await exchange.connection()->write(bytes);
+        open = !ec;
+    } else {
+        open = co_await exchange.begin(std::move(head));
+    }
+    co_return open;
+}
+
+net::task<bool> scripted_engine::write(net::server_exchange& exchange, std::string data,
+                                       bool unframed) {
+    bool open = false;
+    if (unframed) {
+        const net::io_error ec = co_await exchange.connection()->write(data);
+        open = !ec;
+    } else {
+        open = co_await exchange.write(std::move(data));
+    }
+    co_return open;
+}
+
 std::string free_endpoint(net::asio::any_io_executor executor) {
     net::tcp::acceptor acceptor(executor, {net::asio::ip::make_address("127.0.0.1"), 0});
     return str_cat("127.0.0.1:", acceptor.local_endpoint().port());
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -51,7 +51,7 @@
     hang_in_stream,
 };
 
-/// An engine that listens on an endpoint. Its streams have events 1 to N, as set by set_events(),
+/// An engine that listens on an endpoint. Its streams have events 1 to N, chosen by set_events(),
 /// with data `e1` to `eN` after the prefix of set_event_prefix(); a request with a Last-Event-Id
 /// gets only later events.
 class scripted_engine {
@@ -65,8 +65,19 @@
     void set_default_action(std::function<engine_action(const net::http_request&)> choose) {
         m_default_action = std::move(choose);
     }
-    /// Number of events in a stream.
-    void set_events(std::uint64_t events) { m_events = events; }
+    /// Sets the function that is called for each request before it is handled.
+    void set_on_request(std::function<void(const net::http_request&)> on_request) {
+        m_on_request = std::move(on_request);
+    }
+    /// Sets the function that chooses which responses with events have neither a length nor chunks
+    /// and end with their connection.
+    void set_unframed(std::function<bool(const net::http_request&)> choose) {
+        m_is_unframed = std::move(choose);
+    }
+    /// Sets the function that chooses the number of events in a stream.
+    void set_events(std::function<std::uint64_t(const net::http_request&)> choose) {
+        m_events = std::move(choose);
+    }
     /// Text at the beginning of each event's data, which tells by which engine it was sent.
     void set_event_prefix(std::string prefix) { m_event_prefix = std::move(prefix); }
     /// Whether responses announce that the engine is about to exit.
@@ -112,6 +123,10 @@
 private:
     net::task<> handle(net::server_exchange& exchange);
     net::task<> serve(net::server_exchange& exchange, engine_action action);
+    /// Send the head or a part of the body, as the framing demands. Return false when the client
+    /// has disconnected.
+    net::task<bool> begin(net::server_exchange& exchange, bool unframed);
+    static net::task<bool> write(net::server_exchange& exchange, std::string data, bool unframed);
     net::task<> hang(net::server_exchange& exchange);
     net::task<> wait(duration time);
     void listen();
@@ -133,7 +148,13 @@
         [](const net::http_request&) { return engine_action::serve; };
     std::deque<net::http_request> m_received;
     std::vector<time_point> m_received_at;
-    std::uint64_t m_events = 5;
+    std::function<void(const net::http_request&)> m_on_request = [](const net::http_request&) {};
+    std::function<bool(const net::http_request&)> m_is_unframed = [](const net::http_request&) {
+        return false;
+    };
+    std::function<std::uint64_t(const net::http_request&)> m_events = [](const net::http_request&) {
+        return 5;
+    };
     std::string m_event_prefix;
     duration m_event_interval = milliseconds(1);
     duration m_pause{};
