Let engines of fleet_soak end and return, and send unframed responses

Change: with `restarts` as fifth argument engines restart in place, after `draining` or killed, with the next version or the same one, or are away for seconds; their entries change up to 1.2 s later. A quarter of the responses is unframed (none with `restarts-framed`). Some jobs have ten items of 220 events, streams under /q/ may not be resumed, and callers give a silent stream up after 2 s, half of them without closing it. Plain answers that end as complete are checked, in all modes. The bounds stay.

--- a/test/soak/engine_fleet.hpp
+++ b/test/soak/engine_fleet.hpp
@@ -16,6 +16,16 @@
 
 namespace eelgrassdoor::test {
 
+/// How an engine ends before it returns as a new start under its id and address.
+enum class restart_kind {
+    /// Its entry says `draining`, and it announces its end, some time before.
+    planned,
+    /// It is killed without a word.
+    killed,
+    /// It is killed, its entry is removed, and it is back after seconds.
+    absent,
+};
+
 /// Starts and ends engines and writes their entries into the store. Not thread-safe: everything
 /// runs on one event loop.
 class engine_fleet {
@@ -37,11 +47,23 @@
     /// Puts proxies in front of the engines. Must be called before start().
     void set_cut(engine_cut& cut) { m_cut = &cut; }
 
+    /// Makes engines behave in this way, and end once they have been replaced. Must be called
+    /// before start().
+    void enable_ends(const engine_behaviour& behaviour) {
+        m_behaviour = behaviour;
+        m_ends_replaced = true;
+    }
+
     /// Starts the first engines.
     net::task<> start();
     /// Replaces all engines of the current version by those of a new one, one after the other: the
     /// new one starts first, then the old one drains.
     net::task<> release();
+    /// Restarts all engines in place, most of them with the next version, at some distance or all
+    /// at once.
+    net::task<> release_in_place(restart_kind kind);
+    /// Restarts one engine in place, with its version or the next one.
+    net::task<> restart_one(restart_kind kind);
     /// Takes all engines out of the store at once and enters as many others.
     net::task<> replace();
     /// Makes the engines pause in, delay or break off a part of their answers from now on, or none.
@@ -64,6 +86,7 @@
         child_process process;
         /// Whether it has listened since its last start, and may be signalled.
         bool is_up = false;
+        bool is_restarting = false;
     };
 
     [[nodiscard]] std::string request_log_path() const {
@@ -75,8 +98,16 @@
     net::task<> add(std::string zone);
     /// Starts the engine's process and waits until it listens.
     net::task<> start(engine& engine);
+    /// Ends the engine and starts it again with \p version. The store has its old entry until some
+    /// time after its return.
+    net::task<> restart(engine& engine, restart_kind kind, std::string version);
+    net::task<> wait_for_restarts();
+    /// Ends the engine's process if replaced engines end.
+    void end(engine& engine);
     void write_entry(const engine& engine, const std::string& state);
     net::task<> wait(duration time);
+    /// Waits for a random time below \p longest.
+    net::task<> wait_up_to(duration longest);
 
     net::asio::any_io_executor m_executor;
     memory_store& m_store;
@@ -87,9 +118,13 @@
     engine_cut* m_cut = nullptr;
     /// Engines are kept to the end, as they go on for a while after they have left.
     std::vector<std::unique_ptr<engine>> m_engines;
+    engine_behaviour m_behaviour;
+    bool m_ends_replaced = false;
     int m_version = 1;
     bool m_trouble = false;
     bool m_releasing = false;
+    /// Whether the release brings new ids; then no single engine restarts.
+    bool m_replacing = false;
 };
 
 } // namespace eelgrassdoor::test
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -3,11 +3,14 @@
 /// that streams and texts have each event once and in order and that service is back after the last
 /// fault.
 ///
-/// usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CUTS]
+/// usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CONDITIONS]
 ///
-/// CUTS is hang, reset, refuse, silence (see cut_mode) or, for all of them in turn, cuts: engines
-/// stand behind proxies that cut entry hosts of one zone off, and the hosts must go on serving.
-/// Without it nothing is cut off.
+/// CONDITIONS is hang, reset, refuse, silence (see cut_mode) or, for all of them in turn, cuts:
+/// engines stand behind proxies that cut entry hosts of one zone off, and the hosts must go on
+/// serving. With restarts, engines end, planned or killed, and most return under their ids and
+/// addresses with another software version; a part of the responses is unframed, and some pause for
+/// longer than callers wait. With restarts-framed no response is unframed; with restarts-cuts hosts
+/// are cut off, too. Without it nothing is cut off and no engine ends.
 #include "base/text.hpp"
 #include "check.hpp"
 #include "soak/run_soak.hpp"
@@ -16,6 +19,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <optional>
 
 namespace {
 
@@ -37,31 +41,65 @@
 constexpr duration cut_time = seconds(3);
 /// Seeds of a run's random sources, apart from each other.
 constexpr std::uint64_t cut_seed_offset = 2;
+constexpr std::uint64_t restart_seed_offset = 3;
+/// Time between two releases or restarts of engines; longer by a random part.
+constexpr duration restart_interval = milliseconds(300);
 
-const std::map<std::string, std::vector<cut_mode>, std::less<>> cut_modes{
+/// Callers of a run in which engines restart; fewer, as engines are away.
+constexpr traffic_options restart_traffic{.stream_interval = milliseconds(80),
+                                          .job_interval = seconds(1),
+                                          .kept_clients = 10,
+                                          .long_job_interval = seconds(8),
+                                          .once_stream_interval = milliseconds(400),
+                                          .patience = seconds(2)};
+
+/// Engines that may be silent for longer than callers wait.
+constexpr engine_behaviour framed_engines{.pause_ms = 2600, .pause_interval = 40};
+constexpr engine_behaviour unframed_engines{
+    .pause_ms = 2600, .pause_interval = 40, .unframed_interval = 4};
+
+/// What a run plays besides what all runs do.
+struct soak_conditions {
+    /// Cuts in turn.
+    std::vector<cut_mode> cuts;
+    /// How engines behave that end and restart; nothing for engines that do not.
+    std::optional<engine_behaviour> restarts = std::nullopt;
+};
+
+const std::vector<cut_mode> all_cuts{cut_mode::hang, cut_mode::reset, cut_mode::refuse,
+                                     cut_mode::silence};
+const std::map<std::string, soak_conditions, std::less<>> conditions_by_name{
     {"", {}},
-    {"hang", {cut_mode::hang}},
-    {"reset", {cut_mode::reset}},
-    {"refuse", {cut_mode::refuse}},
-    {"silence", {cut_mode::silence}},
-    {"cuts", {cut_mode::hang, cut_mode::reset, cut_mode::refuse, cut_mode::silence}},
+    {"hang", {{cut_mode::hang}}},
+    {"reset", {{cut_mode::reset}}},
+    {"refuse", {{cut_mode::refuse}}},
+    {"silence", {{cut_mode::silence}}},
+    {"cuts", {all_cuts}},
+    {"restarts", {{}, unframed_engines}},
+    {"restarts-framed", {{}, framed_engines}},
+    {"restarts-cuts", {all_cuts, unframed_engines}},
 };
 
 class soak {
 public:
     soak(net::asio::io_context& loop, std::string program, std::string folder, std::uint64_t seed,
-         duration time, std::vector<cut_mode> cuts)
+         duration time, soak_conditions conditions)
         : m_loop(loop), m_seed(seed), m_random(seed),
           // What clients draw depends on the moment and must not change the disturbances.
-          m_traffic_random(seed + 1), m_cut_random(seed + cut_seed_offset), m_time(time),
-          m_cuts(std::move(cuts)),
+          m_traffic_random(seed + 1), m_cut_random(seed + cut_seed_offset),
+          m_restart_random(seed + restart_seed_offset), m_time(time),
+          m_cuts(std::move(conditions.cuts)), m_restarts(conditions.restarts),
           m_fleet(loop, m_traffic_random, std::move(program), std::move(folder)),
-          m_clients(loop, m_traffic_random, m_fleet) {}
+          m_clients(loop, m_traffic_random, m_fleet,
+                    m_restarts ? restart_traffic : traffic_options()) {}
 
     net::task<> run() {
         if (!m_cuts.empty()) {
             m_fleet.enable_cuts();
         }
+        if (m_restarts) {
+            m_fleet.engines().enable_ends(*m_restarts);
+        }
         const bool started = co_await m_fleet.start();
         require(started, "the daemons become ready");
         if (!started) {
@@ -72,6 +110,9 @@
         co_await m_fleet.wait(settle_time);
         const time_point end = steady_clock()() + m_time;
         net::asio::co_spawn(m_loop, cut_hosts(end), net::asio::detached);
+        if (m_restarts) {
+            net::asio::co_spawn(m_loop, restart_engines(end), net::asio::detached);
+        }
         while (steady_clock()() < end) {
             net::asio::co_spawn(m_loop, disturb(), net::asio::detached);
             m_ended += m_fleet.restart_ended();
@@ -110,6 +151,55 @@
         --m_disturbances;
     }
 
+    /// Releases versions and restarts engines until \p end.
+    net::task<> restart_engines(time_point end) {
+        ++m_disturbances;
+        while (steady_clock()() < end) {
+            net::asio::co_spawn(m_loop, disturb_engines(), net::asio::detached);
+            co_await m_fleet.wait(restart_interval + milliseconds(m_restart_random.next() % 2500));
+        }
+        --m_disturbances;
+    }
+
+    /// Releases a version; \p kind is for runs in which engines restart.
+    net::task<> release(restart_kind kind) {
+        if (m_restarts) {
+            co_await m_fleet.engines().release_in_place(kind);
+        } else {
+            co_await m_fleet.engines().release();
+        }
+    }
+
+    net::task<> disturb_engines() {
+        ++m_disturbances;
+        const std::uint64_t kind = m_restart_random.next() % 8;
+        note(str_cat("restart of engines ", kind));
+        engine_fleet& engines = m_fleet.engines();
+        switch (kind) {
+        case 0:
+            co_await engines.release();
+            break;
+        case 1:
+        case 2:
+            co_await engines.release_in_place(restart_kind::planned);
+            break;
+        case 3:
+        case 4:
+            co_await engines.release_in_place(restart_kind::killed);
+            break;
+        case 5:
+            co_await engines.restart_one(restart_kind::planned);
+            break;
+        case 6:
+            co_await engines.restart_one(restart_kind::absent);
+            break;
+        default:
+            co_await engines.restart_one(restart_kind::killed);
+            break;
+        }
+        --m_disturbances;
+    }
+
     /// Waits until disturbances have ended, takes the service away as a whole, and measures what is
     /// served some time after its return.
     net::task<> check_recovery() {
@@ -170,7 +260,7 @@
         switch (kind) {
         case 0:
         case 1:
-            co_await m_fleet.engines().release();
+            co_await release(kind == 0 ? restart_kind::planned : restart_kind::killed);
             break;
         case 2:
         case 3:
@@ -217,6 +307,11 @@
                     "finished: %d; daemons ended by themselves: %d\n",
                     counts.streams, counts.whole_streams, counts.resumed_streams,
                     counts.mixed_streams, counts.accepted_jobs, counts.finished_jobs, m_ended);
+        std::printf(
+            "streams that may not be resumed: %d, whole: %d; given up: %d; texts: %d, long: "
+            "%d\n",
+            counts.once_streams, counts.whole_once_streams, counts.given_up_streams, counts.texts,
+            counts.long_texts);
         std::printf("kept connections: %d requests, %d answered\n", counts.kept_requests,
                     counts.answered_kept_requests);
         for (const std::string& fault : counts.faults) {
@@ -242,8 +337,10 @@
     random_source m_random;
     random_source m_traffic_random;
     random_source m_cut_random;
+    random_source m_restart_random;
     duration m_time;
     std::vector<cut_mode> m_cuts;
+    std::optional<engine_behaviour> m_restarts;
     soak_fleet m_fleet;
     soak_clients m_clients;
     time_point m_start = steady_clock()();
@@ -256,14 +353,14 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    const auto cuts = cut_modes.find(argc == 6 ? argv[5] : "");
-    if (argc < 5 || argc > 6 || cuts == cut_modes.end()) {
-        std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CUTS]\n");
+    const auto conditions = conditions_by_name.find(argc == 6 ? argv[5] : "");
+    if (argc < 5 || argc > 6 || conditions == conditions_by_name.end()) {
+        std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CONDITIONS]\n");
         return EXIT_FAILURE;
     }
     run_soak(argv[2], [&](net::asio::io_context& loop) {
         auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
-                                   seconds(std::atoi(argv[4])), cuts->second);
+                                   seconds(std::atoi(argv[4])), conditions->second);
         return run->run();
     });
 }
