Resume streams and texts only where their ids leave no doubt

Cause: forward_events() took any later id, so a target that went on too late or skipped an event left a gap in a stream that looked whole. Texts and streams of events without ids were begun anew after a break and held events twice. A comment between events became an empty line of a text.

Change: on resumable routes a gap in the ids ends the attempt, and the next one asks for the missing event. An event without id rules out that a stream goes on elsewhere and makes a text start over. Comments are no events of a text.

No target is known to do any of this; it does not explain the users' cases.

--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -26,8 +26,7 @@
 }
 
 bool online_proxy::may_back_up(const running_request& run) const {
-    const bool can_go_on = !run.headers_sent || run.route.resumable;
-    return has_attempts_left(run) && run.refusals < max_refusals && can_go_on &&
+    return has_attempts_left(run) && run.refusals < max_refusals && run.can_go_on() &&
            !run.relays_full_response && run.deadline - m_context.clock() >= min_retry_time &&
            !quarantine_error(m_context, run.suspects);
 }
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -78,7 +78,7 @@
     const bool time_left = run.deadline - m_context.clock() >= min_retry_time;
     const bool should_retry = not_run
                                   ? run.refusals < max_refusals && (run.runs == 0 || may_retry(run))
-                                  : may_retry(run) && (!run.headers_sent || run.route.resumable);
+                                  : may_retry(run) && run.can_go_on();
     if (should_retry && time_left) {
         co_return attempt_outcome::retry;
     }
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -2,8 +2,27 @@
 #include "entry/online_proxy.hpp"
 #include "serving/event_stream_parser.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::entry {
 
+namespace {
+
+/// Removes the events after a gap in the ids that follow \p last_event. Returns whether there is
+/// one.
+bool cut_at_gap(std::vector<stream_event>& events, std::optional<std::uint64_t> last_event) {
+    for (auto it = events.begin(); it != events.end(); ++it) {
+        if (it->id && last_event && *it->id > *last_event + 1) {
+            events.erase(it, events.end());
+            return true;
+        }
+        last_event = it->id ? std::max(it->id, last_event) : last_event;
+    }
+    return false;
+}
+
+} // namespace
+
 net::task<online_proxy::attempt_outcome> online_proxy::relay(running_request& run,
                                                              target_response response) {
     if (response.not_run) {
@@ -63,6 +82,7 @@
             continue;
         }
         run.last_event = event.id ? event.id : run.last_event;
+        run.has_unnumbered_event = run.has_unnumbered_event || (!event.id && !event.is_comment);
         bytes += event.text;
         ++run.events;
     }
@@ -107,11 +127,18 @@
         if (run.reads_with_events == 2 && !events.empty()) {
             record_served(m_context, run.suspects);
         }
+        // Another target may have the missing event.
+        const bool has_gap = run.route.resumable && cut_at_gap(events, run.last_event);
         const bool sent = co_await forward_events(run, std::move(events));
         if (!sent) {
             log_finished(run, "caller_left");
             co_return attempt_outcome::done;
         }
+        if (has_gap) {
+            error missing{error_code::target_failed, "an event of the stream is missing",
+                          run_state::ran};
+            co_return co_await handle_target_failure(run, std::move(missing));
+        }
         if (parser.is_event_too_long()) {
             error too_long{error_code::target_failed, "an event of the stream is too long",
                            run_state::ran};
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -38,6 +38,9 @@
     bool headers_sent = false;
     /// Whether the response is read as a whole before any of it is sent to the caller.
     bool relays_full_response = false;
+    /// Whether an event without id was sent to the caller, so that no target can go on with the
+    /// stream.
+    bool has_unnumbered_event = false;
     /// Events sent to the caller.
     std::size_t events = 0;
     /// Time from the arrival of the request to its first event.
@@ -55,6 +58,11 @@
     /// Null unless the current target is, or was, silent.
     std::shared_ptr<backup_attempt> backup;
 
+    /// Whether another target can serve the rest: the response has not begun, or is a stream that
+    /// can be resumed.
+    [[nodiscard]] bool can_go_on() const {
+        return !headers_sent || (route.resumable && !has_unnumbered_event);
+    }
     /// Whether the exchange with the current target was closed in favour of the backup.
     [[nodiscard]] bool is_superseded() const { return backup && backup->replaces_silent; }
 };
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -55,10 +55,11 @@
 
 void owned_job::mark_running(std::size_t index, std::string_view version, time_point now) {
     owned_item& item = m_items[index];
-    if (item.has_text() && item.version != version) {
+    if (item.has_text() && (item.version != version || item.has_unnumbered_event)) {
         item.last_event.reset();
         item.output.clear();
         item.events = 0;
+        item.has_unnumbered_event = false;
         item.text_time = {};
         item.waited = {};
         item.waiting_since.reset();
@@ -87,7 +88,8 @@
                            time_point now) {
     owned_item& item = m_items[index];
     for (const serving::stream_event& event : events) {
-        if (event.id && item.last_event && *event.id <= *item.last_event) {
+        const bool is_known = event.id && item.last_event && *event.id <= *item.last_event;
+        if (is_known || event.is_comment) {
             continue;
         }
         if (event.id && item.last_event && *event.id != *item.last_event + 1) {
@@ -97,6 +99,7 @@
         item.output += event.data;
         item.last_event = event.id ? event.id : item.last_event;
         ++item.events;
+        item.has_unnumbered_event = item.has_unnumbered_event || !event.id;
         item.record_progress(now);
     }
     return true;
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -48,6 +48,8 @@
     std::optional<std::uint64_t> last_event;
     std::string output;
     std::size_t events = 0;
+    /// Whether an event of the text has no id, so that no run can resume the text.
+    bool has_unnumbered_event = false;
     /// Software version of the target of the latest run. All events of the text are of this
     /// version.
     std::string version;
@@ -86,7 +88,8 @@
     [[nodiscard]] std::optional<std::size_t>
     next(const std::function<bool(const owned_item&)>& is_held = nullptr) const;
     /// Starts a run at a target of this software version. The item's progress is discarded when it
-    /// is of another version, as what two versions write does not fit together.
+    /// is of another version, as what two versions write does not fit together, or cannot be
+    /// resumed.
     void mark_running(std::size_t index, std::string_view version, time_point now);
     /// Appends events of a run to the item's output and skips those that it already has. Returns
     /// false when an event id is missing in the sequence; the run must then be aborted.
--- a/src/serving/event_stream_parser.cpp
+++ b/src/serving/event_stream_parser.cpp
@@ -25,7 +25,7 @@
 }
 
 stream_event parse_event(std::string_view text) {
-    stream_event event{std::string(text), std::nullopt, {}};
+    stream_event event{.text = std::string(text), .id = std::nullopt, .data = {}};
     bool has_data = false;
     for (std::string_view line : split(text, '\n')) {
         if (!line.empty() && line.back() == '\r') {
@@ -42,6 +42,7 @@
             has_data = true;
         }
     }
+    event.is_comment = !event.id && !has_data;
     return event;
 }
 
--- a/src/serving/event_stream_parser.hpp
+++ b/src/serving/event_stream_parser.hpp
@@ -18,6 +18,8 @@
     std::optional<std::uint64_t> id;
     /// The event's data lines, joined by line feeds.
     std::string data;
+    /// Whether it has neither id nor data, such as a comment that keeps the connection alive.
+    bool is_comment = false;
 };
 
 /// Buffers bytes until an event is complete: a target may stop in the middle of one, and a caller
