--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -69,8 +69,6 @@
     message_maker(const running_request& run, const routing::fleet_target& target) const;
     /// What has to be known of the process that gets the request next.
     [[nodiscard]] static process_check process_check_for(const running_request& run);
-    /// Whether another attempt can serve the rest of the response.
-    [[nodiscard]] static bool can_go_on(const running_request& run);
     net::task<attempt_outcome> attempt(running_request& run, const routing::fleet_target& target);
     net::task<attempt_outcome> relay(running_request& run, target_response response);
     net::task<attempt_outcome> relay_stream(running_request& run);
