Tests of targets that end or restart in the middle of responses

Cause: raw_target could not end as a killed process does, nor start again, so no test showed that a response without framing looks complete when its target's process ends, that relays do the same, or what becomes of streams that begin at a target whose entry is older than its process. Change: raw_target ends with all its connections and its listener, starts again, and its report can be delayed or replaced; scripted_engine can do without a report.

--- /dev/null
+++ b/test/platform/ended_targets.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// Guards against responses without framing that look complete though the target's process ended
+/// before their end.
+#include "platform/fixture/ended_target_checks.hpp"
+
+#include <string>
+
+namespace {
+
+using namespace eelgrassdoor;
+using namespace eelgrassdoor::test;
+
+class direct_checks : ended_target_checks {
+public:
+    direct_checks() {
+        m_fleet.add_daemon("runner-1", false, true);
+        m_fleet.add_daemon(m_host, true, false);
+    }
+    [[noreturn]] void run() {
+        m_fleet.run([this] { return run_checks(); });
+    }
+
+private:
+    net::task<> run_checks() {
+        m_fleet.configure(1);
+        co_await m_fleet.wait_until_served(m_host);
+        co_await check_resumable(m_host, false);
+        co_await check_resumable(m_host, true);
+        co_await check_unrepeatable(m_host);
+        co_await check_plain(m_host);
+        co_await check_items(m_host);
+    }
+
+    const std::string m_host = "entry-1";
+};
+
+} // namespace
+
+int main() {
+    direct_checks checks;
+    checks.run();
+}
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -3,6 +3,7 @@
 #include "base/text.hpp"
 #include "net/endpoint.hpp"
 #include "net/http_parser.hpp"
+#include "net/notification.hpp"
 #include "stand_in/scripted_engine.hpp"
 
 namespace eelgrassdoor::test {
@@ -19,6 +20,18 @@
     net::asio::co_spawn(m_acceptor.get_executor(), accept_loop(), net::asio::detached);
 }
 
+void raw_target::end() {
+    net::io_error ignored;
+    m_acceptor.close(ignored);
+    for (const std::shared_ptr<net::tcp_connection>& connection : m_connections) {
+        connection->close();
+    }
+    m_connections.clear();
+    if (m_on_ended) {
+        m_on_ended();
+    }
+}
+
 net::task<> raw_target::accept_loop() {
     for (;;) {
         net::io_error ec;
@@ -27,6 +40,11 @@
             co_return;
         }
         auto connection = std::make_shared<net::tcp_connection>(std::move(socket));
+        if (m_connections.size() >= m_connection_limit) {
+            connection->reset();
+            continue;
+        }
+        m_connections.insert(connection);
         net::asio::co_spawn(m_acceptor.get_executor(), serve(connection), net::asio::detached);
     }
 }
@@ -48,30 +66,60 @@
     co_return std::move(parser.message());
 }
 
+raw_target::response raw_target::make_report() const {
+    net::http_response report;
+    report.status = 200;
+    report.headers.set("Content-Type", "application/json");
+    report.body = str_cat(R"({"stage":"both","seq":0,"born":)", m_started_at, "}");
+    return {.bytes = net::serialize(report)};
+}
+
+net::task<bool> raw_target::send_report(std::shared_ptr<net::tcp_connection> connection) {
+    if (m_report_delay > duration::zero()) {
+        co_await net::sleep_for(m_report_delay);
+    }
+    const response answer = m_report ? m_report() : make_report();
+    const net::io_error ec = co_await connection->write(answer.bytes);
+    if (answer.reset) {
+        connection->reset();
+    }
+    const bool ends =
+        answer.bytes.empty() || answer.bytes.find("Connection: close") != std::string::npos;
+    co_return !ec && !ends && connection->is_open();
+}
+
 net::task<> raw_target::serve(std::shared_ptr<net::tcp_connection> connection) {
     std::optional<net::http_request> request = co_await read_request(connection);
-    while (request && request->target == "/eelgrassdoor/report") {
-        net::http_response report;
-        report.status = 200;
-        report.headers.set("Content-Type", "application/json");
-        report.body = str_cat(R"({"stage":"both","seq":0,"born":)", m_started_at, "}");
-        const std::string bytes = net::serialize(report);
-        co_await connection->write(bytes);
-        request = co_await read_request(connection);
+    bool is_open = request.has_value();
+    while (is_open && request->target == "/eelgrassdoor/report") {
+        is_open = co_await send_report(connection);
+        if (is_open) {
+            request = co_await read_request(connection);
+            is_open = request.has_value();
+        }
     }
-    if (!request) {
-        co_return;
+    if (is_open && connection->is_open()) {
+        co_await respond(connection, *request);
     }
+    connection->close();
+    m_connections.erase(connection);
+}
+
+net::task<> raw_target::respond(std::shared_ptr<net::tcp_connection> connection,
+                                const net::http_request& request) {
     ++m_received;
-    const response answer = m_respond(*request);
+    const response answer = m_respond(request);
     co_await connection->write(answer.bytes);
     if (!answer.endless_tail.empty()) {
         co_await send_endlessly(*connection, answer.endless_tail);
     }
-    if (answer.reset) {
+    if (answer.end_delay > duration::zero()) {
+        co_await net::sleep_for(answer.end_delay);
+    }
+    if (answer.ends_process) {
+        end();
+    } else if (answer.reset) {
         connection->reset();
-    } else {
-        connection->close();
     }
 }
 
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -6,10 +6,13 @@
 #include "net/http_message.hpp"
 #include "net/tcp_connection.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace eelgrassdoor::test {
@@ -24,20 +27,40 @@
         bool reset = false;
         /// Sent again and again after the bytes, until the caller closes, unless it is empty.
         std::string endless_tail = {};
+        /// Whether end() is called after the bytes.
+        bool ends_process = false;
+        /// How long the connection stays open after the bytes.
+        duration end_delay = {};
     };
     using responder = std::function<response(const net::http_request&)>;
 
     explicit raw_target(net::asio::any_io_executor executor);
 
-    /// Listens on endpoint(). Must be called once.
+    /// Listens on endpoint(). May be called again after end().
     void start();
+    /// Ends as a process that is killed: the kernel closes its connections regularly, in the middle
+    /// of responses too, and refuses new ones.
+    void end();
+    /// Sets the function that is called at the end of end().
+    void set_on_ended(std::function<void()> on_ended) { m_on_ended = std::move(on_ended); }
     /// Sets the function that is called for each complete request.
     void set_responder(responder respond) { m_respond = std::move(respond); }
     /// Start time that the target reports, as in its entry.
     void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
+    [[nodiscard]] std::uint64_t started_at() const { return m_started_at; }
+    /// Sets the function that returns the answer to each question for the report, of which only
+    /// `bytes` and `reset` are used. The connection ends after an empty answer and after one with
+    /// `Connection: close`.
+    void set_report(std::function<response()> report) { m_report = std::move(report); }
+    /// Returns the usual answer to a question for the report.
+    [[nodiscard]] response make_report() const;
+    /// How long the target is silent before it answers a question for its report.
+    void set_report_delay(duration delay) { m_report_delay = delay; }
+    /// Limit of open connections; further ones are reset.
+    void set_connection_limit(std::size_t limit) { m_connection_limit = limit; }
     /// The loopback `IP:PORT` of the target.
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
-    /// Number of complete requests that were received.
+    /// Number of complete requests that were received, but for questions for the report.
     [[nodiscard]] int received() const { return m_received; }
     /// Number of bytes of endless tails that were handed to the kernel.
     [[nodiscard]] std::size_t tail_bytes() const { return m_tail_bytes; }
@@ -50,12 +73,21 @@
     /// Nothing when the connection ends before a complete request.
     static net::task<std::optional<net::http_request>>
     read_request(std::shared_ptr<net::tcp_connection> connection);
+    /// Answers a question for the report. Returns false when the connection has ended.
+    net::task<bool> send_report(std::shared_ptr<net::tcp_connection> connection);
+    net::task<> respond(std::shared_ptr<net::tcp_connection> connection,
+                        const net::http_request& request);
     net::task<> send_endlessly(net::tcp_connection& connection, std::string_view tail);
 
     std::string m_endpoint;
     net::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<net::tcp_connection>> m_connections;
     responder m_respond;
+    std::function<void()> m_on_ended;
+    std::function<response()> m_report;
     std::uint64_t m_started_at = 1;
+    duration m_report_delay{};
+    std::size_t m_connection_limit = std::numeric_limits<std::size_t>::max();
     int m_received = 0;
     std::size_t m_tail_bytes = 0;
     int m_endless_responses = 0;
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -62,9 +62,11 @@
 net::task<> scripted_engine::handle(net::server_exchange& exchange) {
     if (exchange.request().target == "/eelgrassdoor/report") {
         net::http_response report;
-        report.status = 200;
-        report.headers.set("Content-Type", "application/json");
-        report.body = str_cat(R"({"stage":"both","seq":0,"born":)", m_started_at, "}");
+        report.status = m_has_report ? 200 : 404;
+        if (m_has_report) {
+            report.headers.set("Content-Type", "application/json");
+            report.body = str_cat(R"({"stage":"both","seq":0,"born":)", m_started_at, "}");
+        }
         co_await exchange.respond(std::move(report));
         co_return;
     }
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -79,6 +79,8 @@
     }
     /// Start time that the engine reports, as in its entry.
     void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
+    /// Whether the engine answers questions for its report, rather than with 404.
+    void set_has_report(bool has_report) { m_has_report = has_report; }
     /// How long the engine is silent in engine_action::pause, engine_action::delay and
     /// engine_action::close_late.
     void set_pause(duration pause) { m_pause = pause; }
@@ -139,6 +141,7 @@
     duration m_pause{};
     bool m_leaving = false;
     std::uint64_t m_started_at = 1;
+    bool m_has_report = true;
     std::optional<std::string> m_request_limit;
     int m_running = 0;
     int m_disconnects = 0;
