--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -33,11 +33,11 @@
     work_kind m_kind;
 };
 
-/// Sends a request over a new connection and reads the response that belongs to it. A new
-/// connection costs a round trip, but no response to an earlier request can arrive on it, and a
-/// failure to open it proves that nothing was sent. While this host reaches no target, another
-/// daemon sends the request for it. Counts as load on the target for as long as it
-/// exists. Runs on the event loop's thread.
+/// Sends a request over a new connection and reads the response that belongs to it. On a new
+/// connection no response to a request of another caller can arrive, and a failure to open it, or
+/// to learn which process is at its other end, proves that nothing was sent. While this host
+/// reaches no target, another daemon sends the request for it. Counts as load on the target for as
+/// long as it exists. Runs on the event loop's thread.
 class target_exchange {
 public:
     /// Encodes the request at the moment at which it is sent.
--- a/test/correctness/relay_calls.cpp
+++ b/test/correctness/relay_calls.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against relayed requests that reach their target changed, and against targets' responses
 /// that are taken for a refusal of the relaying daemon.
+#include "base/text.hpp"
 #include "check.hpp"
 #include "serving/relay_call.hpp"
 #include "serving/relay_hosts.hpp"
