--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -116,10 +116,6 @@
     return run.constraints.version ? process_check::require_listed : process_check::identify;
 }
 
-bool online_proxy::can_go_on(const running_request& run) {
-    return !run.headers_sent || (run.route.resumable && run.constraints.version);
-}
-
 void online_proxy::log_finished(const running_request& run, std::string_view outcome) const {
     if (run.caller_exchange.interrupted()) {
         outcome = "ended_by_shutdown";
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -49,7 +49,11 @@
 
 void online_proxy::count_failure(running_request& run, std::string_view target,
                                  const error& failure) const {
-    (failure.run == run_state::not_run ? run.refusals : run.runs) += 1;
+    if (failure.run != run_state::not_run) {
+        ++run.runs;
+    } else if (!is_other_process(failure)) {
+        ++run.refusals;
+    }
     m_context.log.write(observe::event::target_failed, run.request.id,
                         {{"target", std::string(target)},
                          {"reason", failure.message},
@@ -78,7 +82,7 @@
     const bool time_left = run.deadline - m_context.clock() >= min_retry_time;
     const bool should_retry = not_run
                                   ? run.refusals < max_refusals && (run.runs == 0 || may_retry(run))
-                                  : may_retry(run) && can_go_on(run);
+                                  : may_retry(run) && run.can_go_on();
     if (should_retry && time_left) {
         co_return attempt_outcome::retry;
     }
