Serve requests of targets whose reports cannot be read

platform_unusable_reports: a target whose report is no HTTP, breaks off or doesn't come got no streams at all, 0 of 6 in each case, as the failed question ended the attempt. A request that can do without the report now goes on over a connection of its own, after 1.2 s of silence at most; its version is unknown.

A stream ends when a second target has nothing to go on with either.

--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -148,10 +148,12 @@
             break;
         }
     }
-    // A new stream without events has broken off right after its head.
-    const bool no_body =
-        !run.last_event && run.reads_with_events == 0 && !run.active_exchange->response().framed;
-    if (no_body || !parser.partial_event().empty()) {
+    // A close right after the head does not tell an empty stream from one that broke off. When a
+    // second target has nothing to go on with either, nothing is missing.
+    const bool no_body = run.reads_with_events == 0 && !run.active_exchange->response().framed;
+    const bool is_end = run.last_event && run.empty_rests > 0;
+    if ((no_body && !is_end) || !parser.partial_event().empty()) {
+        run.empty_rests += no_body ? 1 : 0;
         error truncated{error_code::target_failed,
                         no_body ? "the stream ended before its first event"
                                 : "the stream ended inside an event",
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -49,6 +49,8 @@
     serving::crash_suspects suspects;
     /// Reads of the current attempt that brought events.
     std::size_t reads_with_events = 0;
+    /// Attempts whose responses ended right after their heads, without framing.
+    int empty_rests = 0;
     /// When the latest attempt was sent to its target.
     time_point sent_at{};
     /// The exchange of the current attempt; null between attempts.
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -47,9 +47,12 @@
             co_return item_outcome::interrupted;
         }
         if (!more.value()) {
-            // A new stream without events has broken off right after its head.
-            const bool no_body =
-                !running.job->item(running.index).has_text() && !exchange->response().framed;
+            // A close right after the head does not tell an empty stream from one that broke off.
+            const bool no_body = reads_with_events == 0 && !exchange->response().framed;
+            if (no_body) {
+                // The text may lack nothing but its end, which no run would bring.
+                running.job->set_version(running.index, std::nullopt);
+            }
             const bool whole = !no_body && parser.partial_event().empty();
             co_return whole ? item_outcome::complete : item_outcome::interrupted;
         }
--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -14,6 +14,9 @@
 
 /// Connections that are opened to ask for a report. A target may close one after its report.
 constexpr int max_asked_connections = 2;
+/// How long a request waits for a report that it does without if need be. A sound target may be
+/// silent for about a second.
+constexpr duration report_timeout = milliseconds(1200);
 /// Reports are a few hundred bytes.
 constexpr net::parse_limits report_limits{.max_header_bytes = 16 * 1024,
                                           .max_body_bytes = 64 * 1024};
@@ -93,6 +96,10 @@
             break;
         }
         const stall_detector detector(context, listed.target);
+        const bool must_know = check == process_check::require_listed;
+        if (!must_know) {
+            out.connection->set_deadline(std::min(deadline, context.clock() + report_timeout));
+        }
         const auto report = co_await ask(context, out.connection, listed.endpoint);
         if (!report) {
             const bool was_cancelled = !out.connection->is_open() && !out.connection->timed_out();
@@ -100,8 +107,14 @@
                 record_no_response(context, listed.target, report.error().message);
             }
             out.connection->close();
-            co_return report.error();
+            if (must_know || was_cancelled || context.clock() >= deadline) {
+                co_return report.error();
+            }
+            // The target may serve requests all the same.
+            questions_left = 0;
+            continue;
         }
+        out.connection->set_deadline(deadline);
         record_response(context, listed.target);
         const std::optional<std::uint64_t> started_at = report.value().started_at;
         if (started_at) {
