--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -49,6 +49,10 @@
         if (!more.value()) {
             // A close right after the head does not tell an empty stream from one that broke off.
             const bool no_body = reads_with_events == 0 && !exchange->response().framed;
+            if (no_body) {
+                // The text may lack nothing but its end, which no run would bring.
+                running.job->set_version(running.index, std::nullopt);
+            }
             const bool whole = !no_body && parser.partial_event().empty();
             co_return whole ? item_outcome::complete : item_outcome::interrupted;
         }
@@ -72,17 +76,25 @@
                                     .customer = state.customer,
                                     .time_left = {},
                                     .resume_after = item.last_event};
+    const serving::process_check check =
+        item.has_text() ? serving::process_check::require_listed : serving::process_check::identify;
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
     serving::crash_suspects suspects =
         serving::suspects_of(context.codec.decode_prompt(item.content.headers));
-    net::http_request message = context.codec.encode_call(request, call);
+    const serving::target_exchange::make_request_fn make_message = [&] {
+        return context.codec.encode_call(request, call);
+    };
     const result<serving::target_response> response_head = co_await exchange->open(
-        std::move(message), request.id, context.clock() + first_event_timeout);
+        make_message, request.id, context.clock() + first_event_timeout, check);
     if (running.stopped) {
         co_return item_outcome::interrupted;
     }
     if (!response_head) {
         serving::record_target_failure(context, target.id, response_head.error());
+        if (serving::is_other_process(response_head.error()) &&
+            item.may_start_over(context.clock())) {
+            running.job->set_version(running.index, std::nullopt);
+        }
         context.log.write(observe::event::target_failed, request.id,
                           {{"target", target.id}, {"reason", response_head.error().message}});
         if (serving::is_closed_by_target(response_head.error())) {
@@ -94,6 +106,7 @@
     if (response_head.value().not_run) {
         co_return item_outcome::interrupted;
     }
+    running.job->set_version(running.index, exchange->software_version());
     const int status = exchange->response().status;
     if (status == 422) {
         co_return item_outcome::rejected;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -87,6 +87,9 @@
                " no other target either; nothing is held against the request."},
     event_info{event::peer_restarted, "peer_restarted", info,
                "The digests of a daemon come from another run of it than before."},
+    event_info{event::target_outdated, "target_outdated", warning,
+               "A target has restarted and its entry still describes the process before; it"
+               " receives requests only when no other target has room."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
@@ -131,6 +134,9 @@
                " which software version began it."},
     event_info{event::request_relayed, "request_relayed", info,
                "A request was sent to its target through another host."},
+    event_info{event::response_end_unconfirmed, "response_end_unconfirmed", warning,
+               "The connection of a response without framing was closed, and the target's process"
+               " does not answer any more; the response counts as broken off."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
