--- a/test/correctness/fleet_load_versions.cpp
+++ b/test/correctness/fleet_load_versions.cpp
@@ -21,6 +21,19 @@
     return {.excluded = {}, .version = version};
 }
 
+/// The ids of the targets that are picked within \p constraints, and "none".
+std::set<std::string> picked_ids(fleet_load& loads, const target_constraints& constraints,
+                                 time_point at, random_source& random) {
+    std::set<std::string> ids;
+    for (int i = 0; i < 200; ++i) {
+        const auto online = loads.pick_online("s", constraints, at, random);
+        const auto batch = loads.pick_batch("s", constraints, at, random, any_target);
+        ids.insert(online ? online->id : "none");
+        ids.insert(batch ? batch->id : "none");
+    }
+    return ids;
+}
+
 void check_outdated_entry() {
     const time_point now{};
     random_source random(1);
@@ -29,14 +42,7 @@
     restarted.started_at = 1;
     loads.set_targets({restarted, target("y", "a", 3)});
     const auto picks = [&](const target_constraints& constraints) {
-        std::set<std::string> ids;
-        for (int i = 0; i < 200; ++i) {
-            const auto online = loads.pick_online("s", constraints, now, random);
-            const auto batch = loads.pick_batch("s", constraints, now, random, any_target);
-            ids.insert(online ? online->id : "none");
-            ids.insert(batch ? batch->id : "none");
-        }
-        return ids;
+        return picked_ids(loads, constraints, now, random);
     };
     using id_set = std::set<std::string>;
     require(!loads.mark_outdated("x", 2) && !loads.mark_outdated("z", 1),
@@ -77,14 +83,7 @@
         return out;
     };
     const auto picks = [&](const target_constraints& constraints, time_point at) {
-        std::set<std::string> ids;
-        for (int i = 0; i < 200; ++i) {
-            const auto online = loads.pick_online("s", constraints, at, random);
-            const auto batch = loads.pick_batch("s", constraints, at, random, any_target);
-            ids.insert(online ? online->id : "none");
-            ids.insert(batch ? batch->id : "none");
-        }
-        return ids;
+        return picked_ids(loads, constraints, at, random);
     };
     using id_set = std::set<std::string>;
     loads.set_targets({versioned("x1", "v1"), versioned("x2", "v1"), versioned("y", "v2"),
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -76,7 +76,8 @@
 
 net::task<bool> raw_target::send_report(std::shared_ptr<net::tcp_connection> connection) {
     if (m_report_delay > duration::zero()) {
-        co_await net::sleep_for(m_report_delay);
+        net::notification delay(m_acceptor.get_executor());
+        co_await delay.wait_until(steady_clock()() + m_report_delay);
     }
     const response answer = m_report ? m_report() : make_report();
     const net::io_error ec = co_await connection->write(answer.bytes);
