--- a/test/platform/targets_without_report.cpp
+++ b/test/platform/targets_without_report.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against streams that go on at another software version than the one that began them, at a
 /// target or from a target that gives no report and whose entry names the wrong version.
+#include "platform/fixture/changed_engine_fixture.hpp"
 #include "platform/fixture/restart_checks.hpp"
 
 #include <cstddef>
@@ -21,44 +22,23 @@
                                                         : engine_action::refuse;
 }
 
-class report_checks {
+class report_checks : changed_engine_fixture {
 public:
     report_checks() {
-        for (const std::string id : {"i-1", "i-2", "i-3"}) {
-            m_engines.push_back(&m_fleet.add_engine(id, "v1"));
-            m_engines.back()->set_event_prefix("v1-");
-        }
         m_engines[0]->set_event_prefix("v2-");
         m_engines[0]->set_has_report(false);
-        for (const std::string& daemon : m_daemons) {
-            m_fleet.add_daemon(daemon, true, false);
-        }
-        m_fleet.configure(1);
     }
     [[noreturn]] void run() {
         m_fleet.run([this] { return run_checks(); });
     }
 
 private:
-    using response = daemon_fixture::response;
-
     net::task<> run_checks() {
-        for (const std::string& daemon : m_daemons) {
-            co_await m_fleet.wait_until_served(daemon);
-        }
+        co_await wait_until_served();
         co_await check_begun_there();
         co_await check_begun_elsewhere();
     }
 
-    net::task<response> call(std::string daemon, net::http_request request) {
-        co_return co_await m_fleet.call(m_fleet.caller_endpoint(daemon), std::move(request));
-    }
-    net::http_request make_request(std::string_view kind) {
-        const std::string id = str_cat(kind, "-", ++m_requests);
-        net::http_request out = daemon_fixture::request(id, "/p/" + id);
-        out.body = "body-" + id;
-        return out;
-    }
     /// Takes up the stream of the attempt \p id of which \p begun has been received.
     net::task<response> take_up(std::string daemon, std::string id, const response& begun) {
         net::http_request resumption = make_request("again");
@@ -67,13 +47,6 @@
         resumption.headers.set("Resumes", id);
         co_return co_await call(daemon, std::move(resumption));
     }
-    template <typename Action> void set_others(Action action) {
-        m_engines[1]->set_default_action(action);
-        m_engines[2]->set_default_action(action);
-    }
-    static bool has(const std::string& text, std::string_view part) {
-        return text.find(part) != std::string::npos;
-    }
     static bool is_mixed(const std::string& text) { return has(text, "v1-") && has(text, "v2-"); }
 
     net::task<> check_begun_there() {
@@ -110,12 +83,6 @@
                                     "another version without report"));
         require(whole == streams, str_cat(whole, " of ", streams, " streams went on"));
     }
-
-    const std::vector<std::string> m_daemons{"entry-1", "entry-2"};
-    daemon_fixture m_fleet;
-    /// The first one gives no report.
-    std::vector<scripted_engine*> m_engines;
-    int m_requests = 0;
 };
 
 } // namespace
--- a/test/platform/unannounced_restarts.cpp
+++ b/test/platform/unannounced_restarts.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against streams that begin at a target which has started again, under its id and at its
 /// address, before its entry has changed: they are served, and go on at no other version.
+#include "platform/fixture/changed_engine_fixture.hpp"
 #include "platform/fixture/restart_checks.hpp"
 
 #include <cstddef>
@@ -28,29 +29,15 @@
                                                         : engine_action::refuse;
 }
 
-class restart_checks_at_begin {
+class restart_checks_at_begin : changed_engine_fixture {
 public:
-    restart_checks_at_begin() {
-        for (const std::string id : {"i-1", "i-2", "i-3"}) {
-            m_engines.push_back(&m_fleet.add_engine(id, "v1"));
-            m_engines.back()->set_event_prefix("v1-");
-        }
-        for (const std::string& daemon : m_daemons) {
-            m_fleet.add_daemon(daemon, true, false);
-        }
-        m_fleet.configure(1);
-    }
     [[noreturn]] void run() {
         m_fleet.run([this] { return run_checks(); });
     }
 
 private:
-    using response = daemon_fixture::response;
-
     net::task<> run_checks() {
-        for (const std::string& daemon : m_daemons) {
-            co_await m_fleet.wait_until_served(daemon);
-        }
+        co_await wait_until_served();
         // The same software version, but another start.
         m_engines[0]->set_started_at(2);
         co_await check_served(v1_prefix);
@@ -61,24 +48,6 @@
         co_await check_new_entry();
     }
 
-    net::task<response> call(std::string daemon, net::http_request request) {
-        co_return co_await m_fleet.call(m_fleet.caller_endpoint(daemon), std::move(request));
-    }
-    net::http_request make_request(std::string_view kind) {
-        const std::string id = str_cat(kind, "-", ++m_requests);
-        net::http_request out = daemon_fixture::request(id, "/p/" + id);
-        out.body = "body-" + id;
-        return out;
-    }
-    /// What the engines that have not started again do.
-    template <typename Action> void set_others(Action action) {
-        m_engines[1]->set_default_action(action);
-        m_engines[2]->set_default_action(action);
-    }
-    static bool has(const std::string& text, std::string_view part) {
-        return text.find(part) != std::string::npos;
-    }
-
     /// New streams are served by the restarted target, whose events have \p prefix.
     net::task<> check_served(std::string_view prefix) {
         m_engines[0]->set_default_action(serve_new_only);
@@ -157,12 +126,6 @@
                             " has its entry, got ", rest.status, " ", rest.body));
         }
     }
-
-    const std::vector<std::string> m_daemons{"entry-1", "entry-2"};
-    daemon_fixture m_fleet;
-    /// The first one starts again.
-    std::vector<scripted_engine*> m_engines;
-    int m_requests = 0;
 };
 
 } // namespace
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -115,7 +115,8 @@
         co_await send_endlessly(*connection, answer.endless_tail);
     }
     if (answer.end_delay > duration::zero()) {
-        co_await net::sleep_for(answer.end_delay);
+        net::notification delay(m_acceptor.get_executor());
+        co_await delay.wait_until(steady_clock()() + answer.end_delay);
     }
     if (answer.ends_process) {
         end();
