Use what targets take well for placement and batch, and share what daemons measured

Placement took slots as they are. Now a request costs what one more request takes at the target's speed, a slow target queues less, a target that slows early holds fewer requests, and batch slots shrink with it; neutral figures change nothing. Compiles file by file; the whole build and the existing tests have not been run at this commit.

--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Unit of pace_entry::gap.
+constexpr std::chrono::microseconds pace_unit{100};
+
 std::uint32_t to_age_ms(duration age) {
     const std::int64_t max_age = segment_report::never - 1;
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(to_ms(age), 0, max_age));
@@ -72,4 +75,25 @@
     return out;
 }
 
+pace_entries to_entries(const routing::pace_reports& reports) {
+    pace_entries out;
+    out.window = reports.window;
+    for (const routing::pace_report& each : reports.reports) {
+        const auto gap = std::clamp<std::int64_t>(each.gap / pace_unit, 1, UINT16_MAX);
+        out.entries.push_back({each.target,
+                               static_cast<std::uint8_t>(std::clamp(each.load, 0, 255)),
+                               static_cast<std::uint16_t>(gap)});
+    }
+    return out;
+}
+
+routing::pace_reports to_pace_reports(const pace_entries& received) {
+    routing::pace_reports out;
+    out.window = received.window;
+    for (const pace_entry& each : received.entries) {
+        out.reports.push_back({each.target, each.load, each.gap * pace_unit});
+    }
+    return out;
+}
+
 } // namespace eelgrassdoor::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -5,6 +5,7 @@
 #include "peer/bounded.hpp"
 #include "peer/codec.hpp"
 #include "routing/prompt_quarantine.hpp"
+#include "routing/target_capacity.hpp"
 #include "routing/target_instance.hpp"
 #include "routing/target_limits.hpp"
 
@@ -161,6 +162,36 @@
 /// Converts received request limits.
 std::vector<routing::target_limit_report> to_limit_reports(const target_limit_entries& received);
 
+/// The pace of one target's answers to the sender.
+struct pace_entry {
+    /// stable_hash() of the target's id.
+    std::uint64_t target = 0;
+    /// Requests in flight at the target; at most 255.
+    std::uint8_t load = 0;
+    /// Time between events in tenths of a millisecond; at most 6.5 s.
+    std::uint16_t gap = 0;
+
+    template <typename Archive> void serialize(Archive& ar) { ar(target, load, gap); }
+};
+
+/// Follows the second segment_reports in the datagram of a load_digest, where daemons of older
+/// builds ignore it.
+struct pace_entries {
+    /// See routing::pace_reports::window.
+    std::uint32_t window = 0;
+    std::vector<pace_entry> entries;
+
+    template <typename Archive> void serialize(Archive& ar) {
+        ar(window);
+        peer::serialize_list(ar, entries, [](Archive& a, auto& value) { a(value); });
+    }
+};
+
+/// Converts paces for sending.
+pace_entries to_entries(const routing::pace_reports& reports);
+/// Converts received paces.
+routing::pace_reports to_pace_reports(const pace_entries& received);
+
 /// Requests a permit for one request to a limited target from the daemon that issues them.
 struct permit_request {
     static constexpr std::uint8_t kind = 10;
--- a/src/fleet/peer_messenger.cpp
+++ b/src/fleet/peer_messenger.cpp
@@ -306,7 +306,7 @@
     for (const routing::target_instance& each : digest->leaving) {
         m_loads.mark_leaving(each);
     }
-    receive_extensions(body, origin.from);
+    receive_extensions(digest->host, body, origin.from);
     if (on_peer_load) {
         on_peer_load();
     }
--- a/src/fleet/peer_messenger.hpp
+++ b/src/fleet/peer_messenger.hpp
@@ -141,8 +141,10 @@
     net::task<> run();
     void receive(std::string_view bytes, const net::udp::endpoint& from);
     void receive_digest(std::string_view bytes, const digest_origin& origin);
-    /// Takes over what follows the load in a digest; \p body is empty when nothing does.
-    void receive_extensions(std::string_view body, const net::udp::endpoint& from);
+    /// Takes over what follows the load in a digest of \p host; \p body is empty when nothing
+    /// does.
+    void receive_extensions(std::string_view host, std::string_view body,
+                            const net::udp::endpoint& from);
     void receive_limits(const target_limit_entries& limits);
     /// Returns what follows the load in this daemon's digests. Builds before a part ignore it.
     [[nodiscard]] std::string make_extensions();
--- a/src/fleet/peer_messenger_digests.cpp
+++ b/src/fleet/peer_messenger_digests.cpp
@@ -43,7 +43,9 @@
     const target_limit_entries limits = to_entries(m_loads.request_limits().reports(m_clock()));
     const segment_reports requests =
         to_reports(collect_request_evidence ? collect_request_evidence() : evidence_list());
-    const bool has_requests = !requests.reports.empty();
+    const pace_entries paces = to_entries(m_loads.capacities().reports(m_clock()));
+    const bool has_paces = !paces.entries.empty();
+    const bool has_requests = !requests.reports.empty() || has_paces;
     const bool has_limits = !limits.entries.empty() || has_requests;
     std::string out;
     if (!segments.reports.empty() || has_limits) {
@@ -55,10 +57,14 @@
     if (has_requests) {
         out += peer::encode(requests);
     }
+    if (has_paces) {
+        out += peer::encode(paces);
+    }
     return out;
 }
 
-void peer_messenger::receive_extensions(std::string_view body, const net::udp::endpoint& from) {
+void peer_messenger::receive_extensions(std::string_view host, std::string_view body,
+                                        const net::udp::endpoint& from) {
     const auto receive_next = [&]<typename Message>(const Message& /*type*/, auto handle) {
         if (body.empty()) {
             return;
@@ -82,6 +88,9 @@
             on_request_evidence(to_evidence(received));
         }
     });
+    receive_next(pace_entries{}, [&](const pace_entries& received) {
+        m_loads.capacities().merge(host, to_pace_reports(received), m_clock());
+    });
 }
 
 void peer_messenger::receive_limits(const target_limit_entries& limits) {
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -171,6 +171,10 @@
     m_messenger.on_limit_change = [this](const std::vector<routing::target_instance>& targets) {
         log_limit_changes(targets);
     };
+    m_loads.capacities().on_change = [this](std::uint64_t target,
+                                            const routing::capacity_figure& figure) {
+        log_capacity_change(target, figure);
+    };
     m_registration.on_store_call = [this](bool answered, std::string_view reason) {
         m_feed.record_call_result(answered, reason);
     };
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -61,6 +61,8 @@
     void apply_senders();
     /// Logs the request limits that have changed by what another daemon knows.
     void log_limit_changes(std::span<const routing::target_instance> targets);
+    /// Logs that the figure of a target left or returned to neutral.
+    void log_capacity_change(std::uint64_t target, const routing::capacity_figure& figure);
     /// Stops this daemon's jobs that the store lists as cancelled.
     void apply_cancelled_jobs();
     void apply_limits();
--- a/src/host/fleet_daemon_changes.cpp
+++ b/src/host/fleet_daemon_changes.cpp
@@ -1,6 +1,8 @@
 #include "base/text.hpp"
 #include "host/fleet_daemon.hpp"
 
+#include <cmath>
+
 namespace eelgrassdoor::host {
 
 void fleet_daemon::on_mirror_change(std::string_view prefix) {
@@ -142,6 +144,15 @@
     }
 }
 
+void fleet_daemon::log_capacity_change(std::uint64_t target,
+                                       const routing::capacity_figure& figure) {
+    const std::string limit =
+        figure.pace_limit ? std::to_string(*figure.pace_limit) : std::string("none");
+    m_log.write(observe::event::target_capacity_changed, m_loads.name_of({target, 0}),
+                {{"speed_percent", std::to_string(std::lround(figure.speed * 100))},
+                 {"pace_limit", limit}});
+}
+
 void fleet_daemon::apply_cancelled_jobs() {
     for (const auto& [key, item] : m_mirror.items(jobs::cancelled_prefix)) {
         m_runner->mark_cancelled(key.substr(jobs::cancelled_prefix.size()));
--- a/src/host/fleet_daemon_metrics.cpp
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -15,6 +15,12 @@
     m_metrics.gauge("cold_targets", static_cast<double>(m_loads.cold_count(m_clock())));
     m_metrics.gauge("targets_unreachable", m_context.reachability.is_partitioned() ? 1 : 0);
     m_metrics.gauge("limited_targets", static_cast<double>(m_loads.limited_count()));
+    m_loads.capacities().expire(m_clock());
+    m_metrics.gauge("targets_below_neutral",
+                    static_cast<double>(m_loads.capacities().below_neutral_count()));
+    if (const auto changed_at = m_loads.capacities().changed_at()) {
+        m_metrics.gauge("target_capacity_change_age_seconds", to_seconds(m_clock() - *changed_at));
+    }
     m_metrics.gauge("quarantined_segments",
                     static_cast<double>(m_quarantine.quarantined_count(m_clock())));
     m_metrics.gauge("quarantined_requests",
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -51,6 +51,7 @@
     crash_check_inconclusive = 324,
     peer_restarted = 325,
     target_outdated = 326,
+    target_capacity_changed = 327,
     limit_part_claimed = 400,
     limit_part_lost = 401,
     limit_authority_lapsed = 402,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -41,6 +41,7 @@
         return;
     }
     m_listed = targets;
+    list_capacities();
     std::map<std::string, target_state, std::less<>> next;
     std::set<std::uint64_t> hashes;
     std::map<std::uint64_t, std::uint64_t> started_at;
@@ -63,6 +64,7 @@
         state.zone = &m_zones[target.availability_zone];
         std::string id = target.id;
         state.instance = {hash, target.started_at};
+        state.capacity = m_capacities.find(hash);
         state.target = std::move(target);
         next.emplace(std::move(id), std::move(state));
     }
@@ -157,6 +159,7 @@
 }
 
 void fleet_load::remove_peer(std::string_view peer) {
+    m_capacities.remove_peer(peer);
     const auto found = m_peers.find(peer);
     if (found != m_peers.end()) {
         add_peer_loads(found->second.loads, -1);
@@ -172,6 +175,7 @@
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (now - it->second.received_at > peer_load_lifetime) {
             add_peer_loads(it->second.loads, -1);
+            m_capacities.remove_peer(it->first);
             it = m_peers.erase(it);
         } else {
             oldest = std::min(oldest, it->second.received_at);
@@ -237,6 +241,7 @@
                        work_kind kind, time_point now) {
     expire_peers(now);
     expire_failures(now);
+    m_capacities.expire(now);
     m_healthy.clear();
     m_degraded.clear();
     m_backing_off.clear();
@@ -278,13 +283,12 @@
     for (const target_state* state : candidates(service, constraints, work_kind::online, now)) {
         const fleet_target& target = state->target;
         const target_load load = state->load();
-        if (load.online >= target.slots + m_options.max_queued_at_target) {
+        if (load.online >= concurrency_limit(*state)) {
             continue;
         }
-        double cost =
-            static_cast<double>(load.online) / target.slots + tie_break_jitter * random.uniform();
+        double cost = request_cost(*state, load) + tie_break_jitter * random.uniform();
         cost += target.availability_zone == m_options.local_zone ? 0 : cross_zone_cost;
-        cost += load.online + load.batch >= target.slots ? preemption_cost : 0;
+        cost += load.online + load.batch >= usable_slots(*state) ? preemption_cost : 0;
         cost += m_request_limits.limit_of(state->instance) ? limited_cost : 0;
         cost += state->is_outdated ? outdated_cost : 0;
         if (best == nullptr || cost < best_cost) {
@@ -308,7 +312,7 @@
     for (const target_state* state : candidates(service, constraints, work_kind::batch, now)) {
         const fleet_target& target = state->target;
         const target_load load = state->load();
-        const int free = target.slots - m_options.batch_reserve - load.online - load.batch;
+        const int free = usable_slots(*state) - m_options.batch_reserve - load.online - load.batch;
         const bool allowed = may_start(target, free);
         if (free <= 0 || !allowed) {
             continue;
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -8,10 +8,12 @@
 #include "routing/fleet_target.hpp"
 #include "routing/leaving_targets.hpp"
 #include "routing/slow_start.hpp"
+#include "routing/target_capacity.hpp"
 #include "routing/target_constraints.hpp"
 #include "routing/target_limits.hpp"
 #include "routing/work_kind.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -112,6 +114,11 @@
     slow_start& cold_targets() { return m_cold_targets; }
     /// The limits that targets name in their responses.
     target_limits& request_limits() { return m_request_limits; }
+    /// What each target takes well, as learnt from its answers.
+    target_capacity& capacities() { return m_capacities; }
+    /// Records the time between two events of a stream from target \p id, as a sample of the pace
+    /// that it keeps under its present load.
+    void record_event_gap(std::string_view id, duration gap, time_point now);
     /// Number of listed targets with a request limit.
     [[nodiscard]] std::size_t limited_count() const;
     /// The listed target with this id, or null. Valid until the next set_targets().
@@ -237,6 +244,8 @@
         const target_load* peer_total = nullptr;
         /// Points into m_zones.
         const zone_state* zone = nullptr;
+        /// Points into m_capacities.
+        const capacity_figure* capacity = nullptr;
 
         [[nodiscard]] target_load load() const {
             return {local.online + peer_total->online, local.batch + peer_total->batch,
@@ -247,6 +256,18 @@
             return all.stalled > 0 || all.failures >= degraded_failure_threshold;
         }
     };
+    /// Online requests that the target may hold, running and queued: its slots and
+    /// placement_options::max_queued_at_target, fewer while it is slow or known to slow early.
+    [[nodiscard]] int concurrency_limit(const target_state& state) const;
+    /// Slots of the target that it uses without slowing down.
+    [[nodiscard]] int usable_slots(const target_state& state) const {
+        return std::min(state.target.slots, concurrency_limit(state));
+    }
+    /// Cost of one more online request at the target, in requests per slot of a target of neutral
+    /// speed.
+    [[nodiscard]] static double request_cost(const target_state& state, const target_load& load);
+    /// Passes the listed targets to m_capacities.
+    void list_capacities();
     /// Adds \p by to this daemon's load at target \p id. Entries that become zero are removed.
     void adjust_local_load(std::string_view id, target_load by);
     /// Adds \p loads to m_peer_totals, or subtracts them when \p sign is -1.
@@ -288,6 +309,7 @@
     zone_set m_evacuated_zones;
     slow_start m_cold_targets;
     target_limits m_request_limits;
+    target_capacity m_capacities;
     /// Failed responses of this daemon's requests, oldest first.
     std::deque<std::pair<time_point, std::string>> m_recent_failures;
     /// Results of candidates(), kept to reuse their memory.
--- a/src/routing/target_capacity.cpp
+++ b/src/routing/target_capacity.cpp
@@ -45,6 +45,21 @@
     return median(values.begin(), values.end());
 }
 
+/// A value for each window of a target, without allocation.
+class window_values {
+public:
+    void add(double value) { m_values[m_size++] = value; }
+    void sort() { std::sort(begin(), end()); }
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    double operator[](std::size_t index) const { return m_values[index]; }
+    double* begin() { return m_values.data(); }
+    double* end() { return m_values.data() + m_size; }
+
+private:
+    std::array<double, target_capacity::max_windows> m_values{};
+    std::size_t m_size = 0;
+};
+
 } // namespace
 
 double target_capacity::service_state::slope() const {
@@ -73,6 +88,7 @@
         state.service->targets.push_back(listed.target);
     }
     m_targets = std::move(next);
+    std::erase_if(m_own, [&](const auto& entry) { return !m_targets.contains(entry.first); });
     std::erase_if(m_services, [](const auto& entry) { return entry.second.targets.empty(); });
 }
 
@@ -82,10 +98,64 @@
     if (found == m_targets.end() || gap_ms <= 0) {
         return;
     }
-    target_state& state = found->second;
+    const auto log_gap = static_cast<float>(std::log(gap_ms));
+    own_samples& own = m_own[target];
+    if (own.gaps.size() < max_samples) {
+        own.gaps.push_back(log_gap);
+        own.loads.push_back(static_cast<float>(load));
+    }
+    add_sample(found->second, static_cast<float>(load), log_gap, now);
+}
+
+const pace_reports& target_capacity::reports(time_point now) {
+    if (now < m_reports_end) {
+        return m_reports;
+    }
+    m_reports_end = now + window;
+    ++m_reports.window;
+    m_reports.reports.clear();
+    const std::size_t count = std::min(m_own.size(), max_reports);
+    auto next = m_own.begin();
+    if (!m_own.empty()) {
+        const std::size_t first = m_reports.window * max_reports % m_own.size();
+        std::advance(next, static_cast<std::ptrdiff_t>(first));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        auto& [target, own] = *next;
+        const std::chrono::duration<double, std::milli> gap(std::exp(median(own.gaps)));
+        m_reports.reports.push_back({target, static_cast<int>(std::lround(median(own.loads))),
+                                     std::chrono::duration_cast<duration>(gap)});
+        next = std::next(next) == m_own.end() ? m_own.begin() : std::next(next);
+    }
+    m_own.clear();
+    return m_reports;
+}
+
+void target_capacity::merge(std::string_view peer, const pace_reports& received, time_point now) {
+    const auto [known, is_new] = m_peer_windows.try_emplace(std::string(peer), received.window);
+    if (!is_new && std::exchange(known->second, received.window) == received.window) {
+        return;
+    }
+    for (const pace_report& each : received.reports) {
+        const auto found = m_targets.find(each.target);
+        const double gap_ms = to_seconds(each.gap) * 1e3;
+        if (found != m_targets.end() && gap_ms > 0) {
+            add_sample(found->second, static_cast<float>(each.load),
+                       static_cast<float>(std::log(gap_ms)), now);
+        }
+    }
+}
+
+void target_capacity::remove_peer(std::string_view peer) {
+    if (const auto known = m_peer_windows.find(peer); known != m_peer_windows.end()) {
+        m_peer_windows.erase(known);
+    }
+}
+
+void target_capacity::add_sample(target_state& state, float load, float log_gap, time_point now) {
     const std::size_t index = state.samples++ % max_samples;
-    state.gaps[index] = static_cast<float>(std::log(gap_ms));
-    state.loads[index] = static_cast<float>(load);
+    state.gaps[index] = log_gap;
+    state.loads[index] = load;
     if (state.service->window_end == time_point::min()) {
         state.service->window_end = now + window;
     }
@@ -127,10 +197,10 @@
     const double load = median(target.loads.begin(), target.loads.begin() + count);
     if (target.windows.size() >= min_speed_windows) {
         double mean_load = 0;
-        std::vector<double> log_gaps;
+        window_values log_gaps;
         for (const window_pace& each : target.windows) {
             mean_load += each.load / static_cast<double>(target.windows.size());
-            log_gaps.push_back(each.log_gap);
+            log_gaps.add(each.log_gap);
         }
         const double by = std::clamp(log_gap - median(log_gaps), -max_deviation, max_deviation);
         service.load_square += (load - mean_load) * (load - mean_load);
@@ -148,11 +218,11 @@
         target.log_pace.reset();
         return;
     }
-    std::vector<double> paces;
+    window_values paces;
     const std::size_t count = std::min(target.windows.size(), speed_windows);
     for (auto it = target.windows.end() - static_cast<std::ptrdiff_t>(count);
          it != target.windows.end(); ++it) {
-        paces.push_back(it->log_gap - service.slope() * it->load);
+        paces.add(it->log_gap - service.slope() * it->load);
     }
     target.log_pace = median(paces);
 }
@@ -173,26 +243,23 @@
 }
 
 void target_capacity::update_pace_limit(const service_state& service, target_state& target) const {
-    std::vector<double> loads;
+    window_values loads;
     for (const window_pace& each : target.windows) {
-        loads.push_back(each.load);
+        loads.add(each.load);
     }
-    std::sort(loads.begin(), loads.end());
+    loads.sort();
     std::optional<int> limit;
     double drop = pace_drop_log;
-    std::vector<double> below;
-    std::vector<double> above;
     for (const double quantile : split_quantiles) {
         if (loads.size() < 2 * min_side_windows) {
             break;
         }
         const double split =
             loads[static_cast<std::size_t>(quantile * static_cast<double>(loads.size()))];
-        below.clear();
-        above.clear();
+        window_values below;
+        window_values above;
         for (const window_pace& each : target.windows) {
-            (each.load < split ? below : above)
-                .push_back(each.log_gap - service.slope() * each.load);
+            (each.load < split ? below : above).add(each.log_gap - service.slope() * each.load);
         }
         if (below.size() < min_side_windows || above.size() < min_side_windows) {
             continue;
@@ -243,7 +310,11 @@
         if (states[i].second || state.figure.pace_limit) {
             update_pace_limit(service, state);
         }
-        if (on_change && was_neutral != state.figure.is_neutral()) {
+        if (was_neutral == state.figure.is_neutral()) {
+            continue;
+        }
+        m_changed_at = now;
+        if (on_change) {
             on_change(service.targets[i], state.figure);
         }
     }
--- a/src/routing/target_capacity.hpp
+++ b/src/routing/target_capacity.hpp
@@ -39,10 +39,28 @@
     int slots = 1;
 };
 
+/// What one daemon measured at one target within a window.
+struct pace_report {
+    /// stable_hash() of the target's id.
+    std::uint64_t target = 0;
+    /// Median number of requests in flight.
+    int load = 0;
+    /// Median time between events.
+    duration gap{};
+};
+
+/// The reports of one daemon on its latest window.
+struct pace_reports {
+    /// Differs from that of the daemon's other recent windows.
+    std::uint32_t window = 0;
+    std::vector<pace_report> reports;
+};
+
 /// Estimates speeds and pace limits from the times between the events of streams. Samples of one
 /// target are reduced to the median of a window; a figure is the median over recent windows, so
 /// that single slow requests and short disturbances change nothing. Without samples a figure
-/// becomes neutral. Not thread-safe.
+/// becomes neutral. Daemons exchange what they measured and not their figures: one of many sees few
+/// targets, and one that has just started learns as fast as the others. Not thread-safe.
 class target_capacity {
 public:
     /// Length of a window. A stream with an event every 40 ms gives it a dozen samples.
@@ -60,6 +78,10 @@
     /// Lower bound of the pace limit.
     static constexpr int min_pace_limit = 2;
 
+    /// Maximum number of reports at a time. With hundreds of peers, each of which gets several
+    /// digests per second, more would take much of a slow link.
+    static constexpr std::size_t max_reports = 12;
+
     /// Called when the figure of a target leaves or returns to neutral.
     std::function<void(std::uint64_t target, const capacity_figure&)> on_change;
 
@@ -69,12 +91,21 @@
     /// Records the time between two events of a stream at a listed target that had \p load requests
     /// in flight, including this one. Others are ignored.
     void record_gap(std::uint64_t target, int load, duration gap, time_point now);
+    /// What this daemon measured in its latest complete window, for the other daemons. With more
+    /// than max_reports targets, successive windows report them in turn.
+    [[nodiscard]] const pace_reports& reports(time_point now);
+    /// Takes over the reports of another daemon, unless they are those that it sent before.
+    void merge(std::string_view peer, const pace_reports& received, time_point now);
+    /// Forgets which reports \p peer has sent.
+    void remove_peer(std::string_view peer);
     /// The figure of a listed target; stays valid while it is listed. Null for others.
     [[nodiscard]] const capacity_figure* find(std::uint64_t target) const;
     /// Makes figures neutral whose windows have expired. Costs nothing until the next window.
     void expire(time_point now);
     /// Number of targets whose figure is below neutral.
     [[nodiscard]] std::size_t below_neutral_count() const;
+    /// When a figure last left or returned to neutral; nothing if none ever did.
+    [[nodiscard]] std::optional<time_point> changed_at() const { return m_changed_at; }
 
 private:
     /// Samples of one window that are kept; later ones replace earlier ones in turn.
@@ -114,6 +145,13 @@
         [[nodiscard]] double slope() const;
     };
 
+    /// This daemon's samples of one target, for the reports.
+    struct own_samples {
+        std::vector<float> gaps;
+        std::vector<float> loads;
+    };
+
+    void add_sample(target_state& state, float load, float log_gap, time_point now);
     void close_window(service_state& service, time_point now);
     /// Moves the samples of the window into `windows`. Returns whether there were any.
     static bool take_samples(service_state& service, target_state& target, time_point now);
@@ -123,6 +161,12 @@
 
     std::unordered_map<std::uint64_t, target_state> m_targets;
     std::map<std::string, service_state, std::less<>> m_services;
+    std::optional<time_point> m_changed_at;
+    std::map<std::uint64_t, own_samples> m_own;
+    pace_reports m_reports;
+    time_point m_reports_end = time_point::min();
+    /// The latest window that each daemon reported, by name.
+    std::map<std::string, std::uint32_t, std::less<>> m_peer_windows;
 };
 
 } // namespace eelgrassdoor::routing
--- a/test/correctness/target_capacity.cpp
+++ b/test/correctness/target_capacity.cpp
@@ -5,9 +5,11 @@
 
 #include "check.hpp"
 #include "correctness/fixture/capacity_replay.hpp"
+#include "fleet/message.hpp"
 
 #include <cstdio>
 #include <memory>
+#include <set>
 #include <string_view>
 
 namespace {
@@ -228,6 +230,110 @@
     require(capacity.find(9) == nullptr, "targets that are not listed have no figure");
 }
 
+/// What \p capacity reports now, after it was sent in a datagram of the fleet.
+pace_reports sent_reports(target_capacity& capacity, time_point now) {
+    const std::string bytes = peer::encode(fleet::to_entries(capacity.reports(now)));
+    return fleet::to_pace_reports(*peer::decode<fleet::pace_entries>(bytes));
+}
+
+/// Daemons of which each has a stream at two targets at a time; \p loss is the part of the reports
+/// that do not arrive.
+class sharing_fleet {
+public:
+    static constexpr std::size_t daemons = 16;
+    static constexpr std::size_t targets = 12;
+
+    sharing_fleet() : m_all(daemons) {
+        for (target_capacity& each : m_all) {
+            each.set_listed(listed(targets));
+        }
+    }
+
+    void run(duration length, double loss) {
+        const time_point end = m_now + length;
+        for (; m_now < end; m_now += milliseconds(40)) {
+            for (std::size_t i = 0; i < daemons; ++i) {
+                const std::size_t step = static_cast<std::size_t>(to_seconds(m_now - m_start));
+                for (const std::size_t target :
+                     {(i + step * 5) % targets, (i * 7 + step) % targets}) {
+                    m_all[i].record_gap(target, 3, milliseconds(target == 0 ? 80 : 40), m_now);
+                }
+            }
+            exchange(loss);
+        }
+    }
+    [[nodiscard]] double speed_at(std::size_t daemon) const { return m_all[daemon].find(0)->speed; }
+    void restart(std::size_t daemon) {
+        m_all[daemon] = target_capacity();
+        m_all[daemon].set_listed(listed(targets));
+    }
+    [[nodiscard]] std::size_t count_at_half_speed() const {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < daemons; ++i) {
+            count += std::abs(speed_at(i) - 0.5) < 0.05 ? 1 : 0;
+        }
+        return count;
+    }
+
+private:
+    void exchange(double loss) {
+        for (std::size_t from = 0; from < daemons; ++from) {
+            const pace_reports reports = sent_reports(m_all[from], m_now);
+            for (std::size_t to = 0; to < daemons; ++to) {
+                if (to != from && m_random.uniform() >= loss) {
+                    m_all[to].merge(std::to_string(from), reports, m_now);
+                }
+            }
+        }
+    }
+
+    std::vector<target_capacity> m_all;
+    time_point m_start = time_point() + std::chrono::hours(1);
+    time_point m_now = m_start;
+    random_source m_random{seed};
+};
+
+void check_sharing() {
+    sharing_fleet shares;
+    shares.run(seconds(8), 0);
+    require(shares.count_at_half_speed() == sharing_fleet::daemons,
+            "every daemon knows the slow target although each sees few");
+    shares.restart(3);
+    shares.run(seconds(5), 0);
+    require(std::abs(shares.speed_at(3) - 0.5) < 0.05,
+            "a daemon that has just started knows the slow target within five seconds");
+
+    sharing_fleet lossy;
+    lossy.run(seconds(8), 0.9);
+    require(lossy.count_at_half_speed() == sharing_fleet::daemons,
+            "the loss of nine reports in ten changes nothing, as reports are repeated");
+
+    sharing_fleet alone;
+    alone.run(seconds(20), 1);
+    require(alone.count_at_half_speed() < sharing_fleet::daemons,
+            "daemons that do not hear each other know only what they see");
+}
+
+void check_report_bounds() {
+    target_capacity capacity;
+    capacity.set_listed(listed(100));
+    time_point now = time_point() + std::chrono::hours(1);
+    std::set<std::uint64_t> reported;
+    for (int i = 0; i < 100; ++i) {
+        for (std::size_t target = 0; target < 100; ++target) {
+            capacity.record_gap(target, 1000, seconds(100), now);
+        }
+        const pace_reports reports = sent_reports(capacity, now);
+        require(reports.reports.size() == target_capacity::max_reports, "reports are bounded");
+        for (const pace_report& each : reports.reports) {
+            reported.insert(each.target);
+            require(each.load == 255 && each.gap > seconds(6), "values saturate");
+        }
+        now += target_capacity::window;
+    }
+    require(reported.size() == 100, "all targets are reported in turn");
+}
+
 } // namespace
 
 int main() {
@@ -237,5 +343,7 @@
     check_slow_before_full();
     check_episode();
     check_restart_and_lost_samples();
+    check_sharing();
+    check_report_bounds();
     return finish();
 }
