Look at the quarantine again right before a request is sent

Cause: a request is checked against the quarantine before it gets a target.

Change: target_exchange::open takes a quarantine_gate and looks at it after the connection and the report, for callers' requests, backups and items. An order to a relay carries the gate behind its check, where older builds ignore it, and the relay looks at its own quarantine; its refusal is a new one, which older builds take for an unreachable target. A request that is held back is answered as not run unless it ran before, and counts against no target. The items' rule moves to crash_detector.

Items have the gate but no test of their own.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -85,11 +85,15 @@
     const auto make_message = message_maker(run, target);
     run.caller_exchange.set_may_have_run();
     result<target_response> response = co_await opened_exchange->open(
-        make_message, run.request.id, run.deadline, process_check_for(run));
+        make_message, run.request.id, run.deadline, process_check_for(run), gate_for(run));
     if (run.caller_exchange.client_disconnected()) {
         log_finished(run, "caller_left");
         co_return attempt_outcome::done;
     }
+    if (opened_exchange->is_withheld()) {
+        error why = run.runs > 0 ? no_target_error(run) : response.error();
+        co_return co_await withhold(run, std::move(why));
+    }
     if (!response || run.is_superseded()) {
         error open_error = run.is_superseded() ? silence_error() : response.error();
         co_return co_await handle_target_failure(run, std::move(open_error));
@@ -116,6 +120,10 @@
     return run.constraints.version ? process_check::require_listed : process_check::identify;
 }
 
+quarantine_gate online_proxy::gate_for(const running_request& run) {
+    return {.kind = run.is_trial ? gate_kind::open : gate_kind::request, .suspects = run.suspects};
+}
+
 void online_proxy::log_finished(const running_request& run, std::string_view outcome) const {
     if (run.caller_exchange.interrupted()) {
         outcome = "ended_by_shutdown";
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -69,6 +69,11 @@
     message_maker(const running_request& run, const routing::fleet_target& target) const;
     /// What has to be known of the process that gets the request next.
     [[nodiscard]] static process_check process_check_for(const running_request& run);
+    /// What holds the request back when it is about to be sent.
+    [[nodiscard]] static quarantine_gate gate_for(const running_request& run);
+    /// Ends an attempt that was not sent because of \p why, a quarantine. A backup that has been
+    /// sent goes on.
+    net::task<attempt_outcome> withhold(running_request& run, error why);
     net::task<attempt_outcome> attempt(running_request& run, const routing::fleet_target& target);
     net::task<attempt_outcome> relay(running_request& run, target_response response);
     net::task<attempt_outcome> relay_stream(running_request& run);
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -76,6 +76,15 @@
     co_return co_await retry_or_fail(run, std::move(failure));
 }
 
+net::task<online_proxy::attempt_outcome> online_proxy::withhold(running_request& run, error why) {
+    run.active_exchange.reset();
+    if (run.backup) {
+        co_return attempt_outcome::retry;
+    }
+    co_await respond_with_error(run, std::move(why));
+    co_return attempt_outcome::done;
+}
+
 net::task<online_proxy::attempt_outcome> online_proxy::retry_or_fail(running_request& run,
                                                                      error failure) {
     const bool not_run = failure.run == run_state::not_run;
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -11,9 +11,6 @@
 
 /// Longest time between two dispatch rounds.
 constexpr duration dispatch_interval = milliseconds(200);
-/// How long after the last crash on a segment of its prompt an item waits. It is tried again then,
-/// as it must end in a result; callers' requests stay in quarantine longer.
-constexpr duration max_item_delay = seconds(5);
 
 } // namespace
 
@@ -80,11 +77,10 @@
 }
 
 bool item_dispatcher::is_quarantined(const owned_item& item) const {
-    const serving::crash_suspects suspects =
-        serving::suspects_of(m_context.codec.decode_prompt(item.content.headers));
-    const std::optional<duration> left =
-        m_context.quarantine.time_left(suspects.segments, m_context.clock());
-    return left && *left > routing::prompt_quarantine::quarantine_time - max_item_delay;
+    const serving::quarantine_gate gate{
+        .kind = serving::gate_kind::item,
+        .suspects = serving::suspects_of(m_context.codec.decode_prompt(item.content.headers))};
+    return serving::quarantine_error(m_context, gate).has_value();
 }
 
 std::optional<item_dispatcher::candidate>
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -14,6 +14,9 @@
 /// A daemon that was not heard for this long sends no request on trial. Twice the interval at which
 /// unchanged digests are repeated.
 constexpr duration peer_silence_timeout = milliseconds(1000);
+/// How long after the last crash on a segment of its prompt an item waits. It is tried again then,
+/// as it must end in a result; callers' requests stay in quarantine longer.
+constexpr duration max_item_delay = seconds(5);
 /// Number of other targets that are tried when one refuses connections.
 constexpr std::size_t max_control_targets = 3;
 
@@ -178,6 +181,18 @@
     return std::nullopt;
 }
 
+std::optional<error> quarantine_error(const service_context& context, const quarantine_gate& gate) {
+    if (gate.kind == gate_kind::open) {
+        return std::nullopt;
+    }
+    std::optional<error> found = quarantine_error(context, gate.suspects);
+    const duration item_end = routing::prompt_quarantine::quarantine_time - max_item_delay;
+    if (found && gate.kind == gate_kind::item && found->retry_after <= item_end) {
+        return std::nullopt;
+    }
+    return found;
+}
+
 bool may_try(const service_context& context, const crash_suspects& suspects) {
     const time_point now = context.clock();
     const std::span<const std::uint64_t> request(suspects.request ? &*suspects.request : nullptr,
--- a/src/serving/crash_detector.hpp
+++ b/src/serving/crash_detector.hpp
@@ -22,6 +22,23 @@
     std::optional<std::uint64_t> request;
 };
 
+/// Which requests a quarantine holds back.
+enum class gate_kind : std::uint8_t {
+    /// None: the request is sent on trial.
+    open,
+    /// Callers' requests, for the whole quarantine.
+    request,
+    /// Batch items, for a while after the last crash.
+    item,
+};
+
+/// What is looked at right before a request is sent. The quarantine may have begun while its target
+/// was being connected to.
+struct quarantine_gate {
+    gate_kind kind = gate_kind::open;
+    crash_suspects suspects;
+};
+
 /// The suspects of a prompt alone.
 crash_suspects suspects_of(std::span<const prompt_segment> prompt);
 /// The suspects of a request of \p customer. Requests with the same path, customer and body have
@@ -50,6 +67,9 @@
 /// it is not.
 [[nodiscard]] std::optional<error> quarantine_error(const service_context& context,
                                                     const crash_suspects& suspects);
+/// The same as far as \p gate holds requests back.
+[[nodiscard]] std::optional<error> quarantine_error(const service_context& context,
+                                                    const quarantine_gate& gate);
 /// Whether this daemon may send a request in quarantine on trial, to find out whether targets still
 /// crash on it. For each suspect one daemon of those that are heard does so.
 [[nodiscard]] bool may_try(const service_context& context, const crash_suspects& suspects);
--- a/src/serving/relay_call.cpp
+++ b/src/serving/relay_call.cpp
@@ -3,6 +3,7 @@
 #include "base/text.hpp"
 #include "peer/codec.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -14,6 +15,19 @@
     ar(order.process.started_at);
 }
 
+/// The part of an order that follows its check.
+struct order_gate {
+    std::uint8_t kind = 0;
+    std::optional<std::uint64_t> fingerprint;
+};
+
+template <typename Archive> void serialize(Archive& ar, order_gate& gate) {
+    bool has_fingerprint = gate.fingerprint.has_value();
+    std::uint64_t fingerprint = gate.fingerprint.value_or(0);
+    ar(gate.kind, has_fingerprint, fingerprint);
+    gate.fingerprint = has_fingerprint ? std::optional(fingerprint) : std::nullopt;
+}
+
 namespace {
 
 constexpr std::string_view order_header = "Eelgrassdoor-Relay";
@@ -22,13 +36,14 @@
 constexpr std::string_view refusal_header = "Eelgrassdoor-Relay-Refused";
 constexpr std::string_view process_start_header = "Eelgrassdoor-Relay-Process";
 
-constexpr std::array<std::pair<relay_refusal, std::string_view>, 6> refusal_names{{
+constexpr std::array<std::pair<relay_refusal, std::string_view>, 7> refusal_names{{
     {relay_refusal::partitioned, "partitioned"},
     {relay_refusal::unreachable, "unreachable"},
     {relay_refusal::target_leaving, "target_leaving"},
     {relay_refusal::other_process, "other_process"},
     {relay_refusal::busy, "busy"},
     {relay_refusal::stopping, "stopping"},
+    {relay_refusal::quarantined, "quarantined"},
 }};
 
 /// The check that follows an order; none in the order of an older build.
@@ -39,6 +54,15 @@
                : process_check::none;
 }
 
+/// Reads what follows the check; nothing does in the order of an older build.
+void read_gate(std::string_view bytes, relay_order& order) {
+    const std::optional<order_gate> gate = peer::decode<order_gate>(bytes);
+    if (gate && gate->kind <= static_cast<std::uint8_t>(gate_kind::item)) {
+        order.gate = static_cast<gate_kind>(gate->kind);
+        order.fingerprint = gate->fingerprint;
+    }
+}
+
 } // namespace
 
 bool is_relay_call(const net::http_request& request) {
@@ -48,7 +72,8 @@
 void add_relay_order(net::http_request& request, const relay_order& order) {
     // Older builds ignore the bytes behind the order.
     const std::string bytes =
-        peer::encode(order) + static_cast<char>(static_cast<std::uint8_t>(order.check));
+        peer::encode(order) + static_cast<char>(static_cast<std::uint8_t>(order.check)) +
+        peer::encode(order_gate{static_cast<std::uint8_t>(order.gate), order.fingerprint});
     request.headers.set(order_header, to_base64(bytes));
     request.headers.set(request_id_header, order.request);
 }
@@ -60,6 +85,7 @@
     if (order) {
         order->request = request.headers.get(request_id_header);
         order->check = read_check(rest);
+        read_gate(rest.substr(std::min<std::size_t>(1, rest.size())), *order);
     }
     request.headers.remove(order_header);
     request.headers.remove(request_id_header);
--- a/src/serving/relay_call.hpp
+++ b/src/serving/relay_call.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/http_message.hpp"
+#include "serving/crash_detector.hpp"
 #include "serving/target_process.hpp"
 
 #include <cstdint>
@@ -19,6 +20,11 @@
     process_check check = process_check::none;
     /// Id of the request, which the target's response names.
     std::string request;
+    /// Whether the relaying daemon's quarantine holds the request back. The segments are those of
+    /// the request itself.
+    gate_kind gate = gate_kind::open;
+    /// Fingerprint of the whole request; see crash_suspects.
+    std::optional<std::uint64_t> fingerprint;
 };
 
 /// Why a daemon has not sent a request to its target.
@@ -35,6 +41,8 @@
     busy,
     /// It is shutting down.
     stopping,
+    /// Targets crash on the request.
+    quarantined,
 };
 
 /// Whether \p request is to be relayed.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -18,6 +18,10 @@
 /// digests are repeated.
 constexpr duration relay_silence_timeout = milliseconds(1000);
 
+/// Stated to the caller of a request whose quarantine this daemon has not learnt yet. Evidence
+/// reaches it with one of the next digests.
+constexpr duration quarantine_retry_time = seconds(1);
+
 /// The error for a request that \p host has not sent to its target.
 error refusal_error(std::string_view host, relay_refusal reason) {
     const bool is_other =
@@ -26,6 +30,12 @@
             str_cat(host, " cannot relay the request"), run_state::not_run};
 }
 
+/// The error for a request that the relaying daemon has in quarantine and this one has not yet.
+error relayed_quarantine_error() {
+    return {error_code::unavailable, "targets crash on the request or a segment of its prompt",
+            run_state::not_run, quarantine_retry_time};
+}
+
 } // namespace
 
 target_load_guard::target_load_guard(service_context& context, routing::fleet_target target,
@@ -104,6 +114,15 @@
     return {error_code::target_failed, "the exchange was closed", run_state::not_run};
 }
 
+std::optional<error> target_exchange::withhold() {
+    std::optional<error> why = quarantine_error(m_context, m_gate);
+    if (why) {
+        m_is_withheld = true;
+        m_connection->close();
+    }
+    return why;
+}
+
 void target_exchange::send(const net::http_request& request) {
     m_exchange = std::make_unique<net::http_exchange>(m_connection, target_response_limits,
                                                       &m_context.response_memory);
@@ -129,10 +148,10 @@
     co_return success();
 }
 
-net::task<result<target_response>> target_exchange::open(make_request_fn make_request,
-                                                         std::string request_id,
-                                                         time_point response_deadline,
-                                                         process_check check) {
+net::task<result<target_response>>
+target_exchange::open(make_request_fn make_request, std::string request_id,
+                      time_point response_deadline, process_check check, quarantine_gate gate) {
+    m_gate = std::move(gate);
     // Whether it still runs decides on an unframed response, so it is to be known.
     if (check == process_check::none && target().version == routing::unknown_version) {
         check = process_check::identify;
@@ -143,12 +162,15 @@
         result<target_response> relayed =
             co_await call_through_relay(make_request, request_id, response_deadline, check);
         const bool is_sent = relayed || relayed.error().run != run_state::not_run;
-        if (is_sent || m_closed || m_context.loads.is_leaving(instance())) {
+        if (is_sent || m_closed || m_is_withheld || m_context.loads.is_leaving(instance())) {
             co_return relayed;
         }
     }
     const result<void> connected = co_await connect(response_deadline, check);
     if (connected) {
+        if (std::optional<error> why = withhold()) {
+            co_return std::move(*why);
+        }
         net::http_request request = make_request();
         co_return co_await call_target(std::move(request), std::move(request_id));
     }
@@ -179,7 +201,11 @@
                                                                        std::string request_id,
                                                                        time_point response_deadline,
                                                                        process_check check) {
-    const relay_order order{.process = listed(), .check = check, .request = request_id};
+    const relay_order order{.process = listed(),
+                            .check = check,
+                            .request = request_id,
+                            .gate = m_gate.kind,
+                            .fingerprint = m_gate.suspects.request};
     const auto is_heard = [this](std::string_view host) {
         return m_context.messenger.heard_within(host, relay_silence_timeout);
     };
@@ -210,7 +236,11 @@
             outcome && (outcome.value().refusal == relay_refusal::unreachable ||
                         outcome.value().refusal == relay_refusal::target_leaving ||
                         outcome.value().refusal == relay_refusal::other_process);
-        if (m_closed || is_final) {
+        if (outcome && outcome.value().refusal == relay_refusal::quarantined) {
+            m_is_withheld = true;
+            failure = quarantine_error(m_context, m_gate).value_or(relayed_quarantine_error());
+        }
+        if (m_closed || m_is_withheld || is_final) {
             break;
         }
         m_context.relays.avoid(relays[i].host, m_context.clock());
@@ -235,6 +265,9 @@
     if (m_closed) {
         co_return closed_error();
     }
+    if (std::optional<error> why = withhold()) {
+        co_return std::move(*why);
+    }
     m_connection->set_deadline(response_deadline);
     m_context.metrics.count("requests_sent_through_relay_total");
     send(request);
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -4,6 +4,7 @@
 
 #include "net/http_exchange.hpp"
 #include "routing/fleet_load.hpp"
+#include "serving/crash_detector.hpp"
 #include "serving/relay_call.hpp"
 #include "serving/service_context.hpp"
 #include "serving/target_process.hpp"
@@ -48,12 +49,16 @@
                     bool is_repeatable)
         : m_context(context), m_load_guard(context, target, kind), m_is_repeatable(is_repeatable) {}
 
-    /// Connects to a process that passes \p check, sends the request and waits until
-    /// \p response_deadline for the headers of the response to \p request_id. Responses to other
-    /// requests are skipped. The error's run state tells whether the target may have run the
-    /// request. Must be called before the other members that read.
+    /// Connects to a process that passes \p check, sends the request unless \p gate holds it back
+    /// at that moment, and waits until \p response_deadline for the headers of the response to
+    /// \p request_id. Responses to other requests are skipped. The error's run state tells whether
+    /// the target may have run the request. Must be called before the other members that read.
     net::task<result<target_response>> open(make_request_fn make_request, std::string request_id,
-                                            time_point response_deadline, process_check check);
+                                            time_point response_deadline, process_check check,
+                                            quarantine_gate gate);
+    /// Whether open() has failed because the request is in quarantine, here or at the daemon that
+    /// was asked to relay it. The failure is none of the target.
+    [[nodiscard]] bool is_withheld() const { return m_is_withheld; }
     /// Software version of the process that has the request; nothing when it is not known to be the
     /// process of the target's entry.
     [[nodiscard]] std::optional<std::string> software_version() const;
@@ -81,6 +86,8 @@
     [[nodiscard]] static error closed_error();
     /// Confirms the end of a response that ended with its connection.
     net::task<result<void>> confirm_end(time_point deadline);
+    /// Why the request must not be sent now, if so; the connection is closed then.
+    std::optional<error> withhold();
     /// Starts to send \p request over the connection.
     void send(const net::http_request& request);
     /// Sends \p request to the target and reads the head of the response to \p request_id.
@@ -110,6 +117,8 @@
     service_context& m_context;
     target_load_guard m_load_guard;
     bool m_is_repeatable;
+    quarantine_gate m_gate;
+    bool m_is_withheld = false;
     std::shared_ptr<net::tcp_connection> m_connection;
     std::unique_ptr<net::http_exchange> m_exchange;
     /// Start time of the process that has the request; nothing while it is not known.
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -46,6 +46,14 @@
     return std::nullopt;
 }
 
+bool target_relay::is_quarantined(const relay_order& order,
+                                  const net::http_request& request) const {
+    quarantine_gate gate{.kind = order.gate,
+                         .suspects = suspects_of(m_context.codec.decode_prompt(request.headers))};
+    gate.suspects.request = order.fingerprint;
+    return quarantine_error(m_context, gate).has_value();
+}
+
 net::task<> target_relay::handle(net::server_exchange& exchange) {
     std::optional<relay_order> order = take_relay_order(exchange.request());
     if (!order) {
@@ -92,6 +100,12 @@
         co_await exchange.respond(std::move(refusal));
         co_return;
     }
+    if (is_quarantined(order, exchange.request())) {
+        (*connection)->close();
+        net::http_response refusal = make_refusal(relay_refusal::quarantined);
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
     (*connection)->set_deadline(time_point::max());
     // The request is framed anew.
     exchange.request().headers.remove("Content-Length");
--- a/src/serving/target_relay.hpp
+++ b/src/serving/target_relay.hpp
@@ -33,6 +33,9 @@
     [[nodiscard]] std::optional<relay_refusal> refusal_for(const relay_order& order);
     /// Why the request was not sent after \p failure to connect to its process.
     [[nodiscard]] relay_refusal refusal_after(const relay_order& order, const error& failure) const;
+    /// Whether this daemon holds the request back.
+    [[nodiscard]] bool is_quarantined(const relay_order& order,
+                                      const net::http_request& request) const;
     net::task<> relay(net::server_exchange& exchange, relay_order order);
 
     service_context& m_context;
--- a/test/correctness/relay_calls.cpp
+++ b/test/correctness/relay_calls.cpp
@@ -14,13 +14,18 @@
 
 namespace {
 
+/// What an order ends with since it tells which quarantine holds the request back.
+constexpr std::size_t gate_bytes = 11;
+
 void check_orders() {
     net::http_request request;
     request.headers.set("Host", "h");
     require(!is_relay_call(request), "an ordinary request is not to be relayed");
     const relay_order sent{.process = {"target \xff", "127.0.0.1:1", 7},
                            .check = process_check::require_listed,
-                           .request = std::string(5000, 'r')};
+                           .request = std::string(5000, 'r'),
+                           .gate = gate_kind::item,
+                           .fingerprint = 0xfedcba9876543210};
     add_relay_order(request, sent);
     require(is_relay_call(request), "a request with an order is");
     const std::string order_name = request.headers.all()[1].name;
@@ -29,17 +34,27 @@
     require(order && order->process.endpoint == "127.0.0.1:1" &&
                 order->process.target == "target \xff" && order->process.started_at == 7 &&
                 order->check == process_check::require_listed &&
-                order->request == std::string(5000, 'r'),
+                order->request == std::string(5000, 'r') && order->gate == gate_kind::item &&
+                order->fingerprint == 0xfedcba9876543210,
             "the order arrives whole");
     require(!is_relay_call(received) && received.headers.all().size() == 1,
             "the target gets the request without the order");
-    // An older build sends the order alone.
+    // Older builds send the order and its check, or the order alone.
     const std::string whole = from_base64(request.headers.get(order_name));
     net::http_request older = request;
-    older.headers.set(order_name, to_base64(std::string_view(whole).substr(0, whole.size() - 1)));
+    older.headers.set(order_name,
+                      to_base64(std::string_view(whole).substr(0, whole.size() - gate_bytes)));
     const auto older_order = take_relay_order(older);
-    require(older_order && older_order->check == process_check::none,
-            "the order of an older build demands no check");
+    require(older_order && older_order->check == process_check::require_listed &&
+                older_order->gate == gate_kind::open && !older_order->fingerprint,
+            "an order without a gate keeps its check and holds nothing back");
+    net::http_request oldest = request;
+    oldest.headers.set(order_name,
+                       to_base64(std::string_view(whole).substr(0, whole.size() - gate_bytes - 1)));
+    const auto oldest_order = take_relay_order(oldest);
+    require(oldest_order && oldest_order->check == process_check::none &&
+                oldest_order->gate == gate_kind::open,
+            "an order alone demands no check and holds nothing back");
     for (const char* malformed : {"", "????", "AAAA", "////////////"}) {
         net::http_request damaged = request;
         damaged.headers.set(order_name, malformed);
@@ -50,7 +65,7 @@
 void check_refusals() {
     for (const relay_refusal each :
          {relay_refusal::partitioned, relay_refusal::unreachable, relay_refusal::target_leaving,
-          relay_refusal::other_process, relay_refusal::stopping}) {
+          relay_refusal::other_process, relay_refusal::stopping, relay_refusal::quarantined}) {
         require(refusal_of(make_refusal(each)) == each, "a refusal keeps its reason");
     }
     net::http_response response = make_refusal(relay_refusal::stopping);
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -13,6 +13,8 @@
 constexpr duration slow_event_interval = milliseconds(100);
 constexpr std::uint64_t slow_events = 12;
 constexpr std::uint64_t brief_events = 2;
+/// Far below the time that daemons wait for a report.
+constexpr duration hold_poll_interval = milliseconds(5);
 
 } // namespace
 
@@ -61,6 +63,11 @@
 
 net::task<> scripted_engine::handle(net::server_exchange& exchange) {
     if (exchange.request().target == "/eelgrassdoor/report") {
+        ++m_held_reports;
+        while (m_holds_report()) {
+            co_await wait(hold_poll_interval);
+        }
+        --m_held_reports;
         net::http_response report;
         report.status = m_has_report ? 200 : 404;
         if (m_has_report) {
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -92,6 +92,11 @@
     void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
     /// Whether the engine answers questions for its report, rather than with 404.
     void set_has_report(bool has_report) { m_has_report = has_report; }
+    /// Sets the function that is polled while a question for the report waits for its answer; the
+    /// answer is sent when it returns false.
+    void set_holds_report(std::function<bool()> holds) { m_holds_report = std::move(holds); }
+    /// Number of questions that wait for their answer.
+    [[nodiscard]] int held_reports() const { return m_held_reports; }
     /// How long the engine is silent in engine_action::pause, engine_action::delay and
     /// engine_action::close_late.
     void set_pause(duration pause) { m_pause = pause; }
@@ -163,6 +168,8 @@
     bool m_leaving = false;
     std::uint64_t m_started_at = 1;
     bool m_has_report = true;
+    std::function<bool()> m_holds_report = [] { return false; };
+    int m_held_reports = 0;
     std::optional<std::string> m_request_limit;
     int m_running = 0;
     int m_disconnects = 0;
