Let an engine of the tests say why it cannot listen

Change: it writes the reason to standard error, which the soak keeps in engines.log. Why the port would be taken is not found: the soak waits for the end of the old process before it starts the new one.

Result: soak_engine on a taken port writes "Address already in use"; it said nothing before (by reading). The soak was not run again.

--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -3,6 +3,7 @@
 #include "base/text.hpp"
 #include "net/notification.hpp"
 
+#include <cstdio>
 #include <limits>
 
 namespace eelgrassdoor::test {
@@ -27,7 +28,10 @@
     m_servers.push_back(std::make_unique<net::http_server>(
         m_executor, net::http_server_options{.endpoint = m_endpoint},
         [this](net::server_exchange& exchange) { return handle(exchange); }));
-    (void)m_servers.back()->start();
+    const result<void> started = m_servers.back()->start();
+    if (!started) {
+        std::fprintf(stderr, "%s\n", started.error().message.c_str());
+    }
 }
 
 bool scripted_engine::is_fatal(const net::http_request& request) const {
