Requests share one memory; incomplete ones give way when it is short

What a client had sent was collected without any budget, so many bodies that stop short of their end, endless bodies and announced ones together ended a process. Each request now holds a claim from its first byte until its response has been sent. A quarter of the memory is for requests of callers and of other daemons, apart from that of responses. When it is short, incomplete requests give way, the one that began first before others, with a 503 as not run; complete ones never do, and a request alone is always admitted.

--- a/src/entry/request_gate.hpp
+++ b/src/entry/request_gate.hpp
@@ -22,6 +22,13 @@
             milliseconds(50)};
 }
 
+/// For a request that was not run because requests hold all memory that is left to them. Those that
+/// hold it end within seconds.
+inline error refused_for_memory() {
+    return {error_code::unavailable, "the host has no memory left for this request",
+            run_state::not_run, seconds(1)};
+}
+
 /// For a request that a target or a job runner may have begun to run.
 inline error ended_by_shutdown() {
     return {error_code::target_failed, "the host shut down before the request ended",
--- a/src/host/daemon_servers.hpp
+++ b/src/host/daemon_servers.hpp
@@ -21,6 +21,10 @@
     std::function<net::client_limits()> caller_limits;
     /// Builds the response to callers' requests that a shutdown refuses or ends.
     std::function<net::http_response(bool may_have_run)> stop_response;
+    /// Memory that the requests of callers and of other daemons share. Must outlive the servers.
+    net::request_memory* request_memory = nullptr;
+    /// Builds the response to callers' requests that are not run for lack of memory.
+    std::function<net::http_response()> memory_response;
 };
 
 /// The servers for callers, readiness checks, metrics and other daemons, as far as the settings
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -30,6 +30,10 @@
 /// the way to the caller take up to four times as much for a while.
 constexpr std::size_t memory_per_responses = 8;
 
+/// What requests hold, with the copies made of them, may take one part in this many of the memory.
+/// Apart from that of responses, so that neither side can keep out the other.
+constexpr std::size_t memory_per_requests = 4;
+
 std::vector<std::string> mirrored_prefixes(const platform_interface& adapter, bool runs_jobs) {
     std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
                                       std::string(fleet::member_prefix)};
@@ -57,6 +61,7 @@
       m_target_discovery(adapter.decode_target, log),
       m_service_versions(loop.get_executor(), adapter.store, m_clock, log, m_settings.first_start),
       m_response_memory(m_settings.max_memory_bytes / memory_per_responses),
+      m_request_memory(m_settings.max_memory_bytes / memory_per_requests),
       m_context{.executor = loop.get_executor(),
                 .clock = m_clock,
                 .random = m_random,
@@ -133,7 +138,10 @@
         .peer = [this](net::server_exchange& exchange) { return m_peer_api.handle(exchange); },
         .caller_limits =
             [this] { return m_context.plan ? m_context.plan->limits : net::client_limits(); },
-        .stop_response = [this](bool may_have_run) { return make_stop_response(may_have_run); }};
+        .stop_response = [this](bool may_have_run) { return make_stop_response(may_have_run); },
+        .request_memory = &m_request_memory,
+        .memory_response =
+            [this] { return m_adapter.codec.encode_error(entry::refused_for_memory()); }};
 }
 
 result<void> fleet_daemon::start() {
@@ -141,6 +149,9 @@
         m_log.write(observe::event::endpoint_unavailable, m_settings.metrics_endpoint,
                     {{"reason", reason}});
     };
+    m_request_memory.on_yield = [this](time_point began_at, std::size_t bytes) {
+        log_yield(began_at, bytes);
+    };
     BOOST_OUTCOME_TRY(m_messenger.start());
     BOOST_OUTCOME_TRY(m_servers.start());
     m_log.write(observe::event::daemon_started, m_settings.host,
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -16,6 +16,7 @@
 #include "host/shutdown_schedule.hpp"
 #include "host/target_discovery.hpp"
 #include "jobs/job_runner.hpp"
+#include "net/request_memory.hpp"
 #include "store/mirror_feed.hpp"
 
 #include <memory>
@@ -64,6 +65,8 @@
     /// Stops this daemon's jobs that the store lists as cancelled.
     void apply_cancelled_jobs();
     void apply_limits();
+    /// Logs that a request gave way, at a bounded rate.
+    void log_yield(time_point began_at, std::size_t bytes);
     void apply_cold_limits();
     /// Takes over another daemon's evidence on prompt segments that crash targets.
     void merge_evidence(routing::prompt_quarantine& quarantine, std::string_view kind,
@@ -105,6 +108,9 @@
     fleet::store_connectivity_tracker m_store_reachability;
     fleet::service_versions m_service_versions;
     net::memory_budget m_response_memory;
+    net::request_memory m_request_memory;
+    /// When a request that gave way was last logged.
+    time_point m_yield_logged = time_point::min();
     serving::service_context m_context;
     jobs::job_repository m_repository;
     std::unique_ptr<jobs::job_runner> m_runner;
--- a/src/host/fleet_daemon_metrics.cpp
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -3,6 +3,13 @@
 
 namespace eelgrassdoor::host {
 
+namespace {
+
+/// Least time between two logs of requests that gave way; a crowd makes many.
+constexpr duration yield_log_interval = seconds(1);
+
+} // namespace
+
 net::task<> fleet_daemon::handle_metrics(net::server_exchange& exchange) {
     net::http_response response;
     response.status = 200;
@@ -20,11 +27,27 @@
     m_metrics.gauge("quarantined_requests",
                     static_cast<double>(m_request_quarantine.quarantined_count(m_clock())));
     m_metrics.gauge("peers_heard", static_cast<double>(m_messenger.heard_peers()));
+    m_metrics.gauge("request_bytes_reserved", static_cast<double>(m_request_memory.reserved()));
+    m_metrics.gauge("requests_yielded", static_cast<double>(m_request_memory.yielded()));
+    m_metrics.gauge("requests_refused_for_memory", static_cast<double>(m_request_memory.refused()));
     set_mirror_gauges();
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
 }
 
+void fleet_daemon::log_yield(time_point began_at, std::size_t bytes) {
+    const time_point now = m_clock();
+    if (m_yield_logged != time_point::min() && now - m_yield_logged < yield_log_interval) {
+        return;
+    }
+    m_yield_logged = now;
+    m_log.write(observe::event::request_yielded, m_settings.host,
+                {{"age_ms", std::to_string(to_ms(now - began_at))},
+                 {"bytes", std::to_string(bytes)},
+                 {"yielded", std::to_string(m_request_memory.yielded())},
+                 {"refused", std::to_string(m_request_memory.refused())}});
+}
+
 void fleet_daemon::set_mirror_gauges() {
     const time_point now = m_clock();
     for (const std::string& prefix : m_mirror.prefixes()) {
--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace eelgrassdoor::net {
@@ -72,6 +73,12 @@
     }
     std::size_t on_body_impl(beast_view body, beast_error& ec) override {
         ec = {};
+        const std::size_t size = message.body.size() + body.size();
+        if (size > message.body.capacity()) {
+            // Grows by doubling, but not beyond what the message may contain.
+            const auto limit = static_cast<std::size_t>(limits.max_body_bytes);
+            message.body.reserve(std::max(size, std::min(2 * message.body.capacity(), limit)));
+        }
         message.body.append(body.data(), body.size());
         return body.size();
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "net/endpoint.hpp"
 #include "net/notification.hpp"
+#include "net/request_memory.hpp"
 
 namespace eelgrassdoor::net {
 
@@ -33,6 +34,23 @@
     }
 }
 
+/// Copies of a body that exist for a while on its way to a target, beside the received one: the
+/// encoded request and its serialization.
+constexpr std::size_t copies_of_body = 2;
+
+void free_memory(std::string& text) {
+    std::string().swap(text);
+}
+
+/// Bytes that a request and the unread input behind it hold.
+std::size_t held_bytes(const std::string& input, const http_request& request) {
+    std::size_t bytes = input.capacity() + request.body.capacity() + request.target.capacity();
+    for (const http_header& each : request.headers.all()) {
+        bytes += sizeof each + each.name.capacity() + each.value.capacity();
+    }
+    return bytes;
+}
+
 } // namespace
 
 http_response default_stop_response(bool may_have_run) {
@@ -41,6 +59,12 @@
     return response;
 }
 
+http_response default_memory_response() {
+    http_response response;
+    response.status = 503;
+    return response;
+}
+
 task<bool> server_exchange::send(std::string bytes) {
     if (m_interrupted) {
         co_return false;
@@ -233,15 +257,22 @@
 }
 
 task<bool> http_server::read_request(const std::shared_ptr<tcp_connection>& connection,
-                                     request_parser& parser, const client_limits& limits) {
+                                     request_parser& parser, const client_limits& limits,
+                                     request_claim& claim) {
     bool head_deadline_set = false;
     bool body_deadline_set = false;
     while (!parser.complete()) {
         const std::size_t used = parser.feed(connection->input());
         connection->input().erase(0, used);
+        if (connection->input().empty()) {
+            free_memory(connection->input());
+        }
         if (parser.fault() != parse_fault::none || parser.complete()) {
             break;
         }
+        if (!claim.resize(held_bytes(connection->input(), parser.message()))) {
+            break;
+        }
         if (!head_deadline_set) {
             head_deadline_set = true;
             connection->set_deadline(steady_clock()() + limits.header_timeout);
@@ -260,22 +291,46 @@
         if (ec) {
             co_return false;
         }
+        if (claim.has_yielded()) {
+            break;
+        }
     }
     co_return true;
 }
 
+void http_server::give_way(tcp_connection& connection, request_parser& parser) {
+    free_memory(connection.input());
+    free_memory(parser.message().body);
+    connection.set_deadline(steady_clock()() + max_drain_time);
+    http_response refusal = m_options.memory_response();
+    refusal.headers.set("Connection", "close");
+    if (connection.write_now(serialize(refusal))) {
+        connection.shut_down_sending();
+    } else {
+        connection.close();
+    }
+}
+
+task<> http_server::drain(const std::shared_ptr<tcp_connection>& connection) {
+    io_error ec;
+    std::size_t drained = 0;
+    while (!ec && drained < max_drained_bytes) {
+        ec = co_await connection->read_more();
+        drained += connection->input().size();
+        free_memory(connection->input());
+    }
+}
+
 task<> http_server::reject(const std::shared_ptr<tcp_connection>& connection,
                            http_response response) {
     response.headers.set("Connection", "close");
     connection->set_deadline(steady_clock()() + max_drain_time);
     const std::string bytes = serialize(response);
-    io_error ec = co_await connection->write(bytes);
+    const io_error ec = co_await connection->write(bytes);
     connection->shut_down_sending();
-    std::size_t drained = 0;
-    while (!ec && drained < max_drained_bytes) {
-        connection->input().clear();
-        ec = co_await connection->read_more();
-        drained += connection->input().size();
+    free_memory(connection->input());
+    if (!ec) {
+        co_await drain(connection);
     }
 }
 
@@ -286,10 +341,25 @@
     }
     const client_limits limits = m_options.limits();
     request_parser parser(limits.sizes);
-    const bool received = co_await read_request(connection, parser, limits);
+    request_claim claim(m_options.memory, steady_clock()(), [&] { give_way(*connection, parser); });
+    const bool received = co_await read_request(connection, parser, limits, claim);
     if (!received) {
         co_return false;
     }
+    if (claim.has_yielded()) {
+        co_await drain(connection);
+        co_return false;
+    }
+    const std::size_t held = held_bytes(connection->input(), parser.message());
+    const bool sound = parser.fault() == parse_fault::none;
+    const bool has_memory = sound && parser.complete() &&
+                            claim.complete(held + copies_of_body * parser.message().body.size());
+    if (!has_memory) {
+        // What the client still sends is dropped without holding what it has sent.
+        free_memory(parser.message().body);
+        free_memory(connection->input());
+        (void)claim.resize(0);
+    }
     if (m_stopped) {
         http_response refusal = m_options.stop_response(false);
         co_await reject(connection, std::move(refusal));
@@ -300,6 +370,11 @@
         co_await reject(connection, std::move(rejection));
         co_return false;
     }
+    if (!has_memory) {
+        http_response refusal = m_options.memory_response();
+        co_await reject(connection, std::move(refusal));
+        co_return false;
+    }
     connection->set_deadline(time_point::max());
     server_exchange exchange(connection, std::move(parser.message()), steady_clock()(), m_closing);
     m_active.insert(&exchange);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -13,6 +13,9 @@
 
 namespace eelgrassdoor::net {
 
+class request_claim;
+class request_memory;
+
 /// Limits on the size and duration of requests.
 struct client_limits {
     /// Size limits of requests.
@@ -106,6 +109,9 @@
 /// other.
 http_response default_stop_response(bool may_have_run);
 
+/// A response with status 503.
+http_response default_memory_response();
+
 /// Options of http_server.
 struct http_server_options {
     /// `IP:PORT` on which the server listens.
@@ -118,6 +124,11 @@
     /// Builds the response to a request that the server ends itself because it stops; its argument
     /// says whether the request may have been run.
     std::function<http_response(bool may_have_run)> stop_response = default_stop_response;
+    /// Memory that the requests of this and other servers share; null for no limit. Must outlive
+    /// the server.
+    request_memory* memory = nullptr;
+    /// Builds the response to a request that is not run for lack of memory.
+    std::function<http_response()> memory_response = default_memory_response;
     /// How long a client may leave sent bytes unread. Not enforced: nothing reads this option.
     duration write_timeout = seconds(5);
 };
@@ -156,9 +167,16 @@
     task<bool> serve_request(const std::shared_ptr<tcp_connection>& connection);
     /// Waits for the first byte of a request. Returns false when the connection has ended.
     task<bool> wait_for_request(const std::shared_ptr<tcp_connection>& connection);
-    /// Reads the request whose first byte has arrived. Returns false when the connection has ended.
+    /// Reads the request whose first byte has arrived, as far as \p claim gets memory for it.
+    /// Returns false when the connection has ended.
     task<bool> read_request(const std::shared_ptr<tcp_connection>& connection,
-                            request_parser& parser, const client_limits& limits);
+                            request_parser& parser, const client_limits& limits,
+                            request_claim& claim);
+    /// Frees what an incomplete request holds and answers it, without waiting. Its connection
+    /// closes once the client has had time to read the answer.
+    void give_way(tcp_connection& connection, request_parser& parser);
+    /// Reads and drops what the client still sends, up to a bound and the deadline.
+    static task<> drain(const std::shared_ptr<tcp_connection>& connection);
     /// Sends \p response and then drops, for a bounded time, what the client still sends.
     task<> reject(const std::shared_ptr<tcp_connection>& connection, http_response response);
 
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -1,5 +1,6 @@
 #include "net/tcp_connection.hpp"
 
+#include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -17,8 +18,9 @@
 constexpr int user_timeout_ms = 3000;
 /// Size of the read buffer, which all connections of a thread share because reads never overlap.
 constexpr std::size_t read_buffer_bytes = 64 * 1024;
-/// Limit of bytes that a peer may send while its previous request is being handled.
-constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+/// Limit of bytes that are taken from a peer while its previous request is being handled. Counted
+/// in the cost of every connection.
+constexpr std::size_t max_pipelined_bytes = 8 * 1024;
 
 std::array<char, read_buffer_bytes>& read_buffer() {
     thread_local std::array<char, read_buffer_bytes> buffer;
@@ -51,6 +53,22 @@
            info.tcpi_state == TCP_CLOSE;
 }
 
+/// Appends at most \p limit available bytes to \p input without waiting. Returns
+/// asio::error::would_block when there are none.
+io_error read_into(tcp::socket& socket, std::string& input, std::size_t limit) {
+    io_error ec;
+    const std::size_t count = socket.read_some(
+        asio::buffer(read_buffer().data(), std::min(limit, read_buffer_bytes)), ec);
+    if (!ec) {
+        input.append(read_buffer().data(), count);
+    }
+    // The kernel reports a reset only once. When a write has received it, reads see a regular end.
+    if (ec == asio::error::eof && was_reset(socket.native_handle())) {
+        return asio::error::connection_reset;
+    }
+    return ec;
+}
+
 } // namespace
 
 tcp_connection::tcp_connection(tcp::socket socket)
@@ -86,16 +104,7 @@
 }
 
 io_error tcp_connection::read_available() {
-    io_error ec;
-    const std::size_t count = m_socket.read_some(asio::buffer(read_buffer()), ec);
-    if (!ec) {
-        m_input.append(read_buffer().data(), count);
-    }
-    // The kernel reports a reset only once. When a write has received it, reads see a regular end.
-    if (ec == asio::error::eof && was_reset(m_socket.native_handle())) {
-        return asio::error::connection_reset;
-    }
-    return ec;
+    return read_into(m_socket, m_input, read_buffer_bytes);
 }
 
 task<io_error> tcp_connection::write(std::string_view bytes) {
@@ -205,7 +214,10 @@
         if (ec || !self || generation != self->m_watch_generation || !self->m_on_closed) {
             return;
         }
-        const io_error read = self->read_available();
+        const std::size_t room =
+            max_pipelined_bytes - std::min(max_pipelined_bytes, self->m_input.size());
+        const io_error read = room > 0 ? read_into(self->m_socket, self->m_input, room)
+                                       : io_error(asio::error::would_block);
         const bool open = !read || read == asio::error::would_block;
         if (open && self->m_input.size() < max_pipelined_bytes) {
             self->arm_close_watch();
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -58,7 +58,7 @@
     [[nodiscard]] bool has_unexpected_input();
 
     /// Calls \p on_closed once when the peer closes the connection or it fails. Must not be used
-    /// during read_more(). Bytes that arrive meanwhile are appended to input(); once they reach 64
+    /// during read_more(). Bytes that arrive meanwhile are appended to input(); once they reach 8
     /// KiB, the watch stops without a call. Another call replaces the function.
     void watch_for_close(std::function<void()> on_closed);
     /// Ends the watch. Also cancels other pending operations of the socket.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -137,6 +137,9 @@
     event_info{event::response_end_unconfirmed, "response_end_unconfirmed", warning,
                "The connection of a response without framing was closed, and the target's process"
                " does not answer any more; the response counts as broken off."},
+    event_info{event::request_yielded, "request_yielded", warning,
+               "An incomplete request gave way because requests hold all memory that is left to"
+               " them; at most one in a second is logged."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
