Crowd tests also send the largest body afterwards

A refusal that outlives the crowd would show only with a large request, so each test but the one of a daemon without callers now sends a body of the limit, 4 MiB, after the ordinary request and expects an answer.

--- a/test/platform/hostile/hostile_callers.cpp
+++ b/test/platform/hostile/hostile_callers.cpp
@@ -83,6 +83,11 @@
         clients.close();
         const bool served_after = co_await wait_until_answered();
         require(served_after, "an ordinary request is answered afterwards");
+        if (m_case.port != crowd_port::storage) {
+            m_body = std::string(body_limit, 'x');
+            const bool served_large = co_await wait_until_answered();
+            require(served_large, "a request with the largest body is answered afterwards");
+        }
         require(m_daemon.is_running(), "the process lives");
         check_usage(before, sent_all);
         m_daemon.kill();
@@ -161,7 +166,7 @@
         request.headers.set("Attempt-Id", str_cat("ordinary-", ++m_requests));
         request.headers.set("Credential", "key-1");
         request.headers.set("Deadline-Ms", "5000");
-        request.body = is_storage ? "" : "{}";
+        request.body = is_storage ? "" : m_body;
         net::http_client client(m_loop.get_executor());
         const std::string to = is_storage ? endpoint() : m_daemon.caller_endpoint();
         const auto response =
@@ -176,6 +181,8 @@
     store_server m_store;
     scripted_engine m_engine;
     daemon_process m_daemon;
+    /// Body of ordinary requests.
+    std::string m_body = "{}";
     int m_requests = 0;
 };
 
