--- a/src/routing/fair_queue.cpp
+++ b/src/routing/fair_queue.cpp
@@ -47,6 +47,10 @@
     m_virtual_time = std::max(m_virtual_time, queue.entries.front().start);
     queue.entries.pop_front();
     --m_size;
+    reset_if_empty();
+}
+
+void fair_queue::reset_if_empty() {
     if (m_size == 0) {
         m_queues.clear();
         m_virtual_time = 0;
@@ -57,6 +61,7 @@
     for (auto& [customer, queue] : m_queues) {
         m_size -= std::erase_if(queue.entries, [id](const entry& e) { return e.id == id; });
     }
+    reset_if_empty();
 }
 
 std::vector<std::uint64_t> fair_queue::expire(time_point now) {
@@ -70,6 +75,19 @@
             return expired;
         });
     }
+    reset_if_empty();
+    return out;
+}
+
+std::vector<std::uint64_t> fair_queue::in_order() const {
+    std::vector<entry> entries;
+    for (const auto& [customer, queue] : m_queues) {
+        entries.insert(entries.end(), queue.entries.begin(), queue.entries.end());
+    }
+    // Stable, so that of equal starts the customer that next() finds first stays first.
+    std::ranges::stable_sort(entries, {}, &entry::start);
+    std::vector<std::uint64_t> out(entries.size());
+    std::ranges::transform(entries, out.begin(), &entry::id);
     return out;
 }
 
--- a/src/routing/fair_queue.hpp
+++ b/src/routing/fair_queue.hpp
@@ -40,6 +40,8 @@
     /// Removes the requests whose deadline is at or before \p now and returns their ids.
     std::vector<std::uint64_t> expire(time_point now);
     [[nodiscard]] std::size_t size() const { return m_size; }
+    /// The queued requests in the order in which they are served if no other one comes.
+    [[nodiscard]] std::vector<std::uint64_t> in_order() const;
     /// The number of queued requests that would be served before a new one of \p customer, whose
     /// \p weight must be positive.
     [[nodiscard]] std::size_t ahead_of(std::string_view customer, double weight) const;
@@ -60,6 +62,8 @@
 
     /// The queue whose first entry is served next; the end when all are empty.
     [[nodiscard]] queue_map::const_iterator next() const;
+    /// Forgets the customers' past when the queue is empty.
+    void reset_if_empty();
 
     fair_queue_options m_options;
     /// By customer name.
