Requests may wait for a place at a target; switched off, not yet run in a daemon

online_proxy takes requests through placement_queue when the setting queues_requests is on: they are woken when a request of this daemon ends, a peer reports less load, or time makes room, and leave with their caller. fleet_load tells of room and counts places; event 520 and two metrics tell of waits. No settings turn it on, so behaviour is as before.

Compiled were the changed sources of entry and routing; no daemon was linked or run.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -21,6 +21,9 @@
     run->last_event = run->request.resume_after;
     caller_exchange.on_client_disconnect([this, run] {
         withdraw_backup(*run);
+        if (run->place_wake) {
+            run->place_wake->notify();
+        }
         if (run->active_exchange) {
             run->active_exchange->close();
         }
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/running_request.hpp"
+#include "entry/target_queues.hpp"
 #include "net/http_server.hpp"
 #include "serving/event_stream_parser.hpp"
 #include "serving/service_context.hpp"
@@ -21,7 +22,7 @@
 /// must outlive it.
 class online_proxy {
 public:
-    explicit online_proxy(service_context& context) : m_context(context) {}
+    explicit online_proxy(service_context& context) : m_context(context), m_queues(context) {}
 
     /// Runs an admitted request at a target and relays the response. After a failure it is sent to
     /// another target when the route's retry rules allow it; otherwise the caller gets an error
@@ -45,15 +46,29 @@
     /// Time in which a target refuses a request that it does not run. Shorter than the time for
     /// which two targets may work on one request.
     static constexpr duration refusal_timeout = milliseconds(200);
+    /// How long a begun stream, which has fewer targets to choose from than a new one, waits for
+    /// one of them to have room. Callers give a stream up after a pause of 2 s.
+    static constexpr duration resume_patience = milliseconds(1000);
     /// A request with less time than this until its deadline is not retried.
     static constexpr duration min_retry_time = milliseconds(50);
 
     /// Picks a target and obtains the permit that a limited one needs; nothing when no target can
     /// take the request now.
     net::task<std::optional<routing::fleet_target>> pick_target(const running_request& run);
-    /// The same, but waits a moment for a target with room if the stream has begun and its version
-    /// is in service.
+    /// The same, but waits for a target with room: in the queue if the deployment has one;
+    /// otherwise for a moment if the stream has begun and its version is in service.
     net::task<std::optional<routing::fleet_target>> wait_for_target(running_request& run);
+    /// Waits in the order of routing::placement_queue. Without a target, running_request's
+    /// retry_after is set.
+    net::task<std::optional<routing::fleet_target>> wait_in_queue(running_request& run);
+    /// Waits until the request \p id has found a target, has lost its place, or cannot be served.
+    /// \p is_first tells that it may look for one at once.
+    net::task<std::optional<routing::fleet_target>>
+    wait_for_place(running_request& run, routing::placement_id id, bool is_first);
+    [[nodiscard]] routing::placement_request
+    make_placement_request(const running_request& run) const;
+    /// Whether a target may come to have room for the request.
+    [[nodiscard]] bool may_find_place(const running_request& run) const;
     /// Restricts a stream that the caller resumes to the targets of the software version that began
     /// it. Returns false if the request is refused because nobody knows that version while several
     /// may have begun the stream, or if the caller has disconnected.
@@ -127,6 +142,7 @@
     void log_finished(const running_request& run, std::string_view outcome) const;
 
     service_context& m_context;
+    target_queues m_queues;
 };
 
 } // namespace eelgrassdoor::entry
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -26,7 +26,8 @@
         return {error_code::unavailable, "no target has the software version that began the stream",
                 run_state::not_run, seconds(1)};
     }
-    return {error_code::overloaded, "all targets are at capacity", run_state::not_run, seconds(1)};
+    return {error_code::overloaded, "all targets are at capacity", run_state::not_run,
+            run.retry_after};
 }
 
 error online_proxy::silence_error() {
--- a/src/entry/online_proxy_targets.cpp
+++ b/src/entry/online_proxy_targets.cpp
@@ -9,9 +9,6 @@
 /// Limit of targets without a permit that are tried for one attempt.
 constexpr int max_denied_permits = 4;
 
-/// How long a begun stream, which has fewer targets to choose from than a new one, waits for one of
-/// them to have room. Callers give a stream up after a pause of 2 s.
-constexpr duration resume_patience = milliseconds(1000);
 constexpr duration resume_poll_interval = milliseconds(20);
 
 } // namespace
@@ -35,6 +32,9 @@
 
 net::task<std::optional<routing::fleet_target>>
 online_proxy::wait_for_target(running_request& run) {
+    if (m_context.queues_requests) {
+        co_return co_await wait_in_queue(run);
+    }
     const time_point end = std::min(run.deadline, m_context.clock() + resume_patience);
     std::optional<routing::fleet_target> target = co_await pick_target(run);
     while (!target && run.constraints.version && m_context.clock() < end &&
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -5,6 +5,7 @@
 #include "entry/backup_attempt.hpp"
 #include "entry/silence_timer.hpp"
 #include "net/http_server.hpp"
+#include "net/notification.hpp"
 #include "routing/target_constraints.hpp"
 #include "serving/crash_detector.hpp"
 #include "serving/target_exchange.hpp"
@@ -53,6 +54,10 @@
     int empty_rests = 0;
     /// When the latest attempt was sent to its target.
     time_point sent_at{};
+    /// Wakes the request while it waits for a place at a target; null otherwise.
+    std::shared_ptr<net::notification> place_wake;
+    /// When a caller that is refused for want of a place may try again.
+    duration retry_after = seconds(1);
     /// The exchange of the current attempt; null between attempts.
     std::shared_ptr<serving::target_exchange> active_exchange;
     /// Restarted by all that the current target sends; null once the request has ended.
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -70,7 +70,8 @@
                 .codec = adapter.codec,
                 .response_memory = m_response_memory,
                 .plan = nullptr,
-                .is_partitioned_from_target = m_settings.is_partitioned_from_target},
+                .is_partitioned_from_target = m_settings.is_partitioned_from_target,
+                .queues_requests = m_settings.queues_requests},
       m_repository(adapter.store, m_clock, log),
       m_runner(
           m_settings.runs_jobs
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -32,6 +32,9 @@
     /// Whether the whole fleet is being started for the first time, so that no rate-limit tokens
     /// have been used yet.
     bool first_start = false;
+    /// Whether requests that find all targets full wait for a place, because callers compete for
+    /// too little room; otherwise they are refused at once.
+    bool queues_requests = false;
     /// Maximum duration of a graceful shutdown.
     duration shutdown_grace = seconds(8);
     /// Called when a graceful shutdown is complete; if empty, the event loop is stopped.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -137,6 +137,8 @@
     event_info{event::response_end_unconfirmed, "response_end_unconfirmed", warning,
                "The connection of a response without framing was closed, and the target's process"
                " does not answer any more; the response counts as broken off."},
+    event_info{event::place_waited, "place_waited", info,
+               "A request found every target full; reports how long it waited for a place."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -75,6 +75,7 @@
     stream_version_unknown = 517,
     request_relayed = 518,
     response_end_unconfirmed = 519,
+    place_waited = 520,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -34,6 +34,15 @@
     return out;
 }
 
+/// Whether a daemon that reported \p before has fewer online requests at any target by \p after.
+bool lowers_online_load(const std::vector<peer_target_load>& before,
+                        const std::vector<peer_target_load>& after) {
+    return std::ranges::any_of(before, [&](const peer_target_load& each) {
+        const auto now = std::ranges::find(after, each.target, &peer_target_load::target);
+        return each.counts.online > (now == after.end() ? 0 : now->counts.online);
+    });
+}
+
 } // namespace
 
 void fleet_load::set_targets(std::vector<fleet_target> targets) {
@@ -151,9 +160,13 @@
 void fleet_load::update_peer_load(std::string_view peer, std::vector<peer_target_load> loads,
                                   time_point now) {
     peer_load& known = m_peers[std::string(peer)];
+    const bool has_room = on_room && lowers_online_load(known.loads, loads);
     add_peer_loads(known.loads, -1);
     add_peer_loads(loads, 1);
     known = {std::move(loads), now};
+    if (has_room) {
+        on_room(room_source::peer_report);
+    }
 }
 
 void fleet_load::remove_peer(std::string_view peer) {
@@ -278,7 +291,7 @@
     for (const target_state* state : candidates(service, constraints, work_kind::online, now)) {
         const fleet_target& target = state->target;
         const target_load load = state->load();
-        if (load.online >= target.slots + m_options.max_queued_at_target) {
+        if (load.online >= concurrency_limit(*state)) {
             continue;
         }
         double cost =
@@ -299,6 +312,19 @@
     return as_running(*best);
 }
 
+online_places fleet_load::count_places(std::string_view service,
+                                       const target_constraints& constraints, time_point now) {
+    online_places out{.daemons = m_peers.size() + 1};
+    for (const target_state* state : candidates(service, constraints, work_kind::online, now)) {
+        out.places += concurrency_limit(*state);
+        out.held += state->local.online;
+        const int online = state->load().online;
+        out.free += std::max(0, concurrency_limit(*state) - online);
+        out.idle_targets += 2 * online <= state->target.slots ? 1 : 0;
+    }
+    return out;
+}
+
 std::optional<fleet_target> fleet_load::pick_batch(std::string_view service,
                                                    const target_constraints& constraints,
                                                    time_point now, random_source& random,
--- a/src/routing/fleet_load.hpp
+++ b/src/routing/fleet_load.hpp
@@ -58,6 +58,23 @@
     response_failed,
 };
 
+/// Whose requests made room at a target. This daemon knows of its own at once, and of another's as
+/// soon as any other daemon does.
+enum class room_source { own_request, peer_report };
+
+/// Places for online requests at the targets that may get them, in use or not.
+struct online_places {
+    int places = 0;
+    /// Those in use by this daemon's requests.
+    int held = 0;
+    /// Those in use by no daemon, as far as is known.
+    int free = 0;
+    /// Targets with at least half of their slots free.
+    int idle_targets = 0;
+    /// Daemons whose load is known, with this one.
+    std::size_t daemons = 1;
+};
+
 /// Names of availability zones.
 using zone_set = std::set<std::string, std::less<>>;
 
@@ -150,7 +167,12 @@
 
     /// Count the start and end of this daemon's requests at target \p id.
     void record_online_sent(std::string_view id) { adjust_local_load(id, {.online = 1}); }
-    void record_online_ended(std::string_view id) { adjust_local_load(id, {.online = -1}); }
+    void record_online_ended(std::string_view id) {
+        adjust_local_load(id, {.online = -1});
+        if (on_room) {
+            on_room(room_source::own_request);
+        }
+    }
     void record_batch_sent(std::string_view id) { adjust_local_load(id, {.batch = 1}); }
     void record_batch_ended(std::string_view id) { adjust_local_load(id, {.batch = -1}); }
 
@@ -178,6 +200,12 @@
     [[nodiscard]] std::optional<fleet_target> pick_online(std::string_view service,
                                                           const target_constraints& constraints,
                                                           time_point now, random_source& random);
+    /// Counts the places at the targets that pick_online() would consider, full or not.
+    [[nodiscard]] online_places count_places(std::string_view service,
+                                             const target_constraints& constraints, time_point now);
+    /// Called when a target may have got room for online requests: one of this daemon's has ended,
+    /// or another daemon reports fewer. Must not change the load. May be empty.
+    std::function<void(room_source)> on_room;
     /// Whether a batch item may start at a target with \p free slots left for batch work, which may
     /// be zero or negative.
     using may_start_fn = std::function<bool(const fleet_target& target, int free)>;
@@ -247,6 +275,10 @@
             return all.stalled > 0 || all.failures >= degraded_failure_threshold;
         }
     };
+    /// Online requests that a target may hold.
+    [[nodiscard]] int concurrency_limit(const target_state& state) const {
+        return state.target.slots + m_options.max_queued_at_target;
+    }
     /// Adds \p by to this daemon's load at target \p id. Entries that become zero are removed.
     void adjust_local_load(std::string_view id, target_load by);
     /// Adds \p loads to m_peer_totals, or subtracts them when \p sign is -1.
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -54,6 +54,9 @@
     /// Whether connections to a target's endpoint (`IP:PORT`) fail at once; simulates network
     /// partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned_from_target;
+    /// Whether a request that finds all targets full waits in the order of
+    /// routing::placement_queue; otherwise only a begun stream waits.
+    bool queues_requests = false;
 };
 
 } // namespace eelgrassdoor::serving
