--- a/src/routing/fleet_load_summary.cpp
+++ b/src/routing/fleet_load_summary.cpp
@@ -62,4 +62,32 @@
                    std::chrono::duration_cast<milliseconds>(oldest).count(), " ms");
 }
 
+online_places fleet_load::count_places(std::string_view service,
+                                       const target_constraints& constraints, time_point now) {
+    online_places out{.daemons = m_peers.size() + 1};
+    for (const target_state* state : candidates(service, constraints, work_kind::online, now)) {
+        out.places += concurrency_limit(*state);
+        out.held += state->local.online;
+        const int online = state->load().online;
+        out.free += std::max(0, concurrency_limit(*state) - online);
+        out.idle_targets += 2 * online <= state->target.slots ? 1 : 0;
+    }
+    return out;
+}
+
+std::set<std::string, std::less<>> fleet_load::versions_of(std::string_view service) const {
+    std::set<std::string, std::less<>> versions;
+    const auto listed = m_by_service.find(service);
+    if (listed == m_by_service.end()) {
+        return versions;
+    }
+    for (const target_state* state : listed->second) {
+        if (!state->target.leaving && !state->is_outdated &&
+            !versions.contains(state->target.version)) {
+            versions.insert(state->target.version);
+        }
+    }
+    return versions;
+}
+
 } // namespace eelgrassdoor::routing
