--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -143,6 +143,8 @@
     event_info{event::request_yielded, "request_yielded", warning,
                "An incomplete request gave way because requests hold all memory that is left to"
                " them; at most one in a second is logged."},
+    event_info{event::place_waited, "place_waited", info,
+               "A request found every target full; reports how long it waited for a place."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -77,6 +77,7 @@
     request_relayed = 518,
     response_end_unconfirmed = 519,
     request_yielded = 520,
+    place_waited = 521,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
--- a/src/routing/fleet_load.cpp
+++ b/src/routing/fleet_load.cpp
@@ -34,6 +34,15 @@
     return out;
 }
 
+/// Whether a daemon that reported \p before has fewer online requests at any target by \p after.
+bool lowers_online_load(const std::vector<peer_target_load>& before,
+                        const std::vector<peer_target_load>& after) {
+    return std::ranges::any_of(before, [&](const peer_target_load& each) {
+        const auto now = std::ranges::find(after, each.target, &peer_target_load::target);
+        return each.counts.online > (now == after.end() ? 0 : now->counts.online);
+    });
+}
+
 } // namespace
 
 void fleet_load::set_targets(std::vector<fleet_target> targets) {
@@ -153,9 +162,13 @@
 void fleet_load::update_peer_load(std::string_view peer, std::vector<peer_target_load> loads,
                                   time_point now) {
     peer_load& known = m_peers[std::string(peer)];
+    const bool has_room = on_room && lowers_online_load(known.loads, loads);
     add_peer_loads(known.loads, -1);
     add_peer_loads(loads, 1);
     known = {std::move(loads), now};
+    if (has_room) {
+        on_room(room_source::peer_report);
+    }
 }
 
 void fleet_load::remove_peer(std::string_view peer) {
@@ -372,19 +385,4 @@
                                                        });
 }
 
-std::set<std::string, std::less<>> fleet_load::versions_of(std::string_view service) const {
-    std::set<std::string, std::less<>> versions;
-    const auto listed = m_by_service.find(service);
-    if (listed == m_by_service.end()) {
-        return versions;
-    }
-    for (const target_state* state : listed->second) {
-        if (!state->target.leaving && !state->is_outdated &&
-            !versions.contains(state->target.version)) {
-            versions.insert(state->target.version);
-        }
-    }
-    return versions;
-}
-
 } // namespace eelgrassdoor::routing
