--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -90,9 +90,10 @@
     event_info{event::target_outdated, "target_outdated", warning,
                "A target has restarted and its entry still describes the process before; it"
                " receives requests only when no other target has room."},
-    event_info{event::target_capacity_changed, "target_capacity_changed", info,
-               "A target was found to be faster or slower than the others of its service, or to slow"
-               " down early, or no longer so."},
+    event_info{
+        event::target_capacity_changed, "target_capacity_changed", info,
+        "A target was found to be faster or slower than the others of its service, or to slow"
+        " down early, or no longer so."},
     event_info{event::limit_part_claimed, "limit_part_claimed", info,
                "This host claimed a part of every customer's rate limit in its zone."},
     event_info{event::limit_part_lost, "limit_part_lost", warning,
