--- a/src/routing/placement_queue.hpp
+++ b/src/routing/placement_queue.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace eelgrassdoor::routing {
 
@@ -106,7 +107,11 @@
         int customer_priority = 0;
         int route_priority = 0;
 
-        auto operator<=>(const group_key&) const = default;
+        bool operator==(const group_key&) const = default;
+        bool operator<(const group_key& other) const {
+            return std::tie(is_late, customer_priority, route_priority) <
+                   std::tie(other.is_late, other.customer_priority, other.route_priority);
+        }
     };
     struct waiter {
         placement_request request;
