--- a/test/platform/occupied_ports.cpp
+++ b/test/platform/occupied_ports.cpp
@@ -56,11 +56,11 @@
                                        .stop_response = net::default_stop_response};
         m_servers = std::make_unique<host::daemon_servers>(m_fleet.loop.get_executor(), settings,
                                                            std::move(handlers));
-        const server_ptr other = occupy(settings.readiness_endpoint);
+        m_readiness_port = occupy(settings.readiness_endpoint);
         const result<void> first = m_servers->start();
         require(!first && first.error().code == error_code::unavailable,
                 "servers whose port is in use do not start");
-        other->stop();
+        m_readiness_port->stop();
         require(m_servers->start().has_value(), "servers start when their ports are free again");
     }
 
@@ -95,6 +95,8 @@
 
     daemon_fixture m_fleet;
     server_ptr m_metrics_port;
+    /// Kept until the end, since its accept loop refers to it.
+    server_ptr m_readiness_port;
     std::unique_ptr<host::daemon_servers> m_servers;
 };
 
