Name what is passed to an await: daemons freed the segments of items' prompts twice

Cause: GCC 12 destroys a braced temporary among an await's arguments twice; run_item_at passed the quarantine gate so since.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -87,8 +87,9 @@
     const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
     const auto make_message = message_maker(run, target);
     run.caller_exchange.set_may_have_run();
+    const quarantine_gate gate = gate_for(run);
     result<target_response> response = co_await opened_exchange->open(
-        make_message, run.request.id, run.deadline, process_check_for(run), gate_for(run));
+        make_message, run.request.id, run.deadline, process_check_for(run), gate);
     if (run.caller_exchange.client_disconnected()) {
         log_finished(run, "caller_left");
         co_return attempt_outcome::done;
--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -85,8 +85,9 @@
     const std::shared_ptr<target_exchange> exchange = backup->exchange;
     const auto make_message = message_maker(*run, target);
     const process_check check = process_check_for(*run);
-    const result<target_response> response = co_await exchange->open(
-        make_message, run->request.id, run->deadline, check, gate_for(*run));
+    const quarantine_gate gate = gate_for(*run);
+    const result<target_response> response =
+        co_await exchange->open(make_message, run->request.id, run->deadline, check, gate);
     if (backup->withdrawn) {
         co_return;
     }
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -84,9 +84,9 @@
     const serving::target_exchange::make_request_fn make_message = [&] {
         return context.codec.encode_call(request, call);
     };
-    const result<serving::target_response> response_head =
-        co_await exchange->open(make_message, request.id, context.clock() + first_event_timeout,
-                                check, {.kind = serving::gate_kind::item, .suspects = suspects});
+    const serving::quarantine_gate gate{.kind = serving::gate_kind::item, .suspects = suspects};
+    const result<serving::target_response> response_head = co_await exchange->open(
+        make_message, request.id, context.clock() + first_event_timeout, check, gate);
     if (running.stopped || exchange->is_withheld()) {
         co_return item_outcome::interrupted;
     }
