--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -21,9 +21,6 @@
     return false;
 }
 
-/// Time to write to the caller above which the target may have been held up by it.
-constexpr duration max_write_time = milliseconds(5);
-
 } // namespace
 
 net::task<online_proxy::attempt_outcome> online_proxy::relay(running_request& run,
@@ -107,8 +104,6 @@
 
 net::task<online_proxy::attempt_outcome> online_proxy::relay_stream(running_request& run) {
     event_stream_parser parser;
-    // Nothing before the first event, whose time depends on the prompt.
-    std::optional<time_point> previous_event_at;
     for (;;) {
         const result<bool> more = co_await run.active_exchange->read_body(run.deadline);
         if (run.caller_exchange.client_disconnected()) {
@@ -128,15 +123,6 @@
             run.silence->restart();
             withdraw_backup(run);
         }
-        const time_point read_at = m_context.clock();
-        if (!events.empty()) {
-            if (previous_event_at) {
-                const duration gap =
-                    (read_at - *previous_event_at) / static_cast<duration::rep>(events.size());
-                m_context.loads.record_event_gap(run.active_exchange->target().id, gap, read_at);
-            }
-            previous_event_at = read_at;
-        }
         // The target has survived the beginning of its response.
         if (run.reads_with_events == 2 && !events.empty()) {
             record_served(m_context, run.suspects);
@@ -148,9 +134,6 @@
             log_finished(run, "caller_left");
             co_return attempt_outcome::done;
         }
-        if (m_context.clock() - read_at > max_write_time) {
-            previous_event_at.reset();
-        }
         if (has_gap) {
             error missing{error_code::target_failed, "an event of the stream is missing",
                           run_state::ran};
