--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -146,6 +146,9 @@
                " them; at most one in a second is logged."},
     event_info{event::place_waited, "place_waited", info,
                "A request found every target full; reports how long it waited for a place."},
+    event_info{event::response_end_confirmed, "response_end_confirmed", info,
+               "The connection of a response without framing was closed, and the response counts as"
+               " complete; tells by what."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -78,6 +78,7 @@
     response_end_unconfirmed = 519,
     request_yielded = 520,
     place_waited = 521,
+    response_end_confirmed = 522,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -161,6 +161,9 @@
             const auto report = co_await ask(context, connected.value(), process.endpoint);
             connected.value()->close();
             if (report && report.value().started_at == process.started_at) {
+                context.log.write(observe::event::response_end_confirmed, process.target,
+                                  {{"by", "new_connection"},
+                                   {"started_at", std::to_string(process.started_at)}});
                 co_return success();
             }
             if (report) {
