--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -23,13 +23,26 @@
 void raw_target::end() {
     net::io_error ignored;
     m_acceptor.close(ignored);
+    end_connections();
+    if (m_on_ended) {
+        m_on_ended();
+    }
+}
+
+void raw_target::end_connections() {
     for (const std::shared_ptr<net::tcp_connection>& connection : m_connections) {
         connection->close();
     }
     m_connections.clear();
-    if (m_on_ended) {
-        m_on_ended();
+    m_busy_connections.clear();
+}
+
+void raw_target::end_busy_connections() {
+    for (const std::shared_ptr<net::tcp_connection>& connection : m_busy_connections) {
+        connection->close();
+        m_connections.erase(connection);
     }
+    m_busy_connections.clear();
 }
 
 net::task<> raw_target::accept_loop() {
@@ -100,10 +113,12 @@
         }
     }
     if (is_open && connection->is_open()) {
+        m_busy_connections.insert(connection);
         co_await respond(connection, *request);
     }
     connection->close();
     m_connections.erase(connection);
+    m_busy_connections.erase(connection);
 }
 
 net::task<> raw_target::respond(std::shared_ptr<net::tcp_connection> connection,
@@ -118,8 +133,13 @@
         net::notification delay(m_acceptor.get_executor());
         co_await delay.wait_until(steady_clock()() + answer.end_delay);
     }
+    if (answer.at_end) {
+        answer.at_end();
+    }
     if (answer.ends_process) {
         end();
+    } else if (answer.ends_connections) {
+        end_connections();
     } else if (answer.reset) {
         connection->reset();
     }
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -29,8 +29,12 @@
         std::string endless_tail = {};
         /// Whether end() is called after the bytes.
         bool ends_process = false;
+        /// Whether end_connections() is called after the bytes.
+        bool ends_connections = false;
         /// How long the connection stays open after the bytes.
         duration end_delay = {};
+        /// Called before the connection ends, unless it is empty.
+        std::function<void()> at_end = {};
     };
     using responder = std::function<response(const net::http_request&)>;
 
@@ -41,6 +45,11 @@
     /// Ends as a process that is killed: the kernel closes its connections regularly, in the middle
     /// of responses too, and refuses new ones.
     void end();
+    /// Ends all connections regularly, as something between the target and its callers may do. The
+    /// target goes on accepting new ones.
+    void end_connections();
+    /// The same for the connections on which a request has arrived.
+    void end_busy_connections();
     /// Sets the function that is called at the end of end().
     void set_on_ended(std::function<void()> on_ended) { m_on_ended = std::move(on_ended); }
     /// Sets the function that is called for each complete request.
@@ -82,6 +91,8 @@
     std::string m_endpoint;
     net::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<net::tcp_connection>> m_connections;
+    /// Those of them on which a request has arrived.
+    std::set<std::shared_ptr<net::tcp_connection>> m_busy_connections;
     responder m_respond;
     std::function<void()> m_on_ended;
     std::function<response()> m_report;
