Keep a second connection to tell who ended a response without framing

What callers saw: a response without length or chunks that was cut in its middle arrived as complete, though its target lived on (ORDER for streams and texts, MIXED for plain answers). Cause: the end of a connection has several causes, and the harmless one was taken. Since the end counted once the target's process had answered over a new connection; that tells a killed process from a living one, but not a target that has finished from a proxy, balancer or link that has closed its connections in order.

Change: serving/response_end holds a second connection, the witness, while such a response arrives. The end waits for 50 ms and counts if neither the witness nor another response of the target, nor responses of two other targets, were closed in that time, and the process answers on the witness. Whatever closes the connections of a host closes the witness, too; a target that has finished its response does not. A relaying host does the same at its own connection.

New connections and reports stay as many: the witness takes the place of the connection that was opened at the end.

--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -44,13 +44,18 @@
     socket.non_blocking(true, ignored);
 }
 
+/// The state of the kernel's connection; TCP_ESTABLISHED if it can't be told.
+int tcp_state(int socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    const bool is_known = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return is_known ? info.tcpi_state : static_cast<int>(TCP_ESTABLISHED);
+}
+
 /// Whether a connection that this side has not closed was reset, also when another operation has
 /// already received the error.
 bool was_reset(int socket) {
-    tcp_info info{};
-    socklen_t size = sizeof info;
-    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-           info.tcpi_state == TCP_CLOSE;
+    return tcp_state(socket) == TCP_CLOSE;
 }
 
 /// Appends at most \p limit available bytes to \p input without waiting. Returns
@@ -189,6 +194,22 @@
     return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+peer_state tcp_connection::peer() {
+    char byte = 0;
+    const int handle = m_socket.native_handle();
+    const ssize_t got = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0) {
+        return was_reset(handle) ? peer_state::broken : peer_state::closed;
+    }
+    const bool has_failed = got < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+    return has_failed ? peer_state::broken : peer_state::open;
+}
+
+bool tcp_connection::has_peer_ended() {
+    const int state = tcp_state(m_socket.native_handle());
+    return state == TCP_CLOSE_WAIT || state == TCP_CLOSE;
+}
+
 void tcp_connection::watch_for_close(std::function<void()> on_closed) {
     const bool armed = m_on_closed != nullptr;
     m_on_closed = std::move(on_closed);
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -12,6 +12,16 @@
 
 namespace eelgrassdoor::net {
 
+/// What is known of the other end of a connection.
+enum class peer_state {
+    /// It has not ended the connection, or bytes of it are still to be read.
+    open,
+    /// It has closed the connection in order.
+    closed,
+    /// The connection was reset or has failed.
+    broken,
+};
+
 /// A connection that closes itself at its deadline, which ends all waiting operations. Keep-alive
 /// probes detect connections whose state was lost at the peer or in between. Must be owned by a
 /// std::shared_ptr and used on the thread of its event loop.
@@ -57,6 +67,11 @@
     /// then not be reused.
     [[nodiscard]] bool has_unexpected_input();
 
+    /// What the peer has done with the connection so far. Does not wait, and consumes nothing.
+    [[nodiscard]] peer_state peer();
+    /// Whether the peer has ended the connection, even if bytes of it are still to be read.
+    [[nodiscard]] bool has_peer_ended();
+
     /// Calls \p on_closed once when the peer closes the connection or it fails. Must not be used
     /// during read_more(). Bytes that arrive meanwhile are appended to input(); once they reach 8
     /// KiB, the watch stops without a call. Another call replaces the function.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -138,9 +138,10 @@
                " which software version began it."},
     event_info{event::request_relayed, "request_relayed", info,
                "A request was sent to its target through another host."},
-    event_info{event::response_end_unconfirmed, "response_end_unconfirmed", warning,
-               "The connection of a response without framing was closed, and the target's process"
-               " does not answer any more; the response counts as broken off."},
+    event_info{
+        event::response_end_unconfirmed, "response_end_unconfirmed", warning,
+        "The connection of a response without framing was closed, and nothing confirms that the"
+        " target has finished it; the response counts as broken off. Tells why."},
     event_info{event::request_yielded, "request_yielded", warning,
                "An incomplete request gave way because requests hold all memory that is left to"
                " them; at most one in a second is logged."},
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -15,6 +15,7 @@
 #include "routing/prompt_quarantine.hpp"
 #include "routing/service_times.hpp"
 #include "routing/target_reachability.hpp"
+#include "serving/connection_ends.hpp"
 #include "serving/protocol_codec.hpp"
 #include "serving/relay_hosts.hpp"
 
@@ -51,6 +52,8 @@
     routing::target_reachability reachability;
     /// The daemons that relay requests while it does not.
     relay_hosts relays;
+    /// Connections to targets that have ended in the middle of responses.
+    connection_ends ended_connections;
     /// Whether connections to a target's endpoint (`IP:PORT`) fail at once; simulates network
     /// partitions in tests. May be empty.
     std::function<bool(std::string_view)> is_partitioned_from_target;
--- a/src/serving/target_connection.cpp
+++ b/src/serving/target_connection.cpp
@@ -60,6 +60,13 @@
                                  context.clock());
 }
 
+void record_cut_off(service_context& context, std::string_view target,
+                    net::tcp_connection& connection) {
+    if (connection.is_open() && connection.peer() == net::peer_state::closed) {
+        context.ended_connections.record(target, context.clock());
+    }
+}
+
 net::task<result<target_response>>
 read_matching_head(const protocol_codec& codec, net::http_exchange& exchange,
                    std::string request_id, std::function<void(const target_response&)> on_head) {
--- a/src/serving/target_connection.hpp
+++ b/src/serving/target_connection.hpp
@@ -44,6 +44,11 @@
 /// one is not to blame, nor is one that runs another process.
 void record_target_failure(service_context& context, std::string_view target, const error& failure);
 
+/// Records the end of \p connection in the middle of a response of \p target, if the connection was
+/// closed in order and not by this host.
+void record_cut_off(service_context& context, std::string_view target,
+                    net::tcp_connection& connection);
+
 /// Records that a target is shutting down, so that no daemon sends it further requests.
 void mark_leaving(service_context& context, std::string_view target,
                   const routing::target_instance& instance);
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -183,6 +183,7 @@
 
 net::task<result<target_response>> target_exchange::call_target(net::http_request request,
                                                                 std::string request_id) {
+    m_is_relayed = false;
     send(request);
     const stall_detector detector(m_context, target().id);
     const auto on_head = [this](const target_response& head) { record_head(head); };
@@ -191,7 +192,9 @@
     if (response) {
         record_limit(response.value());
         record_response(m_context, target().id);
+        watch_end();
     } else if (!m_closed) {
+        record_cut_off();
         record_no_response(m_context, target().id, response.error().message);
     }
     co_return response;
@@ -270,6 +273,7 @@
     }
     m_connection->set_deadline(response_deadline);
     m_context.metrics.count("requests_sent_through_relay_total");
+    m_is_relayed = true;
     send(request);
     const result<void> head = co_await m_exchange->read_head();
     if (!head) {
@@ -301,15 +305,33 @@
     co_return outcome;
 }
 
+void target_exchange::watch_end() {
+    if (response().framed) {
+        return;
+    }
+    if (!m_end) {
+        target_process process = listed();
+        process.started_at = m_process_started_at.value_or(process.started_at);
+        m_end = std::make_unique<response_end>(m_context, std::move(process), m_connection);
+    }
+    m_end->watch();
+}
+
+void target_exchange::record_cut_off() {
+    if (!m_is_relayed) {
+        serving::record_cut_off(m_context, target().id, *m_connection);
+    }
+}
+
 net::task<result<void>> target_exchange::confirm_end(time_point deadline) {
     if (response().framed || m_is_end_confirmed) {
         co_return success();
     }
-    target_process process = listed();
-    process.started_at = m_process_started_at.value_or(process.started_at);
+    if (!m_end) {
+        watch_end();
+    }
     const std::function<bool()> is_cancelled = [this] { return m_closed; };
-    const result<void> confirmed =
-        co_await confirm_running(m_context, std::move(process), deadline, is_cancelled);
+    const result<void> confirmed = co_await m_end->confirm(deadline, is_cancelled);
     m_is_end_confirmed = confirmed.has_value();
     co_return confirmed;
 }
@@ -317,19 +339,31 @@
 net::task<result<bool>> target_exchange::read_body(time_point deadline) {
     m_connection->set_deadline(deadline);
     result<bool> more = co_await m_exchange->read_body();
-    if (more && !more.value()) {
-        const result<void> confirmed = co_await confirm_end(deadline);
-        if (!confirmed) {
-            co_return confirmed.error();
-        }
+    if (!more) {
+        record_cut_off();
+        co_return more;
+    }
+    if (more.value()) {
+        watch_end();
+        co_return more;
+    }
+    const result<void> confirmed = co_await confirm_end(deadline);
+    if (!confirmed) {
+        co_return confirmed.error();
     }
     co_return more;
 }
 
 net::task<result<void>> target_exchange::read_all(time_point deadline) {
     m_connection->set_deadline(deadline);
-    const result<void> read = co_await m_exchange->read_all();
+    const std::function<void()> on_progress = [this] {
+        if (!m_exchange->complete()) {
+            watch_end();
+        }
+    };
+    const result<void> read = co_await m_exchange->read_all(on_progress);
     if (!read) {
+        record_cut_off();
         co_return read.error();
     }
     co_return co_await confirm_end(deadline);
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -6,6 +6,7 @@
 #include "routing/fleet_load.hpp"
 #include "serving/crash_detector.hpp"
 #include "serving/relay_call.hpp"
+#include "serving/response_end.hpp"
 #include "serving/service_context.hpp"
 #include "serving/target_process.hpp"
 
@@ -63,8 +64,8 @@
     /// process of the target's entry.
     [[nodiscard]] std::optional<std::string> software_version() const;
     /// Appends the next bytes of the body to response(), waiting until \p deadline at most. Returns
-    /// false when the response is complete. One that ends with its connection is complete if the
-    /// target's process is still running then.
+    /// false when the response is complete. One that ends with its connection is complete if
+    /// response_end confirms that.
     net::task<result<bool>> read_body(time_point deadline);
 
     /// Reads the rest of the response into response(), waiting until \p deadline at most.
@@ -86,6 +87,10 @@
     [[nodiscard]] static error closed_error();
     /// Confirms the end of a response that ended with its connection.
     net::task<result<void>> confirm_end(time_point deadline);
+    /// Has the end of a response without framing watched. Call when a part of it has arrived.
+    void watch_end();
+    /// Records that the connection was closed before the end of the response.
+    void record_cut_off();
     /// Why the request must not be sent now, if so; the connection is closed then.
     std::optional<error> withhold();
     /// Starts to send \p request over the connection.
@@ -124,7 +129,11 @@
     /// Start time of the process that has the request; nothing while it is not known.
     std::optional<std::uint64_t> m_process_started_at;
     time_point m_sent_at{};
+    /// Null unless the response comes from the target itself, without framing.
+    std::unique_ptr<response_end> m_end;
     bool m_is_end_confirmed = false;
+    /// Whether the connection leads to another daemon, which relays the request.
+    bool m_is_relayed = false;
     bool m_closed = false;
 };
 
--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -147,39 +147,55 @@
     return failure.run == run_state::not_run && failure.code == error_code::unavailable;
 }
 
+net::task<process_answer> ask_for_process(service_context& context,
+                                          std::shared_ptr<net::tcp_connection> connection,
+                                          target_process process, time_point deadline) {
+    connection->set_deadline(std::min(deadline, context.clock() + confirm_timeout));
+    const auto report = co_await ask(context, connection, process.endpoint);
+    if (!report) {
+        co_return process_answer::none;
+    }
+    const std::optional<std::uint64_t> started_at = report.value().started_at;
+    if (started_at == process.started_at) {
+        co_return process_answer::same;
+    }
+    if (started_at) {
+        record_process(context, process, *started_at);
+    }
+    co_return process_answer::other;
+}
+
 net::task<result<void>> confirm_running(service_context& context, target_process process,
                                         time_point deadline, std::function<bool()> is_cancelled) {
     const time_point end = std::min(deadline, context.clock() + confirm_timeout);
     int failed_connects = 0;
     duration interval = confirm_interval;
+    process_answer answer = process_answer::none;
     while (!is_cancelled() && context.clock() < end && failed_connects < max_failed_connects) {
         const time_point connect_by = std::min(end, context.clock() + target_connect_timeout);
         const auto connected =
             co_await connect_to_target(context, process.target, process.endpoint, connect_by);
         if (connected) {
-            connected.value()->set_deadline(end);
-            const auto report = co_await ask(context, connected.value(), process.endpoint);
+            answer = co_await ask_for_process(context, connected.value(), process, end);
             connected.value()->close();
-            if (report && report.value().started_at == process.started_at) {
-                context.log.write(observe::event::response_end_confirmed, process.target,
-                                  {{"by", "new_connection"},
-                                   {"started_at", std::to_string(process.started_at)}});
-                co_return success();
-            }
-            if (report) {
-                if (report.value().started_at) {
-                    record_process(context, process, *report.value().started_at);
-                }
-                break;
-            }
         } else {
             ++failed_connects;
         }
+        if (answer != process_answer::none) {
+            break;
+        }
         co_await net::sleep_for(interval);
         interval *= 2;
     }
-    context.log.write(observe::event::response_end_unconfirmed, process.target,
-                      {{"started_at", std::to_string(process.started_at)}});
+    if (answer == process_answer::same) {
+        context.log.write(
+            observe::event::response_end_confirmed, process.target,
+            {{"by", "new_connection"}, {"started_at", std::to_string(process.started_at)}});
+        co_return success();
+    }
+    context.log.write(
+        observe::event::response_end_unconfirmed, process.target,
+        {{"started_at", std::to_string(process.started_at)}, {"reason", "process_ended"}});
     co_return error{error_code::target_failed,
                     "the connection was closed, and the target's process may have ended",
                     run_state::unknown};
--- a/src/serving/target_process.hpp
+++ b/src/serving/target_process.hpp
@@ -59,9 +59,22 @@
 
 /// A sound target may be silent for about a second.
 inline constexpr duration confirm_timeout = milliseconds(1500);
-/// Confirms that \p process still answers. The end of a connection alone does not tell a process
-/// that has closed it from one that was killed. Ends after confirm_timeout, at \p deadline, or once
-/// \p is_cancelled returns true. An error has run_state::unknown.
+/// Which process is at the other end of a connection.
+enum class process_answer {
+    /// The expected one.
+    same,
+    /// Another one, or one that does not tell.
+    other,
+    /// It has not answered.
+    none,
+};
+/// Asks over \p connection, which stays open, whether it leads to \p process. Waits for
+/// confirm_timeout, and until \p deadline at most.
+net::task<process_answer> ask_for_process(service_context& context,
+                                          std::shared_ptr<net::tcp_connection> connection,
+                                          target_process process, time_point deadline);
+/// Confirms that \p process still answers, over a new connection. Ends after confirm_timeout, at \p
+/// deadline, or once \p is_cancelled returns true. An error has run_state::unknown.
 net::task<result<void>> confirm_running(service_context& context, target_process process,
                                         time_point deadline, std::function<bool()> is_cancelled);
 
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "net/http_exchange.hpp"
+#include "serving/response_end.hpp"
 #include "serving/target_connection.hpp"
 
 #include <absl/cleanup/cleanup.h>
@@ -125,6 +126,7 @@
         co_await read_matching_head(m_context.codec, call, order.request, on_head);
     if (!response) {
         if (!exchange.client_disconnected()) {
+            record_cut_off(m_context, order.process.target, **connection);
             record_no_response(m_context, order.process.target, response.error().message);
         }
         exchange.abort();
@@ -138,17 +140,29 @@
         add_process_start(head, *process_start);
     }
     const bool framed = call.response().framed;
+    target_process process = order.process;
+    process.started_at = process_start.value_or(process.started_at);
+    response_end end(m_context, std::move(process), *connection);
+    if (!framed) {
+        end.watch();
+    }
     bool is_open = co_await exchange.begin(std::move(head));
     bool is_empty = true;
     while (is_open) {
         const result<bool> more = co_await call.read_body();
         std::string bytes = std::exchange(call.response().body, {});
         is_empty = is_empty && bytes.empty();
+        if (!framed && !bytes.empty()) {
+            end.watch();
+        }
         if (!bytes.empty()) {
             is_open = co_await exchange.write(std::move(bytes));
         }
         // A close right after the head does not tell an empty response from one that broke off.
         const bool broke_off = !more || (!more.value() && is_empty && !framed);
+        if (!more) {
+            record_cut_off(m_context, order.process.target, **connection);
+        }
         if (broke_off) {
             exchange.abort();
             co_return;
@@ -158,11 +172,8 @@
         }
     }
     if (is_open && !framed) {
-        target_process process = order.process;
-        process.started_at = process_start.value_or(process.started_at);
         const std::function<bool()> is_cancelled = [&] { return exchange.client_disconnected(); };
-        const result<void> confirmed = co_await confirm_running(m_context, std::move(process),
-                                                                time_point::max(), is_cancelled);
+        const result<void> confirmed = co_await end.confirm(time_point::max(), is_cancelled);
         if (!confirmed) {
             exchange.abort();
             co_return;
