Ask for the rest of a stream whose connection was closed

What callers saw: a stream or a text of an item without framing whose connection alone was closed between two events, by the target or by something in between, arrived as complete.

Change: what may be resumed is followed by one run that asks for the events after the last one. Events that come go on; if none comes, or the run can't be had, the response is complete. It counts as an attempt, and isn't begun when the route allows none; a part of a further event shows that the response had been cut.

sound_unframed_targets counted one run for each request. It counts whole runs, still one for each request, and runs that ask for the rest apart: one for each stream and item, none for the others, and each names the last event. New in it: a rest without framing, and one that is refused.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -143,7 +143,9 @@
                          {"whole_ms", std::to_string(to_ms(elapsed))}});
     m_context.metrics.count(
         str_cat("requests_total{outcome=\"", outcome == "answered" ? "answered" : "other", "\"}"));
-    if (outcome == "answered") {
+    // The last run has only been asked for what follows the last event.
+    const bool was_asked_for_rest = run.closed_after.has_value();
+    if (outcome == "answered" && !was_asked_for_rest) {
         m_context.service_times.record(run.route.name, m_context.clock() - run.sent_at);
     }
     if (run.events > 0) {
--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -93,6 +93,12 @@
     net::task<attempt_outcome> relay(running_request& run, target_response response);
     net::task<attempt_outcome> relay_stream(running_request& run);
     net::task<attempt_outcome> relay_full_response(running_request& run);
+    /// Whether a run that goes on after the last event can tell that no event is missing.
+    [[nodiscard]] bool can_ask_for_rest(const running_request& run) const;
+    /// Ends the attempt, and has another run asked for what follows the last event.
+    attempt_outcome ask_for_rest(running_request& run) const;
+    /// Ends the response to the caller, which is complete.
+    net::task<> finish_stream(running_request& run);
     /// Sends complete events to the caller and skips those that it already has. Returns false when
     /// the caller has disconnected.
     net::task<bool> forward_events(running_request& run, std::vector<stream_event> events);
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -107,6 +107,11 @@
 
 net::task<> online_proxy::respond_with_error(running_request& run, error failure) {
     run.active_exchange.reset();
+    if (run.headers_sent && run.has_closed_after_last_event()) {
+        // Nobody could tell whether an event follows; the target has closed as if none did.
+        co_await finish_stream(run);
+        co_return;
+    }
     if (run.headers_sent) {
         run.caller_exchange.abort();
         log_finished(run, "broken_off");
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -114,6 +114,9 @@
         // and may be of another software version while the caller has got no event.
         if (!more || run.is_superseded()) {
             error read_error = run.is_superseded() ? silence_error() : more.error();
+            if (!parser.partial_event().empty()) {
+                run.closed_after.reset();
+            }
             co_return co_await handle_target_failure(run, std::move(read_error));
         }
         std::vector<stream_event> events =
@@ -135,11 +138,13 @@
             co_return attempt_outcome::done;
         }
         if (has_gap) {
+            run.closed_after.reset();
             error missing{error_code::target_failed, "an event of the stream is missing",
                           run_state::ran};
             co_return co_await handle_target_failure(run, std::move(missing));
         }
         if (parser.is_event_too_long()) {
+            run.closed_after.reset();
             error too_long{error_code::target_failed, "an event of the stream is too long",
                            run_state::ran};
             co_return co_await handle_target_failure(run, std::move(too_long));
@@ -150,24 +155,53 @@
     }
     // A close right after the head does not tell an empty stream from one that broke off. When a
     // second target has nothing to go on with either, nothing is missing.
-    const bool no_body = run.reads_with_events == 0 && !run.active_exchange->response().framed;
-    const bool is_end = run.last_event && run.empty_rests > 0;
+    const bool is_framed = run.active_exchange->response().framed;
+    const bool no_body = run.reads_with_events == 0 && !is_framed;
+    const bool is_end =
+        run.has_closed_after_last_event() || (run.last_event && run.empty_rests > 0);
     if ((no_body && !is_end) || !parser.partial_event().empty()) {
         run.empty_rests += no_body ? 1 : 0;
+        if (!no_body) {
+            run.closed_after.reset();
+        }
         error truncated{error_code::target_failed,
                         no_body ? "the stream ended before its first event"
                                 : "the stream ended inside an event",
                         run_state::ran};
         co_return co_await handle_failure(run, std::move(truncated));
     }
-    const net::http_response head = net::make_forwarded_head(run.active_exchange->response());
-    run.active_exchange.reset();
+    if (!is_framed && !is_end && can_ask_for_rest(run)) {
+        co_return ask_for_rest(run);
+    }
     if (!run.headers_sent) {
-        co_await run.caller_exchange.begin(head);
+        net::http_response head = net::make_forwarded_head(run.active_exchange->response());
+        co_await run.caller_exchange.begin(std::move(head));
     }
+    co_await finish_stream(run);
+    co_return attempt_outcome::done;
+}
+
+bool online_proxy::can_ask_for_rest(const running_request& run) const {
+    return run.route.resumable && run.headers_sent && run.last_event && has_attempts_left(run) &&
+           run.can_go_on() && run.deadline - m_context.clock() >= min_retry_time;
+}
+
+online_proxy::attempt_outcome online_proxy::ask_for_rest(running_request& run) const {
+    const std::string& target = run.active_exchange->target().id;
+    m_context.log.write(observe::event::stream_rest_requested, run.request.id,
+                        {{"target", target}, {"events", std::to_string(run.events)}});
+    run.closed_after = run.last_event;
+    // The target that has sent the stream holds its prompt.
+    run.constraints.excluded.erase(target);
+    ++run.runs;
+    run.active_exchange.reset();
+    return attempt_outcome::retry;
+}
+
+net::task<> online_proxy::finish_stream(running_request& run) {
+    run.active_exchange.reset();
     co_await run.caller_exchange.finish();
     log_finished(run, "answered");
-    co_return attempt_outcome::done;
 }
 
 } // namespace eelgrassdoor::entry
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -52,6 +52,9 @@
     std::size_t reads_with_events = 0;
     /// Attempts whose responses ended right after their heads, without framing.
     int empty_rests = 0;
+    /// Id of the event after which a response without framing ended, as if it were complete;
+    /// nothing once another run has shown a part of a further event.
+    std::optional<std::uint64_t> closed_after;
     /// When the latest attempt was sent to its target.
     time_point sent_at{};
     /// Wakes the request while it waits for a place at a target; null otherwise.
@@ -70,6 +73,10 @@
     [[nodiscard]] bool can_go_on() const {
         return !headers_sent || (route.resumable && constraints.version && !has_unnumbered_event);
     }
+    /// Whether a response without framing has ended after the caller's last event.
+    [[nodiscard]] bool has_closed_after_last_event() const {
+        return last_event && closed_after == last_event;
+    }
     /// Whether the exchange with the current target was closed in favour of the backup.
     [[nodiscard]] bool is_superseded() const { return backup && backup->replaces_silent; }
 };
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -191,16 +191,18 @@
                          {"events", std::to_string(earlier_events)}});
     const bool first_run = earlier_events == 0;
     item_outcome outcome = co_await run_item_at(m_context, *running, target);
+    // All that is left is to ask for what follows the last event.
+    const bool has_closed = running->job->item(running->index).has_closed_after_last_event();
     if (running->stopped) {
         outcome = item_outcome::interrupted;
-    } else if (outcome != item_outcome::complete) {
+    } else if (outcome != item_outcome::complete && !has_closed) {
         running->job->set_last_failed_target(running->index, target.id);
     }
     running->exchange.reset();
     m_table.running.remove(running);
     const config::serving_route* route = m_table.route_of(*running->job);
     const int max_attempts = route != nullptr ? route->max_attempts : 1;
-    if (first_run && outcome == item_outcome::complete) {
+    if (first_run && (outcome == item_outcome::complete || has_closed)) {
         m_estimator.record_completion(m_context.clock() - running->started_at,
                                       running->job->item(running->index).events);
     }
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -13,6 +13,26 @@
 constexpr duration first_event_timeout = seconds(3);
 constexpr duration event_gap_timeout = milliseconds(1500);
 
+/// The outcome of a run whose response has ended. \p has_events: whether it has brought events; \p
+/// is_cut: whether it ended inside one.
+item_outcome end_of(const item_run& running, bool is_framed, bool has_events, bool is_cut) {
+    if (is_cut || is_framed) {
+        return is_cut ? item_outcome::interrupted : item_outcome::complete;
+    }
+    if (!has_events) {
+        // A close right after the head does not tell an empty stream from one that broke off. The
+        // text may lack nothing but its end, which no run would bring.
+        running.job->set_version(running.index, std::nullopt);
+        return item_outcome::interrupted;
+    }
+    if (!running.job->item(running.index).can_go_on()) {
+        return item_outcome::complete;
+    }
+    // The next run tells whether an event is missing.
+    running.job->set_closed(running.index);
+    return item_outcome::interrupted;
+}
+
 /// Reads the events of an open stream into the item until the stream ends.
 net::task<item_outcome> collect(serving::service_context& context, item_run& running,
                                 serving::crash_suspects suspects) {
@@ -25,6 +45,9 @@
             co_return item_outcome::interrupted;
         }
         if (!more) {
+            if (!parser.partial_event().empty()) {
+                running.job->clear_closed(running.index);
+            }
             serving::record_target_failure(context, exchange->target().id, more.error());
             if (reads_with_events == 0 && serving::is_closed_by_target(more.error())) {
                 serving::check_for_crash(context, exchange->target(), std::move(suspects));
@@ -39,30 +62,27 @@
             serving::record_served(context, suspects);
         }
         if (!running.job->add_events(running.index, events, context.clock())) {
+            running.job->clear_closed(running.index);
             co_return item_outcome::interrupted;
         }
         if (parser.is_event_too_long()) {
+            running.job->clear_closed(running.index);
             context.loads.record_failure(exchange->target().id,
                                          routing::target_failure::response_failed, context.clock());
             co_return item_outcome::interrupted;
         }
         if (!more.value()) {
-            // A close right after the head does not tell an empty stream from one that broke off.
-            const bool no_body = reads_with_events == 0 && !exchange->response().framed;
-            if (no_body) {
-                // The text may lack nothing but its end, which no run would bring.
-                running.job->set_version(running.index, std::nullopt);
+            const bool is_cut = !parser.partial_event().empty();
+            if (is_cut) {
+                running.job->clear_closed(running.index);
             }
-            const bool whole = !no_body && parser.partial_event().empty();
-            co_return whole ? item_outcome::complete : item_outcome::interrupted;
+            co_return end_of(running, exchange->response().framed, reads_with_events > 0, is_cut);
         }
     }
 }
 
-} // namespace
-
-net::task<item_outcome> run_item_at(serving::service_context& context, item_run& running,
-                                    routing::fleet_target target) {
+net::task<item_outcome> run_once(serving::service_context& context, item_run& running,
+                                 routing::fleet_target target) {
     const owned_item& item = running.job->item(running.index);
     const job_state& state = running.job->record().state;
     serving::caller_request request;
@@ -122,4 +142,16 @@
     co_return co_await collect(context, running, std::move(suspects));
 }
 
+} // namespace
+
+net::task<item_outcome> run_item_at(serving::service_context& context, item_run& running,
+                                    routing::fleet_target target) {
+    const owned_item& item = running.job->item(running.index);
+    const std::optional<std::uint64_t> last_event = item.last_event;
+    const bool asks_for_rest = item.has_closed_after_last_event();
+    const item_outcome outcome = co_await run_once(context, running, std::move(target));
+    const bool has_no_rest = item.has_closed_after_last_event() && item.last_event == last_event;
+    co_return asks_for_rest&& has_no_rest && !running.stopped ? item_outcome::complete : outcome;
+}
+
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -59,6 +59,7 @@
                          !item.has_unnumbered_event;
     if (item.has_text() && !goes_on) {
         item.last_event.reset();
+        item.closed_after.reset();
         item.output.clear();
         item.events = 0;
         item.has_unnumbered_event = false;
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -51,6 +51,8 @@
     std::size_t events = 0;
     /// Whether an event of the text has no id, so that no run can resume the text.
     bool has_unnumbered_event = false;
+    /// Id of the event after which a run without framing ended, as if the text were complete.
+    std::optional<std::uint64_t> closed_after;
     /// Software version of the target of the latest run, or routing::unknown_version. All events of
     /// the text are of this version.
     std::string version;
@@ -69,6 +71,14 @@
     std::string last_failed_target;
 
     [[nodiscard]] bool has_text() const { return events > 0; }
+    /// Whether another run can go on with the text.
+    [[nodiscard]] bool can_go_on() const {
+        return last_event && version != routing::unknown_version && !has_unnumbered_event;
+    }
+    /// Whether a run without framing has ended after the last event.
+    [[nodiscard]] bool has_closed_after_last_event() const {
+        return last_event && closed_after == last_event;
+    }
     /// Whether the text has waited for as long as targets have spent on it, so that waiting on
     /// would cost more than starting over.
     [[nodiscard]] bool may_start_over(time_point now) const;
@@ -97,6 +107,10 @@
     void set_version(std::size_t index, const std::optional<std::string>& version) {
         m_items[index].version = version.value_or(std::string(routing::unknown_version));
     }
+    /// Records that a run without framing has ended after the item's last event.
+    void set_closed(std::size_t index) { m_items[index].closed_after = m_items[index].last_event; }
+    /// Forgets that: another run has shown a part of a further event.
+    void clear_closed(std::size_t index) { m_items[index].closed_after.reset(); }
     /// Appends events of a run to the item's output and skips those that it already has. Returns
     /// false when an event id is missing in the sequence; the run must then be aborted.
     bool add_events(std::size_t index, const std::vector<serving::stream_event>& events,
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -150,6 +150,9 @@
     event_info{event::response_end_confirmed, "response_end_confirmed", info,
                "The connection of a response without framing was closed, and the response counts as"
                " complete; tells by what."},
+    event_info{event::stream_rest_requested, "stream_rest_requested", info,
+               "The connection of a stream without framing was closed; a further run is asked for"
+               " what follows its last event."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -79,6 +79,7 @@
     request_yielded = 520,
     place_waited = 521,
     response_end_confirmed = 522,
+    stream_rest_requested = 523,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
--- a/test/platform/sound_unframed_targets.cpp
+++ b/test/platform/sound_unframed_targets.cpp
@@ -14,6 +14,8 @@
 using namespace eelgrassdoor::test;
 
 constexpr int requests = 6;
+/// Targets that may refuse a request before it fails.
+constexpr int max_refusals = 4;
 /// A sound target may be silent for about a second.
 constexpr duration report_delay = milliseconds(700);
 
@@ -36,18 +38,52 @@
     net::task<> run_checks() {
         m_fleet.configure(1);
         co_await m_fleet.wait_until_served(m_host);
+        m_respond = [this](const listed_target&, const net::http_request& request) {
+            return respond(request);
+        };
         co_await check_all("sound: ");
         co_await check_items("sound");
-        m_respond = [](listed_target& target, const net::http_request& request) {
+        m_respond = [this](listed_target& target, const net::http_request& request) {
             target.server.set_report_delay(report_delay);
-            return make_whole(request);
+            return respond(request);
         };
         co_await check_all("report delayed at the end: ");
         co_await check_items("delayed");
         set_report_delays(duration::zero());
+        m_is_rest_framed = false;
+        co_await check_all("empty rest without framing: ");
+        co_await check_items("empty");
+        m_is_rest_framed = true;
+        m_refuses_rest = true;
+        co_await check_all("rest refused: ");
+        co_await check_items("refused");
+        m_refuses_rest = false;
         co_await check_leaving();
     }
 
+    /// What has run, counted apart from what was only asked for events after the last one.
+    struct run_counts {
+        int whole = 0;
+        int rests = 0;
+    };
+
+    raw_target::response respond(const net::http_request& request) {
+        if (is_plain(request) || first_event(request) == 1) {
+            ++m_counts.whole;
+            return make_whole(request);
+        }
+        require(first_event(request) == events + 1, "only events after the last one are asked for");
+        ++m_counts.rests;
+        if (m_refuses_rest) {
+            return {.bytes = str_cat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+                                     "Attempt-Id: ", request.headers.get("Attempt-Id"),
+                                     "\r\nContent-Length: 0\r\n\r\n")};
+        }
+        return m_is_rest_framed
+                   ? make_whole(request)
+                   : raw_target::response{.bytes = make_head(request, "text/event-stream")};
+    }
+
     void set_report_delays(duration delay) {
         for (const auto& target : m_targets) {
             target->server.set_report_delay(delay);
@@ -56,7 +92,7 @@
 
     net::task<> check_all(std::string_view what) {
         for (const std::string_view prefix : {"/p/", "/o/", "/s/"}) {
-            const int received_before = received();
+            m_counts = {};
             int whole = 0;
             for (int i = 0; i < requests; ++i) {
                 set_report_delays(duration::zero());
@@ -65,9 +101,14 @@
             }
             require(whole == requests, str_cat(what, whole, " of ", requests, " responses on ",
                                                prefix, " arrived whole and complete"));
-            require(received() - received_before == requests,
-                    str_cat(what, requests, " requests on ", prefix, " ran ",
-                            received() - received_before, " times"));
+            require(m_counts.whole == requests, str_cat(what, requests, " requests on ", prefix,
+                                                        " ran ", m_counts.whole, " times"));
+            // Only a stream that may be resumed can be asked for its rest, by one run.
+            const int rests = prefix == "/p/" ? requests : 0;
+            const int most_rests = m_refuses_rest ? max_refusals * rests : rests;
+            require(m_counts.rests >= rests && m_counts.rests <= most_rests,
+                    str_cat(what, requests, " responses on ", prefix, " were asked for a rest ",
+                            m_counts.rests, " times"));
         }
     }
     net::task<bool> is_served_whole(std::string_view prefix) {
@@ -98,7 +139,7 @@
         for (std::uint64_t id = 1; id <= events; ++id) {
             text += str_cat(id == 1 ? "" : "\n", "e", id);
         }
-        const int received_before = received();
+        m_counts = {};
         co_await submit_job(m_fleet, m_host, job, items);
         const nlohmann::json all = co_await read_results(m_fleet, m_host, job, items);
         std::size_t whole = 0;
@@ -106,11 +147,19 @@
             whole += each["state"] == "complete" && each["output"] == text ? 1 : 0;
         }
         require(whole == items, str_cat(job, ": ", whole, " of ", items, " texts were whole"));
-        require(received() - received_before == items,
-                str_cat(job, ": ", items, " items ran ", received() - received_before, " times"));
+        require(m_counts.whole == static_cast<int>(items),
+                str_cat(job, ": ", items, " items ran ", m_counts.whole, " times"));
+        require(
+            m_counts.rests == static_cast<int>(items),
+            str_cat(job, ": ", items, " items were asked for a rest ", m_counts.rests, " times"));
     }
 
     const std::string m_host = "entry-1";
+    run_counts m_counts;
+    /// Whether a response without events has a length.
+    bool m_is_rest_framed = true;
+    /// Whether targets refuse to run requests for events after the last one.
+    bool m_refuses_rest = false;
     /// Number of responses that announce the end of their target.
     int m_leaving_left = 0;
 };
