Count responses that end with their witnesses as evidence for others

Cause: only framed responses that break off were evidence; those without framing, whose witnesses ended with them in the same moment, were not. The log of entry-b-1 names the same target i-5 twice within 1 ms: 519 response_end_unconfirmed (witness_closed) for one stream, 522 response_end_confirmed for the other.

--- a/src/serving/connection_ends.hpp
+++ b/src/serving/connection_ends.hpp
@@ -10,9 +10,10 @@
 
 namespace eelgrassdoor::serving {
 
-/// The latest connections to targets that ended in the middle of responses. A target ends the
-/// connection of a response that is complete, and no other one, at that moment; something between
-/// this host and the targets, such as a proxy, ends several. Not thread-safe.
+/// The latest connections to targets that ended in the middle of responses, or together with the
+/// witnesses of their responses (see response_end). A target ends the connection of a response that
+/// is complete, and no other one, at that moment; something between this host and the targets, such
+/// as a proxy, ends several. Not thread-safe.
 class connection_ends {
 public:
     /// Records that a connection to \p target ended before its response.
--- a/src/serving/response_end.cpp
+++ b/src/serving/response_end.cpp
@@ -53,11 +53,12 @@
         return;
     }
     m_witness = std::make_shared<witness>();
-    net::asio::co_spawn(m_context.executor, open(m_context, m_process, m_witness),
+    net::asio::co_spawn(m_context.executor, open(m_context, m_process, m_response, m_witness),
                         net::asio::detached);
 }
 
 net::task<> response_end::open(service_context& context, target_process process,
+                               std::shared_ptr<net::tcp_connection> response,
                                std::shared_ptr<witness> opened) {
     const time_point connect_by = context.clock() + target_connect_timeout;
     const auto connected =
@@ -72,10 +73,15 @@
         co_return;
     }
     opened->connection = connection;
-    connection->watch_for_close([&context, weak = std::weak_ptr<witness>(opened)] {
+    connection->watch_for_close([&context, target = process.target, response = std::move(response),
+                                 weak = std::weak_ptr<witness>(opened)] {
         const std::shared_ptr<witness> closed = weak.lock();
-        if (closed && closed->connection->peer() == net::peer_state::closed) {
-            closed->closed_at = context.clock();
+        if (!closed || closed->connection->peer() != net::peer_state::closed) {
+            return;
+        }
+        closed->closed_at = context.clock();
+        if (response->has_peer_ended()) {
+            context.ended_connections.record(target, context.clock());
         }
     });
 }
@@ -98,6 +104,9 @@
                                               std::function<bool()> is_cancelled) {
     const time_point ended_at = m_context.clock();
     const time_point since = ended_at - related_end_window;
+    if (is_witness_closed(since)) {
+        m_context.ended_connections.record(m_process.target, ended_at);
+    }
     // Whatever has ended this connection may be about to end others.
     co_await net::sleep_for(std::min(related_end_window, deadline - ended_at));
     if (is_cancelled()) {
--- a/src/serving/response_end.hpp
+++ b/src/serving/response_end.hpp
@@ -36,6 +36,7 @@
     struct witness;
 
     static net::task<> open(service_context& context, target_process process,
+                            std::shared_ptr<net::tcp_connection> response,
                             std::shared_ptr<witness> opened);
     /// Whether the witness was closed in order at \p since or later.
     [[nodiscard]] bool is_witness_closed(time_point since) const;
--- a/test/platform/ended_busy_connections.cpp
+++ b/test/platform/ended_busy_connections.cpp
@@ -72,12 +72,50 @@
             cut += is_cut(got, make_events(1, events)) ? 1 : 0;
         }
         require(cut == 0, str_cat(cut, " of ", requests, " streams ended too early"));
+        co_await check_pairs();
+    }
+
+    /// Two streams without framing end together, and the witness of one of them.
+    net::task<> check_pairs() {
+        m_respond = [this](listed_target& target, const net::http_request& request) {
+            if (!request.target.starts_with("/o/")) {
+                return make_whole(request);
+            }
+            const bool is_second = ++m_pair_runs % 2 == 0;
+            raw_target::response out{.bytes = str_cat(make_head(request, "text/event-stream"),
+                                                      make_events(1, events_before_end)),
+                                     .end_delay = is_second ? event_interval : other_duration};
+            if (is_second) {
+                out.at_end = [&target] {
+                    target.server.end_idle_connection();
+                    target.server.end_busy_connections();
+                };
+            }
+            return out;
+        };
+        for (int i = 0; i < requests; ++i) {
+            m_pair_ends = 0;
+            for (int k = 0; k < 2; ++k) {
+                net::asio::co_spawn(m_fleet.loop, call_in_pair(), net::asio::detached);
+            }
+            co_await m_fleet.eventually("both streams end", [this] { return m_pair_ends == 2; });
+        }
+        require(m_pair_cut == 0,
+                str_cat(m_pair_cut, " of ", 2 * requests, " streams of pairs ended too early"));
+    }
+    net::task<> call_in_pair() {
+        const daemon_fixture::response got = co_await call(m_host, "/o/");
+        m_pair_cut += is_cut(got, make_events(1, events)) ? 1 : 0;
+        ++m_pair_ends;
     }
 
     const std::string m_host = "entry-1";
     /// Path of the framed stream that runs.
     std::string m_framed;
     int m_framed_runs = 0;
+    int m_pair_runs = 0;
+    int m_pair_ends = 0;
+    int m_pair_cut = 0;
 };
 
 } // namespace
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -6,6 +6,8 @@
 #include "net/notification.hpp"
 #include "stand_in/scripted_engine.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::test {
 
 raw_target::raw_target(net::asio::any_io_executor executor)
@@ -45,6 +47,16 @@
     m_busy_connections.clear();
 }
 
+void raw_target::end_idle_connection() {
+    const auto idle =
+        std::find_if(m_connections.begin(), m_connections.end(),
+                     [&](const auto& each) { return !m_busy_connections.contains(each); });
+    if (idle != m_connections.end()) {
+        (*idle)->close();
+        m_connections.erase(idle);
+    }
+}
+
 net::task<> raw_target::accept_loop() {
     for (;;) {
         net::io_error ec;
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -50,6 +50,8 @@
     void end_connections();
     /// The same for the connections on which a request has arrived.
     void end_busy_connections();
+    /// Ends one of the connections on which no request has arrived, if there is one.
+    void end_idle_connection();
     /// Sets the function that is called at the end of end().
     void set_on_ended(std::function<void()> on_ended) { m_on_ended = std::move(on_ended); }
     /// Sets the function that is called for each complete request.
