Soak: connections between hosts and engines that end in order

Something between hosts and engines may end connections in order while both live on; no soak played it.

--- a/test/soak/engine_cut.cpp
+++ b/test/soak/engine_cut.cpp
@@ -1,5 +1,6 @@
 #include "soak/engine_cut.hpp"
 
+#include "base/random_source.hpp"
 #include "net/endpoint.hpp"
 
 #include <array>
@@ -11,6 +12,14 @@
 
 constexpr std::size_t buffer_size = 16 * 1024;
 
+std::set<socket_inode> sockets_of_all(const std::vector<daemon_process*>& daemons) {
+    std::set<socket_inode> out;
+    for (const daemon_process* each : daemons) {
+        out.merge(sockets_of(each->pid()));
+    }
+    return out;
+}
+
 /// Closes with a reset.
 void reset(net::tcp::socket& socket) {
     net::io_error ignored;
@@ -74,6 +83,26 @@
     }
 }
 
+int engine_cut::end_connections(const std::vector<daemon_process*>& daemons, cut_mode mode,
+                                std::uint64_t seed) {
+    const std::set<socket_inode> owned = sockets_of_all(daemons);
+    random_source random(seed);
+    int ended = 0;
+    std::erase_if(m_links, [&](const std::weak_ptr<engine_cut::link>& each) {
+        const link_ptr link = each.lock();
+        if (!link || owned.count(link->opened_by) == 0) {
+            return !link;
+        }
+        if (mode == cut_mode::end_half && random.below(2) == 0) {
+            return false;
+        }
+        close_in_order(*link);
+        ++ended;
+        return true;
+    });
+    return ended;
+}
+
 void engine_cut::end() {
     if (m_mode == cut_mode::hang) {
         for (const auto& each : m_links) {
@@ -88,11 +117,7 @@
 }
 
 std::set<socket_inode> engine_cut::cut_sockets() const {
-    std::set<socket_inode> out;
-    for (const daemon_process* each : m_daemons) {
-        out.merge(sockets_of(each->pid()));
-    }
-    return out;
+    return sockets_of_all(m_daemons);
 }
 
 void engine_cut::reset(link& link) {
@@ -102,6 +127,14 @@
     link.released.cancel();
 }
 
+void engine_cut::close_in_order(link& link) {
+    // Both ends are still read from: closing with unread bytes would reset the connections.
+    link.is_ended = true;
+    net::io_error ignored;
+    link.client.shutdown(net::tcp::socket::shutdown_send, ignored);
+    link.engine.shutdown(net::tcp::socket::shutdown_send, ignored);
+}
+
 net::task<> engine_cut::accept(std::shared_ptr<net::tcp::acceptor> acceptor,
                                net::tcp::endpoint engine) {
     for (;;) {
@@ -139,6 +172,9 @@
         co_return;
     }
     link->engine.set_option(net::tcp::no_delay(true), ec);
+    if (link->is_ended) {
+        close_in_order(*link);
+    }
     net::asio::co_spawn(m_executor, pass_on(link, link->client, link->engine), net::asio::detached);
     co_await pass_on(link, link->engine, link->client);
 }
@@ -155,8 +191,9 @@
             co_return;
         }
         const auto part = net::asio::buffer(bytes.data(), size);
-        if (!ec) {
+        if (!ec && !link->is_ended) {
             co_await net::asio::async_write(to, part, net::store_error(ec));
+            ec = link->is_ended ? net::io_error() : ec;
         }
         if (ec) {
             reset(*link);
--- a/test/soak/engine_cut.hpp
+++ b/test/soak/engine_cut.hpp
@@ -1,11 +1,12 @@
 /// \file
-/// Defines proxies in front of the engines that cut single daemons off.
+/// Defines proxies in front of the engines that cut single daemons off or end their connections.
 #pragma once
 
 #include "net/asio.hpp"
 #include "soak/connection_owner.hpp"
 #include "soak/daemon_process.hpp"
 
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <set>
@@ -24,8 +25,17 @@
     refuse,
     /// They never carry anything again, and new ones work.
     silence,
+    /// They end in order, at both ends, and new ones work.
+    end_all,
+    /// The same for a random half of them; the others live on.
+    end_half,
 };
 
+/// Whether the cut is over once the daemons' present connections have ended.
+[[nodiscard]] constexpr bool ends_connections(cut_mode mode) {
+    return mode == cut_mode::end_all || mode == cut_mode::end_half;
+}
+
 /// Passes connections on to engines, but for those of the daemons that are cut off. Daemons share
 /// one address, so the owner of a connection is looked up at the operating system. Must outlive the
 /// event loop's handlers. Not thread-safe.
@@ -36,8 +46,13 @@
     /// Passes connections to \p endpoint (`IP:PORT`) on to \p engine. Returns false when it can't
     /// listen.
     bool add_proxy(const std::string& endpoint, const std::string& engine);
-    /// Cuts \p daemons off until end(); one cut at a time. cut_mode::silence needs no end.
+    /// Cuts \p daemons off until end(); one cut at a time. Cuts that leave new connections alone
+    /// need no end.
     void begin(std::vector<daemon_process*> daemons, cut_mode mode);
+    /// Ends present connections of \p daemons in order; \p mode says which, and \p seed chooses
+    /// them. Returns their number.
+    int end_connections(const std::vector<daemon_process*>& daemons, cut_mode mode,
+                        std::uint64_t seed);
     void end();
 
 private:
@@ -49,6 +64,8 @@
         /// The socket of the process that has opened the connection.
         socket_inode opened_by = 0;
         bool is_held = false;
+        /// Whether it has been closed in order; what still arrives is dropped.
+        bool is_ended = false;
         /// Cancelled when the link is not held any more.
         net::asio::steady_timer released;
     };
@@ -59,6 +76,7 @@
     net::task<> pass_on(link_ptr link, net::tcp::socket& from, net::tcp::socket& to);
     static net::task<> wait_until_released(link_ptr link);
     static void reset(link& link);
+    static void close_in_order(link& link);
     /// The sockets of the daemons that are cut off.
     [[nodiscard]] std::set<socket_inode> cut_sockets() const;
 
--- a/test/soak/engine_fleet.hpp
+++ b/test/soak/engine_fleet.hpp
@@ -47,12 +47,10 @@
     /// Puts proxies in front of the engines. Must be called before start().
     void set_cut(engine_cut& cut) { m_cut = &cut; }
 
-    /// Makes engines behave in this way, and end once they have been replaced. Must be called
-    /// before start().
-    void enable_ends(const engine_behaviour& behaviour) {
-        m_behaviour = behaviour;
-        m_ends_replaced = true;
-    }
+    /// Makes engines behave in this way. Must be called before start().
+    void set_behaviour(const engine_behaviour& behaviour) { m_behaviour = behaviour; }
+    /// Makes engines end once they have been replaced. Must be called before start().
+    void enable_ends() { m_ends_replaced = true; }
 
     /// Starts the first engines.
     net::task<> start();
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -7,10 +7,13 @@
 ///
 /// CONDITIONS is hang, reset, refuse, silence (see cut_mode) or, for all of them in turn, cuts:
 /// engines stand behind proxies that cut entry hosts of one zone off, and the hosts must go on
-/// serving. With restarts, engines end, planned or killed, and most return under their ids and
-/// addresses with another software version; a part of the responses is unframed, and some pause for
-/// longer than callers wait. With restarts-framed no response is unframed; with restarts-cuts hosts
-/// are cut off, too. Without it nothing is cut off and no engine ends.
+/// serving. With ends, the proxies end all connections of some hosts in order, with ends-half a
+/// random half of them, and new ones work; engines behave as with restarts, but do not end. With
+/// restarts, engines end,
+/// planned or killed, and most return under their ids and addresses with another software version;
+/// a part of the responses is unframed, and some pause for longer than callers wait. With
+/// restarts-framed no response is unframed; with restarts-cuts hosts are cut off, too, with
+/// restarts-ends connections end. Without it nothing is cut off and no engine ends.
 #include "base/text.hpp"
 #include "check.hpp"
 #include "soak/run_soak.hpp"
@@ -45,7 +48,7 @@
 /// Time between two releases or restarts of engines; longer by a random part.
 constexpr duration restart_interval = milliseconds(300);
 
-/// Callers of a run in which engines restart; fewer, as engines are away.
+/// Callers of a run in which engines restart or connections end; fewer, as engines are away.
 constexpr traffic_options restart_traffic{.stream_interval = milliseconds(80),
                                           .job_interval = seconds(1),
                                           .kept_clients = 10,
@@ -62,12 +65,15 @@
 struct soak_conditions {
     /// Cuts in turn.
     std::vector<cut_mode> cuts;
-    /// How engines behave that end and restart; nothing for engines that do not.
-    std::optional<engine_behaviour> restarts = std::nullopt;
+    /// How engines behave; nothing for engines and callers of the plain run.
+    std::optional<engine_behaviour> behaviour = std::nullopt;
+    /// Whether engines end and restart.
+    bool restarts = false;
 };
 
 const std::vector<cut_mode> all_cuts{cut_mode::hang, cut_mode::reset, cut_mode::refuse,
                                      cut_mode::silence};
+const std::vector<cut_mode> all_ends{cut_mode::end_all, cut_mode::end_half};
 const std::map<std::string, soak_conditions, std::less<>> conditions_by_name{
     {"", {}},
     {"hang", {{cut_mode::hang}}},
@@ -75,9 +81,12 @@
     {"refuse", {{cut_mode::refuse}}},
     {"silence", {{cut_mode::silence}}},
     {"cuts", {all_cuts}},
-    {"restarts", {{}, unframed_engines}},
-    {"restarts-framed", {{}, framed_engines}},
-    {"restarts-cuts", {all_cuts, unframed_engines}},
+    {"ends", {{cut_mode::end_all}, unframed_engines}},
+    {"ends-half", {{cut_mode::end_half}, unframed_engines}},
+    {"restarts", {{}, unframed_engines, true}},
+    {"restarts-framed", {{}, framed_engines, true}},
+    {"restarts-cuts", {all_cuts, unframed_engines, true}},
+    {"restarts-ends", {all_ends, unframed_engines, true}},
 };
 
 class soak {
@@ -88,17 +97,21 @@
           // What clients draw depends on the moment and must not change the disturbances.
           m_traffic_random(seed + 1), m_cut_random(seed + cut_seed_offset),
           m_restart_random(seed + restart_seed_offset), m_time(time),
-          m_cuts(std::move(conditions.cuts)), m_restarts(conditions.restarts),
+          m_cuts(std::move(conditions.cuts)), m_behaviour(conditions.behaviour),
+          m_restarts(conditions.restarts),
           m_fleet(loop, m_traffic_random, std::move(program), std::move(folder)),
           m_clients(loop, m_traffic_random, m_fleet,
-                    m_restarts ? restart_traffic : traffic_options()) {}
+                    m_behaviour ? restart_traffic : traffic_options()) {}
 
     net::task<> run() {
         if (!m_cuts.empty()) {
             m_fleet.enable_cuts();
         }
+        if (m_behaviour) {
+            m_fleet.engines().set_behaviour(*m_behaviour);
+        }
         if (m_restarts) {
-            m_fleet.engines().enable_ends(*m_restarts);
+            m_fleet.engines().enable_ends();
         }
         const bool started = co_await m_fleet.start();
         require(started, "the daemons become ready");
@@ -128,20 +141,29 @@
     }
 
 private:
-    /// Cuts some or all entry hosts of a zone off from the engines, again and again until \p end.
+    /// Cuts some or all entry hosts of a zone off from the engines, or ends connections of theirs
+    /// and of the host for jobs, again and again until \p end.
     net::task<> cut_hosts(time_point end) {
         ++m_disturbances;
         for (std::size_t i = 0; !m_cuts.empty() && steady_clock()() < end; ++i) {
             co_await m_fleet.wait(cut_interval + milliseconds(m_cut_random.next() % 1500));
             const cut_mode mode = m_cuts[i % m_cuts.size()];
             const std::string zone = m_cut_random.next() % 2 == 0 ? "a" : "b";
-            std::vector<daemon_process*> hosts = m_fleet.entry_hosts();
+            std::vector<daemon_process*> hosts =
+                ends_connections(mode) ? m_fleet.all_hosts() : m_fleet.entry_hosts();
             std::erase_if(hosts, [&](const daemon_process* each) {
                 return each->spec().availability_zone != zone;
             });
             if (m_cut_random.next() % 2 == 0) {
                 hosts.erase(hosts.begin() + m_cut_random.next() % 2);
             }
+            if (ends_connections(mode)) {
+                const int ended = m_fleet.end_connections(hosts, mode, m_cut_random.next());
+                note(str_cat(ended, " connections of ", hosts.size(), " hosts end, ",
+                             mode == cut_mode::end_half ? "half" : "all", ", the first host ",
+                             hosts.front()->spec().host));
+                continue;
+            }
             const duration time = cut_time + milliseconds(m_cut_random.next() % 6000);
             note(str_cat("cut ", static_cast<int>(mode), " of ", hosts.size(),
                          " hosts, the first one ", hosts.front()->spec().host, ", for ",
@@ -340,7 +362,8 @@
     random_source m_restart_random;
     duration m_time;
     std::vector<cut_mode> m_cuts;
-    std::optional<engine_behaviour> m_restarts;
+    std::optional<engine_behaviour> m_behaviour;
+    bool m_restarts = false;
     soak_fleet m_fleet;
     soak_clients m_clients;
     time_point m_start = steady_clock()();
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -30,11 +30,17 @@
     soak_fleet(net::asio::io_context& loop, random_source& random, std::string program,
                std::string folder);
 
-    /// Puts proxies in front of the engines, for cut(). Must be called before start().
+    /// Puts proxies in front of the engines, for cut() and end_connections(). Must be called before
+    /// start().
     void enable_cuts();
     [[nodiscard]] bool has_cuts() const { return m_cut != nullptr; }
     /// Cuts hosts off from all engines for a while, or makes their present connections silent.
     net::task<> cut(std::vector<daemon_process*> hosts, cut_mode mode, duration time);
+    /// Ends connections of hosts to the engines in order; see engine_cut. Nothing is cut off then.
+    int end_connections(const std::vector<daemon_process*>& hosts, cut_mode mode,
+                        std::uint64_t seed) {
+        return m_cut->end_connections(hosts, mode, seed);
+    }
     [[nodiscard]] const std::vector<cut_window>& cuts() const { return m_cuts; }
     /// Whether a cut is in progress.
     [[nodiscard]] bool is_cut() const {
