Let one attempt at a time look for the end of a partition

Callers of a host that is cut off from all targets, over links that open and carry nothing, got 504 although other hosts could relay. Cause: a request that goes out directly, to learn of the end of the partition, waits for a second; its backup attempt begins after the interval of such attempts, goes out directly, too, and so on until the deadline.

Now one such attempt is in progress at a time, for 2 s at most, so that one that is stuck does not hide the end of the partition; a backup attempt goes through a relay. target_reachability checks the rule without a network.

--- a/src/routing/target_reachability.cpp
+++ b/src/routing/target_reachability.cpp
@@ -9,6 +9,7 @@
     m_silent.clear();
     m_responded_at = now;
     m_probed_at.reset();
+    m_is_probing = false;
     return std::exchange(m_is_partitioned, false);
 }
 
@@ -30,10 +31,12 @@
     // The request that found the partition was sent directly.
     m_probed_at = m_probed_at.value_or(now);
     const duration interval = is_repeatable ? probe_interval : unrepeatable_probe_interval;
-    if (now - *m_probed_at < interval) {
+    const duration since = now - *m_probed_at;
+    if (since < interval || (m_is_probing && since < max_probe_time)) {
         return false;
     }
     m_probed_at = now;
+    m_is_probing = true;
     return true;
 }
 
--- a/src/routing/target_reachability.hpp
+++ b/src/routing/target_reachability.hpp
@@ -28,6 +28,9 @@
     static constexpr duration probe_interval = milliseconds(500);
     /// The same for requests that must not be sent again, which are lost if the partition lasts.
     static constexpr duration unrepeatable_probe_interval = seconds(5);
+    /// How long a direct attempt that has neither succeeded nor failed keeps others from beginning.
+    /// Covers the time after which a request goes on at another target than a silent one.
+    static constexpr duration max_probe_time = seconds(2);
 
     /// Sets the number of targets that are listed.
     void set_target_count(std::size_t count) { m_target_count = count; }
@@ -40,8 +43,11 @@
     /// Whether this host reaches no target.
     [[nodiscard]] bool is_partitioned() const { return m_is_partitioned; }
     /// Whether a request may be sent directly: always unless the host is partitioned, and otherwise
-    /// once in each probe interval, of which a new one begins when this returns true.
+    /// once in each probe interval, of which a new one begins when this returns true, unless the
+    /// attempt before is in progress. When it has returned true while the host was partitioned,
+    /// end_direct_attempt() must be called at the end of the attempt.
     bool try_begin_direct_attempt(bool is_repeatable, time_point now);
+    void end_direct_attempt() { m_is_probing = false; }
 
 private:
     std::size_t m_target_count = 0;
@@ -52,6 +58,8 @@
     bool m_is_partitioned = false;
     /// When a request was last sent directly while the host was partitioned.
     std::optional<time_point> m_probed_at;
+    /// Whether that request's attempt is in progress.
+    bool m_is_probing = false;
 };
 
 } // namespace eelgrassdoor::routing
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -6,6 +6,8 @@
 #include "serving/stall_detector.hpp"
 #include "serving/target_connection.hpp"
 
+#include <absl/cleanup/cleanup.h>
+
 #include <algorithm>
 
 namespace eelgrassdoor::serving {
@@ -158,6 +160,12 @@
     }
     const bool is_direct =
         m_context.reachability.try_begin_direct_attempt(m_is_repeatable, m_context.clock());
+    const bool is_probe = is_direct && m_context.reachability.is_partitioned();
+    const absl::Cleanup end_attempt = [&] {
+        if (is_probe) {
+            m_context.reachability.end_direct_attempt();
+        }
+    };
     if (!is_direct) {
         result<target_response> relayed =
             co_await call_through_relay(make_request, request_id, response_deadline, check);
--- a/test/correctness/target_reachability.cpp
+++ b/test/correctness/target_reachability.cpp
@@ -51,6 +51,26 @@
             "then all requests are sent directly");
 }
 
+void check_pending_attempt() {
+    target_reachability reachability;
+    reachability.set_target_count(1);
+    time_point now{};
+    require(reachability.record_no_response("a", now), "the only target is a partition");
+    require(!reachability.try_begin_direct_attempt(true, now), "the partition has just begun");
+    now += interval;
+    require(reachability.try_begin_direct_attempt(true, now), "a request is sent directly");
+    require(!reachability.try_begin_direct_attempt(true, now + 2 * interval),
+            "no other one is while it has no answer");
+    require(reachability.try_begin_direct_attempt(true, now + target_reachability::max_probe_time),
+            "but it does not keep others from it for long");
+    now += target_reachability::max_probe_time;
+    reachability.end_direct_attempt();
+    require(!reachability.try_begin_direct_attempt(true, now + interval / 2),
+            "after its end the interval still counts");
+    require(reachability.try_begin_direct_attempt(true, now + interval),
+            "after the interval the next one is sent directly");
+}
+
 void check_few_targets() {
     target_reachability reachability;
     const time_point now{};
@@ -63,6 +83,7 @@
 
 int main() {
     check_partition();
+    check_pending_attempt();
     check_few_targets();
     return finish();
 }
