Take a relay's refusal for a target's process as final

Callers of a host that is cut off from all targets, over links that open and carry nothing, got 504 while targets had ended whose entries were still there. Cause: when another host had refused to relay a request because it could not reach that process, the request still went out over the host's own links, where it was lost for good.

Now such a refusal counts, and the request goes on at another target; it has not been sent anywhere.

--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -170,7 +170,8 @@
         result<target_response> relayed =
             co_await call_through_relay(make_request, request_id, response_deadline, check);
         const bool is_sent = relayed || relayed.error().run != run_state::not_run;
-        if (is_sent || m_closed || m_is_withheld || m_context.loads.is_leaving(instance())) {
+        const bool is_refused = m_is_refused || m_context.loads.is_leaving(instance());
+        if (is_sent || m_closed || m_is_withheld || is_refused) {
             co_return relayed;
         }
     }
@@ -242,16 +243,14 @@
         if (outcome && outcome.value().refusal == relay_refusal::target_leaving) {
             mark_leaving(m_context, target().id, instance());
         }
-        // Another daemon would not reach that process either.
-        const bool is_final =
-            outcome && (outcome.value().refusal == relay_refusal::unreachable ||
-                        outcome.value().refusal == relay_refusal::target_leaving ||
-                        outcome.value().refusal == relay_refusal::other_process);
+        m_is_refused = outcome && (outcome.value().refusal == relay_refusal::unreachable ||
+                                   outcome.value().refusal == relay_refusal::target_leaving ||
+                                   outcome.value().refusal == relay_refusal::other_process);
         if (outcome && outcome.value().refusal == relay_refusal::quarantined) {
             m_is_withheld = true;
             failure = quarantine_error(m_context, m_gate).value_or(relayed_quarantine_error());
         }
-        if (m_closed || m_is_withheld || is_final) {
+        if (m_closed || m_is_withheld || m_is_refused) {
             break;
         }
         m_context.relays.avoid(relays[i].host, m_context.clock());
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -124,6 +124,9 @@
     bool m_is_repeatable;
     quarantine_gate m_gate;
     bool m_is_withheld = false;
+    /// Whether a daemon that reaches targets could not send the request to the listed process.
+    /// Others, and this one, would not reach it either.
+    bool m_is_refused = false;
     std::shared_ptr<net::tcp_connection> m_connection;
     std::unique_ptr<net::http_exchange> m_exchange;
     /// Start time of the process that has the request; nothing while it is not known.
--- a/test/platform/silent_links.cpp
+++ b/test/platform/silent_after_refused_relay.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Guards against requests that a host which reaches no target loses on its own silent links, as
-/// they look for the end of the partition again and again.
+/// Guards against requests that a host which reaches no target loses on its own silent links: those
+/// that look for the end of the partition again and again, and those that another host has refused
+/// to relay because their targets have ended.
 #include "base/text.hpp"
 #include "net/endpoint.hpp"
 #include "platform/fixture/daemon_fixture.hpp"
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -24,6 +26,8 @@
 constexpr std::string_view five_events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
                                          "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
 constexpr int engine_count = 4;
+/// Engines that have ended, while their entries stay.
+constexpr int ended_count = 2;
 constexpr int rounds = 8;
 /// Time after the begin of a partition from which requests must be served.
 constexpr duration contact_time = seconds(3);
@@ -121,8 +125,11 @@
             return false;
         });
         add_daemon(m_other_host, [this](std::string_view endpoint) {
-            find_front(endpoint).is_next_silent.push_back(false);
-            return false;
+            const bool has_ended = m_ended.contains(endpoint);
+            if (!has_ended) {
+                find_front(endpoint).is_next_silent.push_back(false);
+            }
+            return has_ended;
         });
     }
 
@@ -191,6 +198,11 @@
             co_await call(m_cut_off_host, "/s/x");
         }
         co_await check_served(m_cut_off_host);
+        for (int i = 0; i < ended_count; ++i) {
+            m_ended.insert(m_fronts[i]->endpoint);
+        }
+        co_await check_served(m_other_host);
+        co_await check_served(m_cut_off_host);
     }
 
     const std::string m_cut_off_host = "cut-off";
@@ -199,6 +211,8 @@
     std::vector<std::unique_ptr<front>> m_fronts;
     /// Whether new connections of the host "cut-off" carry nothing.
     bool m_is_cut = false;
+    /// Endpoints of the engines that refuse connections; those of the host "cut-off" never arrive.
+    std::set<std::string, std::less<>> m_ended;
     int m_requests = 0;
 };
 
