Requests go out on a connection that has carried nothing

Callers got 502 "the connection broke before the end of the response" for every resumable stream at targets that close a connection after their report without saying so; items of such targets never ended and were sent again without a pause.

Cause: connect_to_process() asked for the report on the connection that then carried the request. A server may close a kept connection at any moment, also while the next request is on its way.

Why it works: two connections are opened, the report is asked for on the first once the second is open, and the request goes out on the second. A process that answers on the first listened when the second was opened, so that its start time holds for the second, and a stream may go on there. Nothing is sent twice, so that retries, runs, the quarantine's look right before the sending and what counts as a crash stay as they were. If the target takes no second connection, the first carries the request as before; the test plays a limit of one.

--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Connections that are opened to ask for a report. A target may close one after its report.
-constexpr int max_asked_connections = 2;
 /// How long a request waits for a report that it does without if need be. A sound target may be
 /// silent for about a second.
 constexpr duration report_timeout = milliseconds(1200);
@@ -75,71 +73,122 @@
     }
 }
 
+/// Opens a connection to the target of \p listed, which stays open until \p deadline at most.
+net::task<result<std::shared_ptr<net::tcp_connection>>> open_connection(service_context& context,
+                                                                        target_process listed,
+                                                                        time_point deadline,
+                                                                        on_open_fn on_open) {
+    const time_point connect_by = std::min(deadline, context.clock() + target_connect_timeout);
+    auto connected =
+        co_await connect_to_target(context, listed.target, listed.endpoint, connect_by);
+    if (connected) {
+        connected.value()->set_deadline(deadline);
+        on_open(connected.value());
+    }
+    co_return connected;
+}
+
+/// Asks like ask(), and records what the answer, or that there is none, tells about the target of
+/// \p listed. A target that is shutting down is an error.
+net::task<result<process_report>> ask_and_record(service_context& context,
+                                                 std::shared_ptr<net::tcp_connection> connection,
+                                                 target_process listed) {
+    const stall_detector detector(context, listed.target);
+    const auto report = co_await ask(context, connection, listed.endpoint);
+    if (!report) {
+        const bool was_cancelled = !connection->is_open() && !connection->timed_out();
+        if (!was_cancelled) {
+            record_no_response(context, listed.target, report.error().message);
+        }
+        co_return report.error();
+    }
+    record_response(context, listed.target);
+    const std::optional<std::uint64_t> started_at = report.value().started_at;
+    if (started_at) {
+        record_process(context, listed, *started_at);
+    }
+    if (report.value().is_leaving) {
+        const std::uint64_t hash = stable_hash(listed.target);
+        mark_leaving(context, listed.target, {hash, listed.started_at});
+        mark_leaving(context, listed.target, {hash, started_at.value_or(listed.started_at)});
+        co_return error{error_code::unavailable, "the target is shutting down", run_state::not_run};
+    }
+    co_return report;
+}
+
+void close_if_open(const std::shared_ptr<net::tcp_connection>& connection) {
+    if (connection) {
+        connection->close();
+    }
+}
+
+/// Whether a connection that has carried nothing can carry a request.
+bool is_usable(net::tcp_connection& connection) {
+    return connection.is_open() && connection.peer() == net::peer_state::open;
+}
+
 } // namespace
 
 net::task<result<process_connection>> connect_to_process(service_context& context,
                                                          target_process listed, process_check check,
                                                          time_point deadline, on_open_fn on_open) {
-    process_connection out;
-    int questions_left = check == process_check::none ? 0 : max_asked_connections;
-    for (;;) {
-        const time_point connect_by = std::min(deadline, context.clock() + target_connect_timeout);
-        const auto connected =
-            co_await connect_to_target(context, listed.target, listed.endpoint, connect_by);
-        if (!connected) {
-            co_return connected.error();
-        }
-        out.connection = connected.value();
-        out.connection->set_deadline(deadline);
-        on_open(out.connection);
-        if (questions_left == 0) {
-            break;
-        }
-        const stall_detector detector(context, listed.target);
-        const bool must_know = check == process_check::require_listed;
-        if (!must_know) {
-            out.connection->set_deadline(std::min(deadline, context.clock() + report_timeout));
-        }
-        const auto report = co_await ask(context, out.connection, listed.endpoint);
-        if (!report) {
-            const bool was_cancelled = !out.connection->is_open() && !out.connection->timed_out();
-            if (!was_cancelled) {
-                record_no_response(context, listed.target, report.error().message);
-            }
-            out.connection->close();
-            if (must_know || was_cancelled || context.clock() >= deadline) {
-                co_return report.error();
-            }
-            // The target may serve requests all the same.
-            questions_left = 0;
-            continue;
-        }
-        out.connection->set_deadline(deadline);
-        record_response(context, listed.target);
-        const std::optional<std::uint64_t> started_at = report.value().started_at;
-        if (started_at) {
-            record_process(context, listed, *started_at);
-        }
-        if (report.value().is_leaving) {
-            const std::uint64_t hash = stable_hash(listed.target);
-            mark_leaving(context, listed.target, {hash, listed.started_at});
-            mark_leaving(context, listed.target, {hash, started_at.value_or(listed.started_at)});
-            out.connection->close();
-            co_return error{error_code::unavailable, "the target is shutting down",
-                            run_state::not_run};
-        }
-        if (report.value().is_reusable) {
-            out.started_at = started_at;
-            break;
-        }
-        out.connection->close();
-        questions_left = report.value().is_report ? questions_left - 1 : 0;
+    const auto first = co_await open_connection(context, listed, deadline, on_open);
+    if (!first) {
+        co_return first.error();
     }
-    if (check == process_check::require_listed && out.started_at != listed.started_at) {
-        out.connection->close();
+    if (check == process_check::none) {
+        co_return process_connection{.connection = first.value(), .started_at = std::nullopt};
+    }
+    const std::shared_ptr<net::tcp_connection> asked = first.value();
+    // A target at its connection limit takes no second one.
+    const auto second = co_await open_connection(context, listed, deadline, on_open);
+    const std::shared_ptr<net::tcp_connection> unused = second ? second.value() : nullptr;
+    process_connection out{.connection = unused, .started_at = std::nullopt};
+    const bool must_know = check == process_check::require_listed;
+    if (!must_know) {
+        asked->set_deadline(std::min(deadline, context.clock() + report_timeout));
+    }
+    on_open(asked);
+    const auto report = co_await ask_and_record(context, asked, listed);
+    const bool was_cancelled = !asked->is_open() && !asked->timed_out();
+    const bool is_final =
+        !report && (must_know || was_cancelled || is_other_process(report.error()) ||
+                    context.clock() >= deadline);
+    if (is_final) {
+        asked->close();
+        close_if_open(unused);
+        co_return report.error();
+    }
+    out.started_at = report ? report.value().started_at : std::nullopt;
+    if (must_know && out.started_at != listed.started_at) {
+        asked->close();
+        close_if_open(unused);
         co_return error{error_code::unavailable, "the target does not run the process of its entry",
                         run_state::not_run};
     }
+    if (unused && is_usable(*unused)) {
+        asked->close();
+        on_open(unused);
+        co_return out;
+    }
+    close_if_open(unused);
+    if (report && report.value().is_reusable) {
+        asked->set_deadline(deadline);
+        out.connection = asked;
+        co_return out;
+    }
+    asked->close();
+    if (must_know) {
+        co_return error{error_code::overloaded, "the target ends connections before any request",
+                        run_state::not_run};
+    }
+    // It may lead to another process.
+    out.started_at.reset();
+    const auto third = co_await open_connection(context, listed, deadline, on_open);
+    if (!third) {
+        co_return third.error();
+    }
+    out.connection = third.value();
     co_return out;
 }
 
--- a/src/serving/target_process.hpp
+++ b/src/serving/target_process.hpp
@@ -43,13 +43,17 @@
     std::optional<std::uint64_t> started_at;
 };
 
-/// Called with a connection when it has been opened.
+/// Called with the connection to close to end an operation, when it has been opened and when it
+/// takes the place of another one.
 using on_open_fn = std::function<void(const std::shared_ptr<net::tcp_connection>&)>;
 
 /// Opens a connection to a target and asks the process at the other end when it started, as \p
-/// check demands. Calls \p on_open with each connection that is opened, which may be closed to end
-/// the operation. All of it ends at \p deadline, which stays set. An error has run_state::not_run,
-/// and error_code::overloaded when the target has accepted a connection but not told anything.
+/// check demands. It is asked over another connection, which is opened before and answers after the
+/// returned one has been opened, and so leads to the same process: a target may end a connection
+/// that has carried a response while a request is on its way. The returned connection has carried
+/// nothing, unless the target has taken no second one. All of it ends at \p deadline, which stays
+/// set. An error has run_state::not_run, and error_code::overloaded when the target has accepted a
+/// connection but not told anything.
 net::task<result<process_connection>> connect_to_process(service_context& context,
                                                          target_process listed, process_check check,
                                                          time_point deadline, on_open_fn on_open);
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -111,20 +111,28 @@
     }
     const bool ends =
         answer.bytes.empty() || answer.bytes.find("Connection: close") != std::string::npos;
-    co_return !ec && !ends && connection->is_open();
+    co_return !ec && !ends && m_after_report != after_report::close && connection->is_open();
 }
 
 net::task<> raw_target::serve(std::shared_ptr<net::tcp_connection> connection) {
     std::optional<net::http_request> request = co_await read_request(connection);
     bool is_open = request.has_value();
+    bool ends_at_request = false;
     while (is_open && request->target == "/eelgrassdoor/report") {
         is_open = co_await send_report(connection);
+        ends_at_request = m_after_report == after_report::close_at_request ||
+                          m_after_report == after_report::reset_at_request;
         if (is_open) {
             request = co_await read_request(connection);
             is_open = request.has_value();
         }
     }
-    if (is_open && connection->is_open()) {
+    if (is_open && ends_at_request) {
+        ++m_dropped;
+        if (m_after_report == after_report::reset_at_request) {
+            connection->reset();
+        }
+    } else if (is_open && connection->is_open()) {
         m_busy_connections.insert(connection);
         co_await respond(connection, *request);
     }
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -17,6 +17,17 @@
 
 namespace eelgrassdoor::test {
 
+/// What a target does with a connection over which it has sent a report, without saying so in it.
+enum class after_report {
+    /// Takes a request on it.
+    keep,
+    /// Closes it in order at once.
+    close,
+    /// Closes it in order, or resets it, when a request arrives on it, which it does not run.
+    close_at_request,
+    reset_at_request,
+};
+
 /// A server that reads one request per connection, sends the bytes that a function returns for it,
 /// and ends the connection. Before the request it answers questions for its report.
 class raw_target {
@@ -65,6 +76,8 @@
     void set_report(std::function<response()> report) { m_report = std::move(report); }
     /// Returns the usual answer to a question for the report.
     [[nodiscard]] response make_report() const;
+    /// Sets what happens to connections after the report.
+    void set_after_report(after_report what) { m_after_report = what; }
     /// How long the target is silent before it answers a question for its report.
     void set_report_delay(duration delay) { m_report_delay = delay; }
     /// Limit of open connections; further ones are reset.
@@ -73,6 +86,9 @@
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
     /// Number of complete requests that were received, but for questions for the report.
     [[nodiscard]] int received() const { return m_received; }
+    /// Number of further requests whose connections ended at their arrival because of
+    /// set_after_report().
+    [[nodiscard]] int dropped() const { return m_dropped; }
     /// Number of bytes of endless tails that were handed to the kernel.
     [[nodiscard]] std::size_t tail_bytes() const { return m_tail_bytes; }
     /// Number of endless responses whose caller has not closed yet.
@@ -99,9 +115,11 @@
     std::function<void()> m_on_ended;
     std::function<response()> m_report;
     std::uint64_t m_started_at = 1;
+    after_report m_after_report = after_report::keep;
     duration m_report_delay{};
     std::size_t m_connection_limit = std::numeric_limits<std::size_t>::max();
     int m_received = 0;
+    int m_dropped = 0;
     std::size_t m_tail_bytes = 0;
     int m_endless_responses = 0;
 };
