--- a/src/serving/target_process.cpp
+++ b/src/serving/target_process.cpp
@@ -139,7 +139,7 @@
     if (check == process_check::none) {
         co_return process_connection{.connection = first.value(), .started_at = std::nullopt};
     }
-    const std::shared_ptr<net::tcp_connection> asked = first.value();
+    const std::shared_ptr<net::tcp_connection>& asked = first.value();
     // A target at its connection limit takes no second one.
     const auto second = co_await open_connection(context, listed, deadline, on_open);
     const std::shared_ptr<net::tcp_connection> unused = second ? second.value() : nullptr;
--- a/test/platform/ended_connections_through_relay.cpp
+++ b/test/platform/ended_connections_through_relay.cpp
@@ -14,15 +14,7 @@
 class connection_checks : ended_target_checks {
 public:
     connection_checks() : ended_target_checks(ending::connections) {
-        m_fleet.adjust_settings = [this](host::host_settings& settings) {
-            settings.is_partitioned_from_target = [this](std::string_view endpoint) {
-                return m_endpoints.contains(endpoint);
-            };
-        };
-        m_fleet.add_daemon("runner-1", false, true);
-        m_fleet.add_daemon(m_host, true, false);
-        m_fleet.adjust_settings = nullptr;
-        m_fleet.add_daemon(m_relay, true, false);
+        add_cut_off_daemons(m_host, m_relay);
     }
     [[noreturn]] void run() {
         m_fleet.run([this] { return run_checks(); });
