A relay that waits in vain for a silent target does not settle the request

A relay tells a target that has accepted its connection and not answered apart from one that it can't reach.

--- a/src/serving/relay_call.cpp
+++ b/src/serving/relay_call.cpp
@@ -36,9 +36,10 @@
 constexpr std::string_view refusal_header = "Eelgrassdoor-Relay-Refused";
 constexpr std::string_view process_start_header = "Eelgrassdoor-Relay-Process";
 
-constexpr std::array<std::pair<relay_refusal, std::string_view>, 7> refusal_names{{
+constexpr std::array<std::pair<relay_refusal, std::string_view>, 8> refusal_names{{
     {relay_refusal::partitioned, "partitioned"},
     {relay_refusal::unreachable, "unreachable"},
+    {relay_refusal::target_silent, "target_silent"},
     {relay_refusal::target_leaving, "target_leaving"},
     {relay_refusal::other_process, "other_process"},
     {relay_refusal::busy, "busy"},
--- a/src/serving/relay_call.hpp
+++ b/src/serving/relay_call.hpp
@@ -33,6 +33,8 @@
     partitioned,
     /// It reaches other targets, but not this one.
     unreachable,
+    /// The target has accepted its connection and not answered on it in time.
+    target_silent,
     /// The target has announced to it that it shuts down.
     target_leaving,
     /// The target does not run the process that must get the request.
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -250,7 +250,8 @@
             m_is_withheld = true;
             failure = quarantine_error(m_context, m_gate).value_or(relayed_quarantine_error());
         }
-        if (m_closed || m_is_withheld || m_is_refused) {
+        const bool is_silent = outcome && outcome.value().refusal == relay_refusal::target_silent;
+        if (m_closed || m_is_withheld || m_is_refused || is_silent) {
             break;
         }
         m_context.relays.avoid(relays[i].host, m_context.clock());
--- a/src/serving/target_relay.cpp
+++ b/src/serving/target_relay.cpp
@@ -28,6 +28,9 @@
     if (m_context.reachability.is_partitioned()) {
         return relay_refusal::partitioned;
     }
+    if (failure.code == error_code::overloaded) {
+        return relay_refusal::target_silent;
+    }
     return is_other_process(failure) ? relay_refusal::other_process : relay_refusal::unreachable;
 }
 
--- a/test/correctness/relay_calls.cpp
+++ b/test/correctness/relay_calls.cpp
@@ -64,8 +64,9 @@
 
 void check_refusals() {
     for (const relay_refusal each :
-         {relay_refusal::partitioned, relay_refusal::unreachable, relay_refusal::target_leaving,
-          relay_refusal::other_process, relay_refusal::stopping, relay_refusal::quarantined}) {
+         {relay_refusal::partitioned, relay_refusal::unreachable, relay_refusal::target_silent,
+          relay_refusal::target_leaving, relay_refusal::other_process, relay_refusal::stopping,
+          relay_refusal::quarantined}) {
         require(refusal_of(make_refusal(each)) == each, "a refusal keeps its reason");
     }
     net::http_response response = make_refusal(relay_refusal::stopping);
