Give each test process a loopback address of its own

Each process now draws from an address of its own in 127.64.0.0/10, so that only its own sockets share its ports. No check changes.

--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -3,8 +3,10 @@
 #include "base/text.hpp"
 #include "net/notification.hpp"
 
+#include <cstdint>
 #include <cstdio>
 #include <limits>
+#include <unistd.h>
 
 namespace eelgrassdoor::test {
 
@@ -220,9 +222,20 @@
     co_return open;
 }
 
+namespace {
+
+/// 127.64.0.0/10, a part of the loopback network of which each process has one address.
+constexpr std::uint32_t own_network = 0x7f400000;
+constexpr std::uint32_t addresses_in_network = 1U << 22U;
+
+} // namespace
+
 std::string free_endpoint(net::asio::any_io_executor executor) {
-    net::tcp::acceptor acceptor(executor, {net::asio::ip::make_address("127.0.0.1"), 0});
-    return str_cat("127.0.0.1:", acceptor.local_endpoint().port());
+    // The port is free again on return, so it must not be one that other test processes draw from.
+    const auto process = static_cast<std::uint32_t>(::getpid());
+    const net::asio::ip::address_v4 own(own_network + process % addresses_in_network);
+    net::tcp::acceptor acceptor(executor, {own, 0});
+    return str_cat(own.to_string(), ":", acceptor.local_endpoint().port());
 }
 
 } // namespace eelgrassdoor::test
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -175,7 +175,8 @@
     int m_disconnects = 0;
 };
 
-/// Returns a loopback `IP:PORT` that is free at the time of the call. It is not reserved.
+/// Returns a loopback `IP:PORT` that is free at the time of the call. It is not reserved, but no
+/// other process gets one with this address.
 std::string free_endpoint(net::asio::any_io_executor executor);
 
 } // namespace eelgrassdoor::test
