Log how the version of a stream that nobody knows was decided

When no host that is asked knows which software version began a stream, a host may deduce it from the versions that it has listed. The log told neither that it did so nor from what, so a stream of two versions could not be told from a rightful decision. 524 and 525 now name the candidates, the revision of the stored versions that they rest on and how long ago these were read. No decision changes.

--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -73,8 +73,8 @@
     /// it. Returns false if the request is refused because nobody knows that version while several
     /// may have begun the stream, or if the caller has disconnected.
     net::task<bool> find_version(running_request& run);
-    /// The version that must have begun an unknown stream of \p service, if only one can have.
-    [[nodiscard]] std::optional<std::string> only_version(std::string_view service) const;
+    /// The version that must have begun a stream that nobody knows, if only one can have.
+    [[nodiscard]] std::optional<std::string> only_version(const running_request& run) const;
     /// Restricts a stream, when its first event is sent, to the version of the process that sent
     /// it, and lets other daemons know that version, or that it is unknown.
     void record_version(running_request& run) const;
--- a/src/entry/online_proxy_targets.cpp
+++ b/src/entry/online_proxy_targets.cpp
@@ -1,3 +1,4 @@
+#include "base/text.hpp"
 #include "entry/online_proxy.hpp"
 
 #include <algorithm>
@@ -61,7 +62,7 @@
         co_return false;
     }
     if (!run.constraints.version) {
-        run.constraints.version = only_version(run.service);
+        run.constraints.version = only_version(run);
     }
     if (run.constraints.version && run.constraints.version != routing::unknown_version) {
         co_return true;
@@ -73,10 +74,20 @@
     co_return false;
 }
 
-std::optional<std::string> online_proxy::only_version(std::string_view service) const {
-    const std::optional<routing::version_set> candidates = m_context.versions.candidates(service);
-    return candidates && candidates->size() == 1 ? std::optional(*candidates->begin())
-                                                 : std::nullopt;
+std::optional<std::string> online_proxy::only_version(const running_request& run) const {
+    const fleet::service_versions& versions = m_context.versions;
+    const std::optional<routing::version_set> candidates = versions.candidates(run.service);
+    const bool is_decided = candidates && candidates->size() == 1;
+    const std::optional<time_point> synced_at = versions.synced_at();
+    m_context.log.write(
+        is_decided ? observe::event::stream_version_deduced
+                   : observe::event::stream_version_undecided,
+        run.request.id,
+        {{"candidates", candidates ? str_join(*candidates, ",") : std::string("unknown")},
+         {"revision", std::to_string(versions.stored_revision())},
+         {"read_ms_ago", synced_at ? std::to_string(to_ms(m_context.clock() - *synced_at))
+                                   : std::string("never")}});
+    return is_decided ? std::optional(*candidates->begin()) : std::nullopt;
 }
 
 void online_proxy::record_version(running_request& run) const {
--- a/src/fleet/service_versions.cpp
+++ b/src/fleet/service_versions.cpp
@@ -95,6 +95,7 @@
     }
     m_stored = versions.value_or(routing::versions_by_service());
     m_stored_revision = item ? item->revision : 0;
+    m_synced_at = m_clock();
     m_history.add_earlier(*m_stored, m_clock());
     m_log.write(
         observe::event::service_versions_read, service_versions_key,
@@ -118,6 +119,7 @@
                     {{"before", describe(*m_stored)}, {"now", describe(versions)}});
         m_stored = std::move(versions);
         m_stored_revision = committed->revision;
+        m_synced_at = m_clock();
     } else if (const auto* conflict = std::get_if<store::kv_conflict>(&outcome.value())) {
         (void)adopt(conflict->current.front());
     }
--- a/src/fleet/service_versions.hpp
+++ b/src/fleet/service_versions.hpp
@@ -46,6 +46,11 @@
     /// start if an older build has written none or they are malformed.
     [[nodiscard]] std::optional<routing::version_set> candidates(std::string_view service) const;
 
+    /// Revision of the stored versions that this daemon has read or written last; 0 before.
+    [[nodiscard]] std::uint64_t stored_revision() const { return m_stored_revision; }
+    /// When it has done so; nothing before.
+    [[nodiscard]] std::optional<time_point> synced_at() const { return m_synced_at; }
+
 private:
     net::task<> run();
     net::task<> read();
@@ -64,6 +69,7 @@
     /// What the key-value service held when it was last read or written; nothing before.
     std::optional<routing::versions_by_service> m_stored;
     std::uint64_t m_stored_revision = 0;
+    std::optional<time_point> m_synced_at;
     /// Whether m_history covers the time before the start.
     bool m_knows_earlier = false;
 };
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -153,6 +153,12 @@
     event_info{event::stream_rest_requested, "stream_rest_requested", info,
                "The connection of a stream without framing was closed; a further run is asked for"
                " what follows its last event."},
+    event_info{event::stream_version_deduced, "stream_version_deduced", info,
+               "Nobody who was asked knows which software version began a stream that a caller "
+               "resumes, but only one can have begun it."},
+    event_info{event::stream_version_undecided, "stream_version_undecided", warning,
+               "A caller resumes a stream, and this host cannot tell which software version began "
+               "it; the request is refused."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -80,6 +80,8 @@
     place_waited = 521,
     response_end_confirmed = 522,
     stream_rest_requested = 523,
+    stream_version_deduced = 524,
+    stream_version_undecided = 525,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
