Decide on unknown streams by what is stored, not by what this daemon has heard of

Cause: when no daemon that was asked knew the stream, the host took its own list for complete.

Now a daemon reads the stored versions after such a request has come, and refuses it as not run when the store does not answer. A version that is known to be stored costs nothing; otherwise a read, and a write if need be, which requests share.

--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -74,7 +74,10 @@
     /// may have begun the stream, or if the caller has disconnected.
     net::task<bool> find_version(running_request& run);
     /// The version that must have begun a stream that nobody knows, if only one can have.
-    [[nodiscard]] std::optional<std::string> only_version(const running_request& run) const;
+    net::task<std::optional<std::string>> deduce_version(const running_request& run);
+    /// Stores, before the first event of a stream that may be resumed is sent, that streams begin
+    /// on the version of the process that sent it.
+    net::task<> publish_version(const running_request& run);
     /// Restricts a stream, when its first event is sent, to the version of the process that sent
     /// it, and lets other daemons know that version, or that it is unknown.
     void record_version(running_request& run) const;
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -110,6 +110,10 @@
             log_finished(run, "caller_left");
             co_return attempt_outcome::done;
         }
+        const bool is_first = !run.headers_sent && !run.active_exchange->response().body.empty();
+        if (more && is_first) {
+            co_await publish_version(run);
+        }
         // What a superseded target has sent meanwhile is dropped: its successor sends it as well,
         // and may be of another software version while the caller has got no event.
         if (!more || run.is_superseded()) {
--- a/src/entry/online_proxy_targets.cpp
+++ b/src/entry/online_proxy_targets.cpp
@@ -57,13 +57,13 @@
         run.constraints.version =
             co_await m_context.messenger.streams().find(run.customer, attempt);
     }
+    if (!run.constraints.version && !run.caller_exchange.client_disconnected()) {
+        run.constraints.version = co_await deduce_version(run);
+    }
     if (run.caller_exchange.client_disconnected()) {
         log_finished(run, "caller_left");
         co_return false;
     }
-    if (!run.constraints.version) {
-        run.constraints.version = only_version(run);
-    }
     if (run.constraints.version && run.constraints.version != routing::unknown_version) {
         co_return true;
     }
@@ -74,9 +74,10 @@
     co_return false;
 }
 
-std::optional<std::string> online_proxy::only_version(const running_request& run) const {
-    const fleet::service_versions& versions = m_context.versions;
-    const std::optional<routing::version_set> candidates = versions.candidates(run.service);
+net::task<std::optional<std::string>> online_proxy::deduce_version(const running_request& run) {
+    fleet::service_versions& versions = m_context.versions;
+    const std::optional<routing::version_set> candidates =
+        co_await versions.candidates(run.service);
     const bool is_decided = candidates && candidates->size() == 1;
     const std::optional<time_point> synced_at = versions.synced_at();
     m_context.log.write(
@@ -87,7 +88,19 @@
          {"revision", std::to_string(versions.stored_revision())},
          {"read_ms_ago", synced_at ? std::to_string(to_ms(m_context.clock() - *synced_at))
                                    : std::string("never")}});
-    return is_decided ? std::optional(*candidates->begin()) : std::nullopt;
+    co_return is_decided ? std::optional(*candidates->begin()) : std::nullopt;
+}
+
+net::task<> online_proxy::publish_version(const running_request& run) {
+    const std::optional<std::string> version = run.active_exchange->software_version();
+    if (!run.route.resumable || !version) {
+        co_return;
+    }
+    const bool is_published = co_await m_context.versions.publish(run.service, *version);
+    if (!is_published) {
+        m_context.log.write(observe::event::stream_version_unpublished, run.request.id,
+                            {{"version", *version}});
+    }
 }
 
 void online_proxy::record_version(running_request& run) const {
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -199,6 +199,9 @@
     m_registration.start();
     if (m_settings.serves_callers) {
         m_service_versions.is_writer = [this] { return m_feed.must_watch(); };
+        m_service_versions.is_store_reachable = [this] {
+            return m_feed.connected_since() != time_point::max();
+        };
         m_service_versions.start();
     }
     if (m_runner) {
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -73,7 +73,7 @@
     event_info{event::target_limit_rejected, "target_limit_rejected", warning,
                "A response named a request limit that is not a number; it was ignored."},
     event_info{event::service_versions_read, "service_versions_read", info,
-               "This host learned which software versions were in service before its start."},
+               "This host learned on which software versions streams may have begun."},
     event_info{event::service_versions_written, "service_versions_written", info,
                "This host wrote which software versions are in service or were a short while ago."},
     event_info{event::service_versions_failed, "service_versions_failed", warning,
@@ -159,6 +159,9 @@
     event_info{event::stream_version_undecided, "stream_version_undecided", warning,
                "A caller resumes a stream, and this host cannot tell which software version began "
                "it; the request is refused."},
+    event_info{event::stream_version_unpublished, "stream_version_unpublished", warning,
+               "A stream begins on a software version of which it is not known to be stored that "
+               "streams begin on it; it is stored when the key-value service answers again."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/routing/version_history.cpp
+++ b/src/routing/version_history.cpp
@@ -12,6 +12,25 @@
     return out;
 }
 
+versions_by_service difference(const versions_by_service& versions,
+                               const versions_by_service& known) {
+    versions_by_service out;
+    for (const auto& [service, each] : versions) {
+        for (const std::string& version : each) {
+            if (!contains(known, service, version)) {
+                out[service].insert(version);
+            }
+        }
+    }
+    return out;
+}
+
+bool contains(const versions_by_service& versions, std::string_view service,
+              std::string_view version) {
+    const auto found = versions.find(service);
+    return found != versions.end() && found->second.contains(version);
+}
+
 void version_history::set_listed(const versions_by_service& listed, time_point now) {
     for (auto& [service, versions] : m_versions) {
         const auto current = listed.find(service);
--- a/src/routing/version_history.hpp
+++ b/src/routing/version_history.hpp
@@ -21,6 +21,13 @@
 /// The versions of \p targets, those that are leaving included.
 versions_by_service versions_of(std::span<const fleet_target> targets);
 
+/// What \p versions holds beyond \p known.
+versions_by_service difference(const versions_by_service& versions,
+                               const versions_by_service& known);
+/// Whether \p versions holds \p version of \p service.
+bool contains(const versions_by_service& versions, std::string_view service,
+              std::string_view version);
+
 /// Remembers which versions of each service had targets within a time before now. Not thread-safe.
 class version_history {
 public:
--- a/src/serving/service_context.hpp
+++ b/src/serving/service_context.hpp
@@ -40,7 +40,7 @@
     /// Exchanges load, members and rate-limit tokens with the other daemons.
     fleet::peer_messenger& messenger;
     /// Which software versions may have begun a stream.
-    const fleet::service_versions& versions;
+    fleet::service_versions& versions;
     const protocol_codec& codec;
     /// Memory for targets' responses.
     net::memory_budget& response_memory;
--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -4,14 +4,17 @@
 #include "fleet/service_versions.hpp"
 
 #include "check.hpp"
+#include "stand_in/disturbed_store.hpp"
 #include "stand_in/memory_store.hpp"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
 namespace {
 
 using namespace eelgrassdoor;
+using eelgrassdoor::test::make_disturbed;
 using eelgrassdoor::test::memory_store;
 using eelgrassdoor::test::property;
 using eelgrassdoor::test::require;
@@ -68,15 +71,23 @@
 struct version_fleet {
     net::asio::io_context loop{1};
     memory_store memory{loop.get_executor()};
-    store::kv_store store = memory.make_store();
+    store::kv_store store = make_disturbed(memory.make_store(), [this](test::store_call call) {
+        reads += call == test::store_call::get ? 1 : 0;
+        return fault;
+    });
     observe::decision_log log{{.host = "test", .descriptor = -1}, steady_clock()};
     time_point now = start;
+    test::store_fault fault = test::store_fault::none;
+    /// How often a read was checked for a fault, which is twice a read or more.
+    int reads = 0;
+    bool is_store_reachable = true;
     std::vector<std::unique_ptr<fleet::service_versions>> daemons;
 
-    fleet::service_versions& add(bool first_start) {
+    fleet::service_versions& add(bool first_start, bool is_writer = true) {
         daemons.push_back(std::make_unique<fleet::service_versions>(
             loop.get_executor(), store, [this] { return now; }, log, first_start));
-        daemons.back()->is_writer = [] { return true; };
+        daemons.back()->is_writer = [is_writer] { return is_writer; };
+        daemons.back()->is_store_reachable = [this] { return is_store_reachable; };
         daemons.back()->start();
         return *daemons.back();
     }
@@ -92,6 +103,17 @@
         }
         require(condition(), what);
     }
+    /// Runs the daemons until \p call has returned, and returns its result.
+    template <typename Result> Result run(net::task<Result> call) {
+        std::optional<Result> out;
+        net::asio::co_spawn(loop, std::move(call),
+                            [&out](const std::exception_ptr& failure, Result got) {
+                                require(failure == nullptr, "the call throws no exception");
+                                out = std::move(got);
+                            });
+        run_until("the call returns", [&out] { return out.has_value(); });
+        return std::move(*out);
+    }
 };
 
 void check_restart() {
@@ -104,19 +126,22 @@
     first.set_targets(both);
     second.set_targets(both);
     f.run_until("both versions are stored", [&] { return f.stored() == R"({"s":["v1","v2"]})"; });
-    require(first.candidates("s") == version_set{"v1", "v2"}, "both versions may begin a stream");
+    require(f.run(first.candidates("s")) == version_set{"v1", "v2"},
+            "both versions may begin a stream");
     fleet::service_versions& restarted = f.add(false);
     restarted.set_targets(newer);
-    require(!restarted.candidates("s"), "before the versions are read, nothing is known");
-    f.run_until("a restarted daemon knows the version that has gone", [&] {
-        return restarted.candidates("s") == version_set{"v1", "v2"};
-    });
+    f.fault = test::store_fault::fails;
+    require(!f.run(restarted.candidates("s")), "before the versions are read, nothing is known");
+    f.fault = test::store_fault::none;
+    f.run_until("the versions can be read", [&] { return restarted.stored_revision() != 0; });
+    require(f.run(restarted.candidates("s")) == version_set{"v1", "v2"},
+            "a restarted daemon knows the version that has gone");
     first.set_targets(newer);
     second.set_targets(newer);
     f.now += memory;
     f.run_until("a version that has gone is deleted",
                 [&] { return f.stored() == R"({"s":["v2"]})"; });
-    require(restarted.candidates("s") == version_set{"v2"}, "only one version is left");
+    require(f.run(restarted.candidates("s")) == version_set{"v2"}, "only one version is left");
 }
 
 void check_nothing_stored(const std::optional<std::string>& malformed) {
@@ -128,13 +153,88 @@
     fleet::service_versions& daemon = f.add(false);
     daemon.set_targets(targets);
     f.run_until("the versions are stored", [&] { return f.stored() == R"({"s":["v2"]})"; });
-    require(!daemon.candidates("s"),
+    require(!f.run(daemon.candidates("s")),
             "where no valid versions were stored, earlier ones are not known");
     f.now += memory;
-    require(daemon.candidates("s") == version_set{"v2"},
+    require(f.run(daemon.candidates("s")) == version_set{"v2"},
             "after the memory, the daemon knows by itself");
 }
 
+/// A daemon that has heard of one version only asks what others have begun streams on.
+void check_unheard_version() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> older{target("a", "v1", false)};
+    const std::vector<routing::fleet_target> both{target("a", "v1", false),
+                                                  target("b", "v2", false)};
+    fleet::service_versions& outdated = f.add(true, false);
+    fleet::service_versions& current = f.add(true, false);
+    outdated.set_targets(older);
+    current.set_targets(older);
+    require(f.run(current.publish("s", "v1")), "a version is stored");
+    require(f.run(outdated.candidates("s")) == version_set{"v1"}, "one version is in service");
+    current.set_targets(both);
+    require(f.run(current.publish("s", "v2")), "a second version is stored");
+    require(f.stored() == R"({"s":["v1","v2"]})", "it is stored when publish() has returned");
+    require(f.run(outdated.candidates("s")) == version_set{"v1", "v2"},
+            "a version counts that the daemon has not heard of");
+    f.is_store_reachable = false;
+    require(!f.run(outdated.candidates("s")), "nothing is known while the store is out of reach");
+    f.is_store_reachable = true;
+    f.fault = test::store_fault::fails;
+    require(!f.run(outdated.candidates("s")), "nothing is known when the store does not answer");
+}
+
+/// What a daemon knows to be stored needs no call.
+void check_known_to_be_stored() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version is stored");
+    const int reads = f.reads;
+    require(f.run(daemon.publish("s", "v1")) && f.reads == reads,
+            "a version that is known to be stored needs no call");
+    daemon.set_targets({});
+    f.memory.put(std::string(fleet::service_versions_key), R"({"s":["v0"]})");
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")) && f.stored() == R"({"s":["v0","v1"]})",
+            "a version that is listed again is stored again");
+}
+
+/// A stream need not wait long for a store that is away, and the version is stored on its return.
+void check_store_away() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    f.run_until("nothing is stored at first", [&] { return daemon.synced_at().has_value(); });
+    f.is_store_reachable = false;
+    require(!f.run(daemon.publish("s", "v1")), "a store out of reach is not waited for");
+    f.is_store_reachable = true;
+    f.run_until("the version is stored on its return",
+                [&] { return f.stored() == R"({"s":["v1"]})"; });
+}
+
+/// Callers of many streams come back at once when a daemon has ended.
+void check_many_requests() {
+    auto& f = *new version_fleet;
+    fleet::service_versions& daemon = f.add(true, false);
+    f.run_until("the versions are read", [&] { return daemon.synced_at().has_value(); });
+    constexpr int requests = 100;
+    const int before = f.reads;
+    int answered = 0;
+    for (int i = 0; i < requests; ++i) {
+        net::asio::co_spawn(
+            f.loop, daemon.candidates("s"),
+            [&answered](const std::exception_ptr&, const std::optional<version_set>& got) {
+                answered += got ? 1 : 0;
+            });
+    }
+    f.run_until("all requests are answered", [&] { return answered == requests; });
+    // Two reads at most: one that had begun before some requests came, and one after.
+    require(f.reads - before <= 2 * 3, "requests that come together share a read");
+}
+
 } // namespace
 
 int main() {
@@ -143,6 +243,10 @@
     check_restart();
     check_nothing_stored(std::nullopt);
     check_nothing_stored("{");
+    check_unheard_version();
+    check_known_to_be_stored();
+    check_store_away();
+    check_many_requests();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
