Take a response whose status has no class for none

The parser of responses took any three digits. It now rejects what is outside 100 to 599, for targets, relays and the store alike; 1xx are skipped as before.

--- a/src/net/http_parser.cpp
+++ b/src/net/http_parser.cpp
@@ -18,6 +18,9 @@
 using beast_view = boost::beast::string_view;
 
 constexpr int switching_protocols = 101;
+/// Statuses that HTTP defines a class for (RFC 9110, section 15).
+constexpr int min_status = 100;
+constexpr int max_status = 599;
 /// Limit of informational responses before the final one.
 constexpr int max_informational_responses = 32;
 
@@ -50,6 +53,9 @@
         ec = {};
         if constexpr (!is_request) {
             message.status = code;
+            if (code < min_status || code > max_status) {
+                ec = http::error::bad_status;
+            }
         }
     }
     void on_field_impl(http::field /*name*/, beast_view name, beast_view value,
--- a/src/net/http_parser.hpp
+++ b/src/net/http_parser.hpp
@@ -68,7 +68,8 @@
 };
 
 /// Parses one response; the caller may take the body out in parts. Informational responses (1xx)
-/// before it are skipped, up to a limit; 101 is malformed, since no request asks for an upgrade.
+/// before it are skipped, up to a limit; 101 is malformed, since no request asks for an upgrade,
+/// and so is a status outside 100 to 599.
 class response_parser final : public http_parser {
 public:
     explicit response_parser(parse_limits limits);
--- a/test/correctness/http_messages.cpp
+++ b/test/correctness/http_messages.cpp
@@ -91,6 +91,14 @@
         parser.feed_eof();
         RC_ASSERT(parser.fault() == parse_fault::truncated);
     });
+    property("a status without a class is malformed, others are not", [] {
+        const int status = *rc::gen::inRange(0, 1000);
+        response_parser parser({});
+        const std::string digits = std::to_string(status + 1000).substr(1);
+        feed_all(parser, str_cat("HTTP/1.1 ", digits, " X\r\nContent-Length: 0\r\n\r\n"), 100);
+        const bool is_valid = status >= 100 && status < 600 && status != 101;
+        RC_ASSERT(parser.fault() == (is_valid ? parse_fault::none : parse_fault::malformed));
+    });
     response_parser chunked_parser({});
     const std::string with_trailing_bytes = std::string(chunked) + "HTTP/1.1 200 OK\r\n";
     require(feed_all(chunked_parser, with_trailing_bytes, 7).starts_with("HTTP/1.1"),
