Give items up for a route that is gone only once the configuration is confirmed

Callers saw items of an open batch job listed as dead_letter right after another host had taken the job over, though the route was in force (rule MIXED, which binds hosts out of touch too).

Cause: job_table::fail_expired_items() took a route that is not in the plan for one that was removed. A host that was stopped, or that hears of no changes, has a plan from before the route was added, while the records of jobs, which it reads, are new.

Why it works: the items wait until the store has answered a call that began after the job was loaded. The job's route was in a configuration acknowledged before that, so a plan without it is newer.

--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -52,6 +52,8 @@
       m_random(secure_random_uint64()), m_loads({.local_zone = m_settings.availability_zone}),
       m_shares(m_settings.first_start), m_mirror(mirrored_prefixes(adapter, m_settings.runs_jobs)),
       m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
+      m_plan_confirmation(loop.get_executor(), m_clock,
+                          [this] { return m_feed.refresh(m_adapter.operator_prefix); }),
       m_messenger(
           loop.get_executor(),
           {.self = self(), .seeds = m_settings.seeds, .is_cut_off = m_settings.is_partitioned},
@@ -91,6 +93,8 @@
                             [this](const std::string& job) {
                                 return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
                             },
+                        .confirm_plan =
+                            [this](time_point since) { return m_plan_confirmation.confirm(since); },
                         .wall_clock = m_settings.wall_clock})
               : nullptr),
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -17,6 +17,7 @@
 #include "host/target_discovery.hpp"
 #include "jobs/job_runner.hpp"
 #include "net/request_memory.hpp"
+#include "store/mirror_confirmation.hpp"
 #include "store/mirror_feed.hpp"
 
 #include <memory>
@@ -104,6 +105,7 @@
     limits::customer_shares m_shares;
     store::mirror m_mirror;
     store::mirror_feed m_feed;
+    store::mirror_confirmation m_plan_confirmation;
     fleet::peer_messenger m_messenger;
     fleet::registration m_registration;
     target_discovery m_target_discovery;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -134,17 +134,49 @@
         return;
     }
     for (const auto& [id, job] : m_jobs) {
-        if (job->finished()) {
+        const config::serving_route* route = route_of(*job);
+        if (job->finished() || route == nullptr) {
             continue;
         }
-        const config::serving_route* route = route_of(*job);
-        const bool expired = route != nullptr && route->jobs.item_lifetime > duration::zero() &&
+        const bool expired = route->jobs.item_lifetime > duration::zero() &&
                              m_context.clock() - m_added_at[id] > route->jobs.item_lifetime;
-        if (expired || route == nullptr) {
+        if (expired) {
             job->fail_pending_items();
             commit_wake.notify();
         }
     }
+    if (!m_confirms_routes && !jobs_without_route().empty()) {
+        m_confirms_routes = true;
+        net::asio::co_spawn(m_context.executor, fail_jobs_without_route(), net::asio::detached);
+    }
+}
+
+std::vector<std::string> job_table::jobs_without_route() const {
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : m_jobs) {
+        if (!job->finished() && route_of(*job) == nullptr) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
+net::task<> job_table::fail_jobs_without_route() {
+    time_point since = time_point::min();
+    for (const std::string& id : jobs_without_route()) {
+        since = std::max(since, m_added_at.at(id));
+    }
+    const bool is_confirmed = co_await m_options.confirm_plan(since);
+    m_confirms_routes = false;
+    if (!is_confirmed) {
+        co_return;
+    }
+    for (const std::string& id : jobs_without_route()) {
+        if (m_added_at.at(id) <= since) {
+            m_jobs.at(id)->fail_pending_items();
+            commit_wake.notify();
+        }
+    }
 }
 
 void job_table::evict_finished() {
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -30,6 +30,9 @@
     /// Whether the key-value service has reported that a caller cancelled \p job. Later reports
     /// are passed to job_table::mark_cancelled().
     std::function<bool(const std::string& job)> is_cancelled;
+    /// Whether the serving plan is known to hold every configuration that was acknowledged before
+    /// \p since; asks the key-value service if need be.
+    std::function<net::task<bool>(time_point since)> confirm_plan;
     /// Returns the time in Unix milliseconds.
     std::function<std::int64_t()> wall_clock;
 };
@@ -77,8 +80,10 @@
     /// them. Call it regularly, since the period begins with the first call after the job finished.
     void evict_finished();
     /// Gives up the pending items of jobs whose route is gone or that have been in the table for
-    /// the item lifetime. A job that was taken over may live longer: the host's clock at its
-    /// submission does not tell its age, and items must not be given up early.
+    /// the item lifetime. A route that is not in the plan is gone only once the plan is confirmed
+    /// to be newer than the job, as the plan of an outdated daemon may lack a route that was added.
+    /// A job that was taken over may live longer: the host's clock at its submission does not tell
+    /// its age, and items must not be given up early.
     void fail_expired_items();
     /// Whether no job in the table is unfinished.
     [[nodiscard]] bool is_drained() const;
@@ -102,8 +107,15 @@
     [[nodiscard]] const config::serving_route* route_of(const owned_job& job) const;
 
 private:
+    /// Gives up the pending items of jobs whose route is confirmed to be gone.
+    net::task<> fail_jobs_without_route();
+    /// Ids of the unfinished jobs whose route is not in the plan.
+    [[nodiscard]] std::vector<std::string> jobs_without_route() const;
+
     serving::service_context& m_context;
     const runner_options& m_options;
+    /// Whether fail_jobs_without_route() runs.
+    bool m_confirms_routes = false;
     std::map<std::string, job_ptr, std::less<>> m_jobs;
     /// When each job was added.
     std::map<std::string, time_point, std::less<>> m_added_at;
--- a/src/store/mirror_feed.cpp
+++ b/src/store/mirror_feed.cpp
@@ -8,6 +8,8 @@
 
 /// Maximum wait of a watch after a failed call.
 constexpr duration probe_wait = milliseconds(50);
+/// Wait of the watch that refreshes a replica: changes that are there are returned at once.
+constexpr duration refresh_wait = milliseconds(1);
 /// Interval at which a daemon that does not watch checks whether it has to.
 constexpr duration watch_check_interval = milliseconds(300);
 /// Interval at which a daemon that does not watch polls a prefix. In between, the digests of other
@@ -167,6 +169,23 @@
     co_return read ? std::string() : read.error().message;
 }
 
+net::task<bool> mirror_feed::refresh(std::string prefix) {
+    const result<watch_outcome> outcome =
+        co_await m_store.watch(prefix, m_mirror.revision(prefix), refresh_wait);
+    std::string failure = outcome ? std::string() : outcome.error().message;
+    if (outcome) {
+        const auto* changes = std::get_if<kv_changes>(&outcome.value());
+        if (changes != nullptr) {
+            m_mirror.apply_changes(prefix, *changes);
+        } else {
+            const result<std::uint64_t> read = co_await read_all(prefix, consistency::linearizable);
+            failure = read ? std::string() : read.error().message;
+        }
+    }
+    update_connectivity(failure.empty(), failure);
+    co_return failure.empty();
+}
+
 net::task<> mirror_feed::follow(std::string prefix) {
     duration retry_delay = initial_retry_delay;
     feed_position position;
--- a/src/store/mirror_feed.hpp
+++ b/src/store/mirror_feed.hpp
@@ -56,6 +56,10 @@
         update_connectivity(responded, reason);
     }
 
+    /// Brings the replica of \p prefix up to date with the store by a linearizable call. Returns
+    /// false when the store does not answer.
+    net::task<bool> refresh(std::string prefix);
+
     /// Starts to follow all prefixes.
     void start();
 
