Test of a version that is listed again, red

A service whose last target of a version leaves the list and returns reads the stored versions for each further stream: adopt() returns early when the revision is the same, so that m_published stays without the version.

--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -235,6 +235,21 @@
     require(f.reads - before <= 2 * 3, "requests that come together share a read");
 }
 
+/// The last target of a version restarts, and nothing else changes what is stored.
+void check_listed_again() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version is stored");
+    daemon.set_targets({});
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version that is listed again is stored");
+    const int reads = f.reads;
+    require(f.run(daemon.publish("s", "v1")), "it stays stored");
+    require(f.reads == reads, "its next stream needs no call");
+}
+
 } // namespace
 
 int main() {
@@ -247,6 +262,7 @@
     check_known_to_be_stored();
     check_store_away();
     check_many_requests();
+    check_listed_again();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
