Test of a claim that outlives its purpose, red

A version that publish() has found stored stays claimed when the revision is the same, and is written again after other daemons have deleted it, so that unknown streams of its service are refused for another minute.

--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -250,6 +250,25 @@
     require(f.reads == reads, "its next stream needs no call");
 }
 
+/// What publish() has found stored is not stored again once others have deleted it.
+void check_deleted_stays_deleted() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version is stored");
+    daemon.set_targets({});
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version that is listed again is stored");
+    daemon.set_targets({});
+    f.memory.put(std::string(fleet::service_versions_key), R"({"s":["v2"]})");
+    // The sync of the second call starts when that of the first one has ended.
+    for (int i = 0; i < 2; ++i) {
+        require(f.run(daemon.candidates("s")).has_value(), "the versions are read again");
+    }
+    require(f.stored() == R"({"s":["v2"]})", "a deleted version stays deleted, got " + f.stored());
+}
+
 } // namespace
 
 int main() {
@@ -263,6 +282,7 @@
     check_store_away();
     check_many_requests();
     check_listed_again();
+    check_deleted_stays_deleted();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
