--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -269,6 +269,30 @@
     require(f.stored() == R"({"s":["v2"]})", "a deleted version stays deleted, got " + f.stored());
 }
 
+/// A writer that has not heard that a version has targets again must not delete it.
+void check_writer_behind() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> older{target("a", "v1", false)};
+    const std::vector<routing::fleet_target> both{target("a", "v1", false),
+                                                  target("b", "v2", false)};
+    fleet::service_versions& writer = f.add(true);
+    fleet::service_versions& current = f.add(true, false);
+    fleet::service_versions& outdated = f.add(true, false);
+    outdated.set_targets(older);
+    require(f.run(outdated.candidates("s")) == version_set{"v1"}, "one version is in service");
+    writer.set_targets(both);
+    f.run_until("both versions are stored", [&] { return f.stored() == R"({"s":["v1","v2"]})"; });
+    writer.set_targets(older);
+    current.set_targets(older);
+    f.now += memory - seconds(1);
+    current.set_targets(both);
+    require(f.run(current.publish("s", "v2")), "a version that has returned is stored");
+    f.now += seconds(1);
+    require(f.run(writer.candidates("s")).has_value(), "the writer has looked at what is stored");
+    require(f.run(outdated.candidates("s")) == version_set{"v1", "v2"},
+            "a version on which streams have just begun is not deleted, got " + f.stored());
+}
+
 } // namespace
 
 int main() {
@@ -283,6 +307,7 @@
     check_many_requests();
     check_listed_again();
     check_deleted_stays_deleted();
+    check_writer_behind();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
