Test of a stream that begins before the first read has succeeded, red

publish() looks into m_stored, which holds nothing until a read has succeeded: a daemon that serves its first resumable stream while reads of egd/versions are refused ends with SIGSEGV (gdb: routing::contains, from service_versions::publish).

--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -293,6 +293,19 @@
             "a version on which streams have just begun is not deleted, got " + f.stored());
 }
 
+/// A daemon whose first read has failed, as at a start beside a refusing store, knows nothing yet.
+void check_first_read_fails() {
+    auto& f = *new version_fleet;
+    f.fault = test::store_fault::fails;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(!f.run(daemon.publish("s", "v1")), "a refusing store has stored no version");
+    f.fault = test::store_fault::none;
+    f.run_until("the version is stored when the store answers",
+                [&] { return f.stored() == R"({"s":["v1"]})"; });
+}
+
 } // namespace
 
 int main() {
@@ -308,6 +321,7 @@
     check_listed_again();
     check_deleted_stays_deleted();
     check_writer_behind();
+    check_first_read_fails();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
