--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -235,6 +235,77 @@
     require(f.reads - before <= 2 * 3, "requests that come together share a read");
 }
 
+/// The last target of a version restarts, and nothing else changes what is stored.
+void check_listed_again() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version is stored");
+    daemon.set_targets({});
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version that is listed again is stored");
+    const int reads = f.reads;
+    require(f.run(daemon.publish("s", "v1")), "it stays stored");
+    require(f.reads == reads, "its next stream needs no call");
+}
+
+/// What publish() has found stored is not stored again once others have deleted it.
+void check_deleted_stays_deleted() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version is stored");
+    daemon.set_targets({});
+    daemon.set_targets(targets);
+    require(f.run(daemon.publish("s", "v1")), "a version that is listed again is stored");
+    daemon.set_targets({});
+    f.memory.put(std::string(fleet::service_versions_key), R"({"s":["v2"]})");
+    // The sync of the second call starts when that of the first one has ended.
+    for (int i = 0; i < 2; ++i) {
+        require(f.run(daemon.candidates("s")).has_value(), "the versions are read again");
+    }
+    require(f.stored() == R"({"s":["v2"]})", "a deleted version stays deleted, got " + f.stored());
+}
+
+/// A writer that has not heard that a version has targets again must not delete it.
+void check_writer_behind() {
+    auto& f = *new version_fleet;
+    const std::vector<routing::fleet_target> older{target("a", "v1", false)};
+    const std::vector<routing::fleet_target> both{target("a", "v1", false),
+                                                  target("b", "v2", false)};
+    fleet::service_versions& writer = f.add(true);
+    fleet::service_versions& current = f.add(true, false);
+    fleet::service_versions& outdated = f.add(true, false);
+    outdated.set_targets(older);
+    require(f.run(outdated.candidates("s")) == version_set{"v1"}, "one version is in service");
+    writer.set_targets(both);
+    f.run_until("both versions are stored", [&] { return f.stored() == R"({"s":["v1","v2"]})"; });
+    writer.set_targets(older);
+    current.set_targets(older);
+    f.now += memory - seconds(1);
+    current.set_targets(both);
+    require(f.run(current.publish("s", "v2")), "a version that has returned is stored");
+    f.now += seconds(1);
+    require(f.run(writer.candidates("s")).has_value(), "the writer has looked at what is stored");
+    require(f.run(outdated.candidates("s")) == version_set{"v1", "v2"},
+            "a version on which streams have just begun is not deleted, got " + f.stored());
+}
+
+/// A daemon whose first read has failed, as at a start beside a refusing store, knows nothing yet.
+void check_first_read_fails() {
+    auto& f = *new version_fleet;
+    f.fault = test::store_fault::fails;
+    const std::vector<routing::fleet_target> targets{target("a", "v1", false)};
+    fleet::service_versions& daemon = f.add(true, false);
+    daemon.set_targets(targets);
+    require(!f.run(daemon.publish("s", "v1")), "a refusing store has stored no version");
+    f.fault = test::store_fault::none;
+    f.run_until("the version is stored when the store answers",
+                [&] { return f.stored() == R"({"s":["v1"]})"; });
+}
+
 } // namespace
 
 int main() {
@@ -247,6 +318,10 @@
     check_known_to_be_stored();
     check_store_away();
     check_many_requests();
+    check_listed_again();
+    check_deleted_stays_deleted();
+    check_writer_behind();
+    check_first_read_fails();
     const int status = eelgrassdoor::test::finish();
     std::fflush(stdout);
     std::_Exit(status);
