--- a/src/fleet/service_versions.cpp
+++ b/src/fleet/service_versions.cpp
@@ -169,6 +169,13 @@
         if (writes == max_writes) {
             co_return false;
         }
+        const bool is_confirmed = co_await confirm_deletions();
+        if (!is_confirmed) {
+            co_return false;
+        }
+        if (desired() == *m_stored) {
+            break;
+        }
         const bool has_answered = co_await write(desired());
         if (!has_answered) {
             co_return false;
@@ -177,6 +184,13 @@
     co_return true;
 }
 
+net::task<bool> service_versions::confirm_deletions() {
+    if (routing::difference(*m_stored, desired()).empty()) {
+        co_return true;
+    }
+    co_return co_await confirm_targets();
+}
+
 net::task<bool> service_versions::read() {
     const std::string key(service_versions_key);
     const result<std::optional<store::kv_item>> item =
@@ -193,7 +207,7 @@
 void service_versions::adopt(const std::optional<store::kv_item>& item) {
     const std::uint64_t revision = item ? item->revision : 0;
     if (m_stored && revision == m_stored_revision) {
-        m_synced_at = m_clock();
+        set_stored(std::move(*m_stored), revision);
         return;
     }
     std::optional<routing::versions_by_service> versions;
--- a/src/fleet/service_versions.hpp
+++ b/src/fleet/service_versions.hpp
@@ -34,7 +34,7 @@
 /// begins on it, see publish(), so that a read which starts after a caller has taken a stream up
 /// covers the version that began it, whatever the reading daemon has heard of before. Daemons that
 /// watch the key-value service also store versions when they are listed, and delete them when their
-/// last targets have been gone for a while. Not thread-safe.
+/// last targets have been gone for a while and are confirmed to be. Not thread-safe.
 class service_versions {
 public:
     /// How long a request waits here for the key-value service, which answers within milliseconds.
@@ -48,6 +48,10 @@
     std::function<bool()> is_writer;
     /// Whether the key-value service has answered lately. Must be set before start().
     std::function<bool()> is_store_reachable;
+    /// Has set_targets() called with all targets that are listed at the time of the call, if they
+    /// are not the current ones. Returns false when they cannot be read. Must be set before
+    /// start().
+    std::function<net::task<bool>()> confirm_targets;
     /// Starts to read the versions and to write their changes.
     void start();
 
@@ -77,11 +81,15 @@
     /// Reads the versions for the requests up to \p number, and stores those that are missing.
     /// Returns false when the key-value service has not answered.
     net::task<bool> sync(std::uint64_t number);
+    /// Makes sure that what desired() leaves out of the stored versions has no targets.
+    net::task<bool> confirm_deletions();
     net::task<bool> read();
     net::task<bool> write(routing::versions_by_service versions);
     /// Takes over what the key-value service holds.
     void adopt(const std::optional<store::kv_item>& item);
     void set_stored(routing::versions_by_service versions, std::uint64_t revision);
+    /// Whether \p version is stored, as far as this daemon has read or written.
+    [[nodiscard]] bool is_stored(std::string_view service, std::string_view version) const;
     /// Requests a sync that starts after the call, and returns its number.
     std::uint64_t request_sync();
     /// Waits until \p has_ended, for sync_timeout at most.
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -206,6 +206,9 @@
         m_service_versions.is_store_reachable = [this] {
             return m_feed.connected_since() != time_point::max();
         };
+        m_service_versions.confirm_targets = [this] {
+            return m_feed.refresh(m_adapter.target_prefix);
+        };
         m_service_versions.start();
     }
     if (m_runner) {
--- a/test/correctness/service_versions.cpp
+++ b/test/correctness/service_versions.cpp
@@ -81,6 +81,8 @@
     /// How often a read was checked for a fault, which is twice a read or more.
     int reads = 0;
     bool is_store_reachable = true;
+    /// Tells the daemons of the targets that are listed, and whether these can be read.
+    std::function<bool()> confirm_targets = [] { return true; };
     std::vector<std::unique_ptr<fleet::service_versions>> daemons;
 
     fleet::service_versions& add(bool first_start, bool is_writer = true) {
@@ -88,6 +90,9 @@
             loop.get_executor(), store, [this] { return now; }, log, first_start));
         daemons.back()->is_writer = [is_writer] { return is_writer; };
         daemons.back()->is_store_reachable = [this] { return is_store_reachable; };
+        daemons.back()->confirm_targets = [this]() -> net::task<bool> {
+            co_return confirm_targets();
+        };
         daemons.back()->start();
         return *daemons.back();
     }
@@ -284,11 +289,19 @@
     f.run_until("both versions are stored", [&] { return f.stored() == R"({"s":["v1","v2"]})"; });
     writer.set_targets(older);
     current.set_targets(older);
+    f.confirm_targets = [] { return false; };
     f.now += memory - seconds(1);
     current.set_targets(both);
     require(f.run(current.publish("s", "v2")), "a version that has returned is stored");
     f.now += seconds(1);
     require(f.run(writer.candidates("s")).has_value(), "the writer has looked at what is stored");
+    require(f.stored() == R"({"s":["v1","v2"]})",
+            "a version is not deleted while its targets cannot be read");
+    f.confirm_targets = [&writer, &both] {
+        writer.set_targets(both);
+        return true;
+    };
+    require(f.run(writer.candidates("s")).has_value(), "the writer has looked again");
     require(f.run(outdated.candidates("s")) == version_set{"v1", "v2"},
             "a version on which streams have just begun is not deleted, got " + f.stored());
 }
