Break a stream off when no run could be asked for its rest

Cause: the run for the rest is what tells a closed connection from a finished response, and when it couldn't be had, or failed, the stream was finished as if it had brought nothing. The same where the route's attempts were used up or the deadline was too near to ask for it.

Now such a stream is complete only when a run has brought no further event; otherwise it breaks off, and its caller takes it up. What may run once, streams of an unknown version and those with events without ids end as before: their callers could not have them taken up.

--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -96,7 +96,10 @@
     net::task<attempt_outcome> relay(running_request& run, target_response response);
     net::task<attempt_outcome> relay_stream(running_request& run);
     net::task<attempt_outcome> relay_full_response(running_request& run);
-    /// Whether a run that goes on after the last event can tell that no event is missing.
+    /// Whether a response without framing counts as complete only once a run that goes on after
+    /// the last event has brought none: the caller can have the stream taken up.
+    [[nodiscard]] static bool needs_rest(const running_request& run);
+    /// Whether the route and the deadline allow that run.
     [[nodiscard]] bool can_ask_for_rest(const running_request& run) const;
     /// Ends the attempt, and has another run asked for what follows the last event.
     attempt_outcome ask_for_rest(running_request& run) const;
@@ -118,6 +121,8 @@
     /// Requests a retry after \p failure, which has been counted, if the rules of the route allow
     /// one; otherwise sends the error to the caller.
     net::task<attempt_outcome> retry_or_fail(running_request& run, error failure);
+    /// Whether all targets that may refuse a request have answered that they do not run the rest.
+    [[nodiscard]] static bool is_rest_refused(const running_request& run);
     /// Sends \p failure as an error response, or aborts the connection when a stream has begun.
     net::task<> respond_with_error(running_request& run, error failure);
 
--- a/src/entry/online_proxy_failures.cpp
+++ b/src/entry/online_proxy_failures.cpp
@@ -105,10 +105,14 @@
     co_return attempt_outcome::done;
 }
 
+bool online_proxy::is_rest_refused(const running_request& run) {
+    return run.has_closed_after_last_event() && run.refused_rests >= max_refusals;
+}
+
 net::task<> online_proxy::respond_with_error(running_request& run, error failure) {
     run.active_exchange.reset();
-    if (run.headers_sent && run.has_closed_after_last_event()) {
-        // Nobody could tell whether an event follows; the target has closed as if none did.
+    if (run.headers_sent && is_rest_refused(run)) {
+        // The end was confirmed, and targets that run answer.
         co_await finish_stream(run);
         co_return;
     }
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -26,6 +26,7 @@
 net::task<online_proxy::attempt_outcome> online_proxy::relay(running_request& run,
                                                              target_response response) {
     if (response.not_run) {
+        run.refused_rests += run.has_closed_after_last_event() ? 1 : 0;
         error refused{error_code::overloaded, "the target did not run the request",
                       run_state::not_run};
         co_return co_await handle_failure(run, std::move(refused));
@@ -174,8 +175,13 @@
                         run_state::ran};
         co_return co_await handle_failure(run, std::move(truncated));
     }
-    if (!is_framed && !is_end && can_ask_for_rest(run)) {
-        co_return ask_for_rest(run);
+    if (!is_framed && !is_end && needs_rest(run)) {
+        if (can_ask_for_rest(run)) {
+            co_return ask_for_rest(run);
+        }
+        error unknown{error_code::target_failed, "no run can tell whether an event follows",
+                      run_state::ran};
+        co_return co_await handle_failure(run, std::move(unknown));
     }
     if (!run.headers_sent) {
         net::http_response head = net::make_forwarded_head(run.active_exchange->response());
@@ -185,9 +191,12 @@
     co_return attempt_outcome::done;
 }
 
+bool online_proxy::needs_rest(const running_request& run) {
+    return run.route.resumable && run.headers_sent && run.last_event && run.can_go_on();
+}
+
 bool online_proxy::can_ask_for_rest(const running_request& run) const {
-    return run.route.resumable && run.headers_sent && run.last_event && has_attempts_left(run) &&
-           run.can_go_on() && run.deadline - m_context.clock() >= min_retry_time;
+    return has_attempts_left(run) && run.deadline - m_context.clock() >= min_retry_time;
 }
 
 online_proxy::attempt_outcome online_proxy::ask_for_rest(running_request& run) const {
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -55,6 +55,9 @@
     /// Id of the event after which a response without framing ended, as if it were complete;
     /// nothing once another run has shown a part of a further event.
     std::optional<std::uint64_t> closed_after;
+    /// Attempts in which a target answered that it does not run the request for what follows the
+    /// last event.
+    int refused_rests = 0;
     /// When the latest attempt was sent to its target.
     time_point sent_at{};
     /// Wakes the request while it waits for a place at a target; null otherwise.
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -10,6 +10,13 @@
 
 namespace eelgrassdoor::test {
 
+namespace {
+
+/// How often a response asks whether it is still held.
+constexpr duration hold_poll_interval = milliseconds(2);
+
+} // namespace
+
 raw_target::raw_target(net::asio::any_io_executor executor)
     : m_endpoint(free_endpoint(executor)), m_acceptor(executor) {}
 
@@ -153,6 +160,10 @@
         net::notification delay(m_acceptor.get_executor());
         co_await delay.wait_until(steady_clock()() + answer.end_delay);
     }
+    while (answer.is_held && answer.is_held()) {
+        net::notification step(m_acceptor.get_executor());
+        co_await step.wait_until(steady_clock()() + hold_poll_interval);
+    }
     if (answer.at_end) {
         answer.at_end();
     }
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -44,6 +44,8 @@
         bool ends_connections = false;
         /// How long the connection stays open after the bytes.
         duration end_delay = {};
+        /// The connection also stays open while this returns true, unless it is empty.
+        std::function<bool()> is_held = {};
         /// Called before the connection ends, unless it is empty.
         std::function<void()> at_end = {};
     };
