Ask for the rest of a stream that has only repeated events

Cause: the rest was asked for only once an event had been sent to the caller. Now the last event that the caller names suffices; if no run can tell, the caller gets an error, or the attempt that is broken off.

--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -192,7 +192,7 @@
 }
 
 bool online_proxy::needs_rest(const running_request& run) {
-    return run.route.resumable && run.headers_sent && run.last_event && run.can_go_on();
+    return run.route.resumable && run.last_event && run.can_go_on();
 }
 
 bool online_proxy::can_ask_for_rest(const running_request& run) const {
--- a/test/platform/ended_without_rest.cpp
+++ b/test/platform/ended_without_rest.cpp
@@ -51,6 +51,7 @@
         co_await check_broken_off("attempts used up, each ends in order: ", "/p/",
                                   2 * events_before_end, cut);
         co_await check_deadline();
+        co_await check_repeated();
         co_await check_reset_before();
     }
 
@@ -84,8 +85,9 @@
         co_return co_await m_fleet.call(m_fleet.caller_endpoint(m_host), std::move(request));
     }
     std::string next_id() { return str_cat("stream-", ++m_streams); }
-    net::task<daemon_fixture::response> take_up(std::string id, std::uint64_t last) {
-        net::http_request request = make_request(next_id(), "/p/");
+    net::task<daemon_fixture::response> take_up(std::string id, std::uint64_t last,
+                                                std::string prefix = "/p/") {
+        net::http_request request = make_request(next_id(), prefix);
         request.headers.set("Last-Event-Id", std::to_string(last));
         request.headers.set("Resumes", id);
         co_return co_await send(std::move(request));
@@ -231,6 +233,37 @@
                                           " streams ended too early"));
     }
 
+    /// The target repeats only what the caller of a stream that it takes up already has.
+    net::task<> check_repeated() {
+        int whole = 0;
+        int cut_streams = 0;
+        for (int i = 0; i < streams; ++i) {
+            const std::string id = next_id();
+            m_answer = cut;
+            net::http_request request = make_request(id, "/p/");
+            (void)co_await send(std::move(request));
+            int runs = 0;
+            m_answer = [&](const net::http_request& resumption) {
+                if (++runs > 1) {
+                    return make_whole(resumption);
+                }
+                return raw_target::response{.bytes =
+                                                str_cat(make_head(resumption, "text/event-stream"),
+                                                        make_events(1, events_before_end)),
+                                            .end_delay = event_interval};
+            };
+            const daemon_fixture::response got = co_await take_up(id, 2 * events_before_end, "/t/");
+            const std::string rest = make_events(2 * events_before_end + 1, events);
+            whole += is_whole(got, rest) ? 1 : 0;
+            cut_streams += is_cut(got, rest) ? 1 : 0;
+        }
+        m_answer = nullptr;
+        const std::string what = "repeated events only: ";
+        require(cut_streams == 0,
+                str_cat(what, cut_streams, " of ", streams, " streams ended too early"));
+        require(whole == streams, str_cat(what, whole, " of ", streams, " streams went on"));
+    }
+
     const std::string m_host = "entry-1";
     listed_target& m_target;
     /// How the target responds; as a whole if empty.
