Take a response whose status has no class for none at eelgrassdoord too

The exchange with a target, which online requests and items share, now fails for a status outside 200 to 599 with nothing passed on; it does not tell whether the request ran.

--- a/src/target/exchange.cpp
+++ b/src/target/exchange.cpp
@@ -18,6 +18,10 @@
 constexpr duration socket_read_timeout = seconds(120);
 /// The worker stops receiving while this many bytes wait for the reader.
 constexpr std::size_t max_unread_bytes = 1U << 20U;
+/// Statuses of final responses (RFC 9110, section 15). The HTTP library takes any three digits, and
+/// skips no informational response but 100.
+constexpr int min_final_status = 200;
+constexpr int max_final_status = 599;
 
 /// Maps a failure of the HTTP library. Only a failure to connect proves that nothing was sent.
 error to_error(httplib::Error cause, bool cancelled) {
@@ -32,6 +36,11 @@
             sent ? run_state::unknown : run_state::not_run};
 }
 
+error invalid_status_error(int status) {
+    return {error_code::target_failed, str_cat("the target sent the invalid status ", status),
+            run_state::unknown};
+}
+
 response_head to_response_head(const httplib::Response& response) {
     response_head head;
     head.status = response.status;
@@ -70,6 +79,10 @@
 
 bool exchange::shared_state::on_head(const httplib::Response& response) {
     const absl::MutexLock lock(&mutex);
+    if (response.status < min_final_status || response.status > max_final_status) {
+        failure = invalid_status_error(response.status);
+        return false;
+    }
     head = to_response_head(response);
     return !cancelled;
 }
@@ -112,7 +125,7 @@
     client = nullptr;
     if (response && !cancelled) {
         lease.return_to_pool();
-    } else {
+    } else if (!failure) {
         failure = to_error(response ? httplib::Error::Canceled : response.error(), cancelled);
     }
     ended = true;
--- a/src/target/exchange.hpp
+++ b/src/target/exchange.hpp
@@ -61,8 +61,8 @@
     exchange& operator=(const exchange&) = delete;
 
     /// Waits for status and headers. Cancels the exchange and fails with
-    /// error_code::deadline_exceeded after \p timeout. run_state::not_run in an error means that
-    /// nothing was sent.
+    /// error_code::deadline_exceeded after \p timeout, and fails with error_code::target_failed for
+    /// a status outside 200 to 599. run_state::not_run in an error means that nothing was sent.
     result<response_head> wait_for_head(duration timeout);
     /// Waits up to \p timeout for the next bytes of the body. A timeout does not end the exchange.
     read_result read(duration timeout);
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -65,8 +65,11 @@
     void end_idle_connection();
     /// Sets the function that is called at the end of end().
     void set_on_ended(std::function<void()> on_ended) { m_on_ended = std::move(on_ended); }
-    /// Sets the function that is called for each complete request.
+    /// Sets the function that is called for each request.
     void set_responder(responder respond) { m_respond = std::move(respond); }
+    /// Whether the target responds as soon as it has the head of a request, and leaves the rest of
+    /// the request unread.
+    void set_responds_early(bool responds_early) { m_responds_early = responds_early; }
     /// Start time that the target reports, as in its entry.
     void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
     [[nodiscard]] std::uint64_t started_at() const { return m_started_at; }
@@ -84,7 +87,7 @@
     void set_connection_limit(std::size_t limit) { m_connection_limit = limit; }
     /// The loopback `IP:PORT` of the target.
     [[nodiscard]] const std::string& endpoint() const { return m_endpoint; }
-    /// Number of complete requests that were received, but for questions for the report.
+    /// Number of requests that were received, but for questions for the report.
     [[nodiscard]] int received() const { return m_received; }
     /// Number of further requests whose connections ended at their arrival because of
     /// set_after_report().
@@ -97,8 +100,9 @@
 private:
     net::task<> accept_loop();
     net::task<> serve(std::shared_ptr<net::tcp_connection> connection);
-    /// Nothing when the connection ends before a complete request.
-    static net::task<std::optional<net::http_request>>
+    /// Nothing when the connection ends before a complete request, or before a complete head if the
+    /// target responds early.
+    net::task<std::optional<net::http_request>>
     read_request(std::shared_ptr<net::tcp_connection> connection);
     /// Answers a question for the report. Returns false when the connection has ended.
     net::task<bool> send_report(std::shared_ptr<net::tcp_connection> connection);
@@ -117,6 +121,7 @@
     std::uint64_t m_started_at = 1;
     after_report m_after_report = after_report::keep;
     duration m_report_delay{};
+    bool m_responds_early = false;
     std::size_t m_connection_limit = std::numeric_limits<std::size_t>::max();
     int m_received = 0;
     int m_dropped = 0;
