--- a/test/correctness/target_exchange.cpp
+++ b/test/correctness/target_exchange.cpp
@@ -8,6 +8,7 @@
 #include "stand_in/raw_target.hpp"
 #include "target/exchange.hpp"
 
+#include <csignal>
 #include <cstdlib>
 #include <string>
 #include <string_view>
@@ -64,7 +65,8 @@
     /// \p samples are the target's responses; the path of a request names the index of one.
     exchange_checks(std::vector<sample> samples, bool responds_early)
         : m_samples(std::move(samples)), m_target(m_loop.get_executor()) {
-        m_target.set_responds_early(responds_early);
+        m_target.set_responds_early(
+            [responds_early](const net::http_request&) { return responds_early; });
         m_target.set_responder([this](const net::http_request& request) {
             std::size_t index = 0;
             (void)parse_int(std::string_view(request.target).substr(1), index);
@@ -160,6 +162,8 @@
 } // namespace
 
 int main() {
+    // As in the daemon: a write to a reset connection is to return its error.
+    std::signal(SIGPIPE, SIG_IGN);
     std::vector<sample> answers =
         make_responses({"200 OK", "299 X", "404 Not Found", "503 X", "599 X"});
     answers.push_back({"200 OK after a 100",
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -80,7 +80,7 @@
     while (!parser.complete()) {
         const std::size_t used = parser.feed(connection->input());
         connection->input().erase(0, used);
-        if (parser.complete() || (m_responds_early && parser.has_head())) {
+        if (parser.complete() || (parser.has_head() && m_responds_early(parser.message()))) {
             break;
         }
         const net::io_error ec = co_await connection->read_more();
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -67,9 +67,11 @@
     void set_on_ended(std::function<void()> on_ended) { m_on_ended = std::move(on_ended); }
     /// Sets the function that is called for each request.
     void set_responder(responder respond) { m_respond = std::move(respond); }
-    /// Whether the target responds as soon as it has the head of a request, and leaves the rest of
-    /// the request unread.
-    void set_responds_early(bool responds_early) { m_responds_early = responds_early; }
+    /// Sets the function that chooses by their heads to which requests the target responds at once,
+    /// leaving the rest of their bodies unread. It may be called several times for a request.
+    void set_responds_early(std::function<bool(const net::http_request&)> choose) {
+        m_responds_early = std::move(choose);
+    }
     /// Start time that the target reports, as in its entry.
     void set_started_at(std::uint64_t started_at) { m_started_at = started_at; }
     [[nodiscard]] std::uint64_t started_at() const { return m_started_at; }
@@ -121,7 +123,9 @@
     std::uint64_t m_started_at = 1;
     after_report m_after_report = after_report::keep;
     duration m_report_delay{};
-    bool m_responds_early = false;
+    std::function<bool(const net::http_request&)> m_responds_early = [](const net::http_request&) {
+        return false;
+    };
     std::size_t m_connection_limit = std::numeric_limits<std::size_t>::max();
     int m_received = 0;
     int m_dropped = 0;
