Soak with a host out of step while a first new version joins

fleet_soak has the condition outdated: one entry host after the other is stopped, cut off from the store, from the other hosts, or both, for 1 to 6 s, and meanwhile engines of a version that no host has listed replace those of the only known one. Callers leave other hosts after a few events and take their streams up at that host.

Hosts remember versions for 60 s, so each round has a service and two engines of its own. The store is cut off by a proxy like those of the engines, other hosts by socket filters on the daemons' UDP sockets (pidfd_getfd). The checks and the allowed number of mixed streams are as before; a run in which no moved stream was taken up fails, too. The table of conditions moves to a file of its own.

--- a/test/soak/engine_fleet.cpp
+++ b/test/soak/engine_fleet.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::size_t engine_count = 4;
 /// Time between two engines of a release, how long an engine serves after it has reported that it
 /// drains, and how long its entry stays.
 constexpr duration release_interval = milliseconds(700);
@@ -56,7 +55,8 @@
 engine_fleet::engine_fleet(net::asio::any_io_executor executor, memory_store& store,
                            options options)
     : m_executor(std::move(executor)), m_store(store), m_options(std::move(options)),
-      m_random(m_options.seed), m_requests(request_log_path()) {}
+      m_random(m_options.seed), m_requests(request_log_path()), m_version(m_options.first_version) {
+}
 
 net::task<> engine_fleet::wait(duration time) {
     net::notification timer(m_executor);
@@ -65,7 +65,7 @@
 
 std::vector<engine_fleet::engine*> engine_fleet::current() const {
     std::vector<engine*> out;
-    for (std::size_t i = m_engines.size() - engine_count; i < m_engines.size(); ++i) {
+    for (std::size_t i = m_engines.size() - m_options.engine_count; i < m_engines.size(); ++i) {
         out.push_back(m_engines[i].get());
     }
     return out;
@@ -73,9 +73,9 @@
 
 void engine_fleet::write_entry(const engine& engine, const std::string& state) {
     m_store.put(str_cat("servers/", engine.id),
-                str_cat(R"({"service":"s","address":")", engine.endpoint, R"(","zone":")",
-                        engine.availability_zone, R"(","version":")", engine.version,
-                        R"(","slots":16,"state":")", state,
+                str_cat(R"({"service":")", m_options.service, R"(","address":")", engine.endpoint,
+                        R"(","zone":")", engine.availability_zone, R"(","version":")",
+                        engine.version, R"(","slots":16,"state":")", state,
                         R"(","coldRemainingMs":0,"seq":1,"born":)", engine.started_at, "}"));
 }
 
@@ -113,7 +113,7 @@
     const std::string address =
         str_cat(m_options.network, first_address + number % engines_per_port, ":");
     const std::size_t port = m_options.first_port + number / engines_per_port;
-    added.id = str_cat("i-", number + 1);
+    added.id = str_cat(m_options.id_prefix, number + 1);
     added.version = str_cat("v", m_version);
     added.availability_zone = std::move(zone);
     added.endpoint = str_cat(address, port);
@@ -127,7 +127,7 @@
 }
 
 net::task<> engine_fleet::start() {
-    for (std::size_t i = 0; i < engine_count; ++i) {
+    for (std::size_t i = 0; i < m_options.engine_count; ++i) {
         std::string zone = i % 2 == 0 ? "a" : "b";
         co_await add(std::move(zone));
     }
@@ -230,7 +230,7 @@
 }
 
 net::task<> engine_fleet::restart_one(restart_kind kind) {
-    engine* const one = current()[m_random.below(engine_count)];
+    engine* const one = current()[m_random.below(m_options.engine_count)];
     if (m_replacing || one->is_restarting) {
         co_return;
     }
@@ -250,6 +250,14 @@
     }
 }
 
+void engine_fleet::end_all() {
+    for (const auto& each : m_engines) {
+        m_store.erase(str_cat("servers/", each->id));
+        each->is_up = false;
+        each->process.kill();
+    }
+}
+
 void engine_fleet::set_trouble(bool trouble) {
     m_trouble = trouble;
     for (const auto& each : m_engines) {
--- a/test/soak/engine_fleet.hpp
+++ b/test/soak/engine_fleet.hpp
@@ -40,6 +40,12 @@
         std::string network;
         int first_port = 0;
         std::uint64_t seed = 0;
+        /// The service that the entries name, and what their ids begin with.
+        std::string service = "s";
+        std::string id_prefix = "i-";
+        /// Number of engines, and the version of the first ones.
+        std::size_t engine_count = 4;
+        int first_version = 1;
     };
 
     engine_fleet(net::asio::any_io_executor executor, memory_store& store, options options);
@@ -64,6 +70,8 @@
     net::task<> restart_one(restart_kind kind);
     /// Takes all engines out of the store at once and enters as many others.
     net::task<> replace();
+    /// Takes all engines out of the store and ends them, for good.
+    void end_all();
     /// Makes the engines pause in, delay or break off a part of their answers from now on, or none.
     void set_trouble(bool trouble);
     /// Whether engines are being replaced.
@@ -118,7 +126,7 @@
     std::vector<std::unique_ptr<engine>> m_engines;
     engine_behaviour m_behaviour;
     bool m_ends_replaced = false;
-    int m_version = 1;
+    int m_version;
     bool m_trouble = false;
     bool m_releasing = false;
     /// Whether the release brings new ids; then no single engine restarts.
--- a/test/soak/fleet_soak.cpp
+++ b/test/soak/fleet_soak.cpp
@@ -13,11 +13,15 @@
 /// planned or killed, and most return under their ids and addresses with another software version;
 /// a part of the responses is unframed, and some pause for longer than callers wait. With
 /// restarts-framed no response is unframed; with restarts-cuts hosts are cut off, too, with
-/// restarts-ends connections end. Without it nothing is cut off and no engine ends.
+/// restarts-ends connections end. With outdated, one entry host after the other is out of step
+/// while a first new version joins a service, a service of its own each time, and streams are taken
+/// up at that host; see outdated_rounds. Without it nothing is cut off and no engine ends.
 #include "base/text.hpp"
 #include "check.hpp"
+#include "soak/outdated_rounds.hpp"
 #include "soak/run_soak.hpp"
 #include "soak/soak_clients.hpp"
+#include "soak/soak_conditions.hpp"
 
 #include <csignal>
 #include <cstdio>
@@ -45,6 +49,7 @@
 /// Seeds of a run's random sources, apart from each other.
 constexpr std::uint64_t cut_seed_offset = 2;
 constexpr std::uint64_t restart_seed_offset = 3;
+constexpr std::uint64_t outdated_seed_offset = 4;
 /// Time between two releases or restarts of engines; longer by a random part.
 constexpr duration restart_interval = milliseconds(300);
 
@@ -56,39 +61,6 @@
                                           .once_stream_interval = milliseconds(400),
                                           .patience = seconds(2)};
 
-/// Engines that may be silent for longer than callers wait.
-constexpr engine_behaviour framed_engines{.pause_ms = 2600, .pause_interval = 40};
-constexpr engine_behaviour unframed_engines{
-    .pause_ms = 2600, .pause_interval = 40, .unframed_interval = 4};
-
-/// What a run plays besides what all runs do.
-struct soak_conditions {
-    /// Cuts in turn.
-    std::vector<cut_mode> cuts;
-    /// How engines behave; nothing for engines and callers of the plain run.
-    std::optional<engine_behaviour> behaviour = std::nullopt;
-    /// Whether engines end and restart.
-    bool restarts = false;
-};
-
-const std::vector<cut_mode> all_cuts{cut_mode::hang, cut_mode::reset, cut_mode::refuse,
-                                     cut_mode::silence};
-const std::vector<cut_mode> all_ends{cut_mode::end_all, cut_mode::end_half};
-const std::map<std::string, soak_conditions, std::less<>> conditions_by_name{
-    {"", {}},
-    {"hang", {{cut_mode::hang}}},
-    {"reset", {{cut_mode::reset}}},
-    {"refuse", {{cut_mode::refuse}}},
-    {"silence", {{cut_mode::silence}}},
-    {"cuts", {all_cuts}},
-    {"ends", {{cut_mode::end_all}, unframed_engines}},
-    {"ends-half", {{cut_mode::end_half}, unframed_engines}},
-    {"restarts", {{}, unframed_engines, true}},
-    {"restarts-framed", {{}, framed_engines, true}},
-    {"restarts-cuts", {all_cuts, unframed_engines, true}},
-    {"restarts-ends", {all_ends, unframed_engines, true}},
-};
-
 class soak {
 public:
     soak(net::asio::io_context& loop, std::string program, std::string folder, std::uint64_t seed,
@@ -98,10 +70,11 @@
           m_traffic_random(seed + 1), m_cut_random(seed + cut_seed_offset),
           m_restart_random(seed + restart_seed_offset), m_time(time),
           m_cuts(std::move(conditions.cuts)), m_behaviour(conditions.behaviour),
-          m_restarts(conditions.restarts),
-          m_fleet(loop, m_traffic_random, std::move(program), std::move(folder)),
+          m_restarts(conditions.restarts), m_outdated(conditions.outdated),
+          m_fleet(loop, m_traffic_random, std::move(program), std::move(folder), m_outdated),
           m_clients(loop, m_traffic_random, m_fleet,
-                    m_behaviour ? restart_traffic : traffic_options()) {}
+                    m_behaviour ? restart_traffic : traffic_options()),
+          m_outdated_rounds(loop, m_fleet, m_clients, seed + outdated_seed_offset) {}
 
     net::task<> run() {
         if (!m_cuts.empty()) {
@@ -126,6 +99,9 @@
         if (m_restarts) {
             net::asio::co_spawn(m_loop, restart_engines(end), net::asio::detached);
         }
+        if (m_outdated) {
+            net::asio::co_spawn(m_loop, play_outdated(end), net::asio::detached);
+        }
         while (steady_clock()() < end) {
             net::asio::co_spawn(m_loop, disturb(), net::asio::detached);
             m_ended += m_fleet.restart_ended();
@@ -173,6 +149,15 @@
         --m_disturbances;
     }
 
+    /// Plays rounds with hosts out of step until \p end.
+    net::task<> play_outdated(time_point end) {
+        ++m_disturbances;
+        while (steady_clock()() < end) {
+            co_await m_outdated_rounds.run_round();
+        }
+        --m_disturbances;
+    }
+
     /// Releases versions and restarts engines until \p end.
     net::task<> restart_engines(time_point end) {
         ++m_disturbances;
@@ -336,6 +321,11 @@
             counts.long_texts);
         std::printf("kept connections: %d requests, %d answered\n", counts.kept_requests,
                     counts.answered_kept_requests);
+        if (m_outdated) {
+            std::printf("streams that moved to hosts out of step: %d, taken up: %d\n",
+                        counts.moved_streams, counts.resumed_moved_streams);
+            require(counts.resumed_moved_streams > 0, "streams move to hosts out of step");
+        }
         for (const std::string& fault : counts.faults) {
             require(false, fault);
         }
@@ -364,8 +354,10 @@
     std::vector<cut_mode> m_cuts;
     std::optional<engine_behaviour> m_behaviour;
     bool m_restarts = false;
+    bool m_outdated = false;
     soak_fleet m_fleet;
     soak_clients m_clients;
+    outdated_rounds m_outdated_rounds;
     time_point m_start = steady_clock()();
     time_point m_fault_at;
     time_point m_recovered_at;
@@ -376,14 +368,14 @@
 } // namespace
 
 int main(int argc, char** argv) {
-    const auto conditions = conditions_by_name.find(argc == 6 ? argv[5] : "");
-    if (argc < 5 || argc > 6 || conditions == conditions_by_name.end()) {
+    const auto conditions = find_conditions(argc == 6 ? argv[5] : "");
+    if (argc < 5 || argc > 6 || !conditions) {
         std::fprintf(stderr, "usage: fleet_soak PROGRAM FOLDER SEED SECONDS [CONDITIONS]\n");
         return EXIT_FAILURE;
     }
     run_soak(argv[2], [&](net::asio::io_context& loop) {
         auto* const run = new soak(loop, argv[1], argv[2], std::strtoull(argv[3], nullptr, 10),
-                                   seconds(std::atoi(argv[4])), conditions->second);
+                                   seconds(std::atoi(argv[4])), *conditions);
         return run->run();
     });
 }
--- a/test/soak/soak_clients.hpp
+++ b/test/soak/soak_clients.hpp
@@ -41,6 +41,10 @@
     int whole_once_streams = 0;
     /// Tries of streams that their callers gave up.
     int given_up_streams = 0;
+    /// Streams whose callers went on to another host after the first events, and those among them
+    /// that went on at any host.
+    int moved_streams = 0;
+    int resumed_moved_streams = 0;
     /// Streams that hold events of two software versions.
     int mixed_streams = 0;
     /// Requests over kept connections, and those among them that were answered.
@@ -70,6 +74,11 @@
     /// Starts to send; goes on until stop().
     void start();
     void stop() { m_stopped = true; }
+    /// Begins a stream under \p path at an entry host other than \p next. Its caller leaves that
+    /// host after a few events or a short silence, and takes the stream up at \p next.
+    void start_moving_stream(std::string path, daemon_process& next) {
+        spawn(run_moving_stream(std::move(path), next));
+    }
     /// Whether no caller is waiting any more.
     [[nodiscard]] bool is_idle() const { return m_running == 0; }
     [[nodiscard]] const soak_counts& counts() const { return m_counts; }
@@ -92,6 +101,10 @@
         std::string first_attempt;
         bool whole = false;
         bool resumed = false;
+        /// Event after which the caller leaves the host; 0 for none.
+        std::uint64_t last_wanted = 0;
+        /// Silence after which the caller gives up.
+        duration patience{};
     };
 
     struct stream_try;
@@ -114,6 +127,7 @@
     net::task<> run_kept_client();
     net::task<> run_stream(int number);
     net::task<> run_once_stream();
+    net::task<> run_moving_stream(std::string path, daemon_process& next);
     /// Sends a stream once, or takes it up where \p text ends. The last part of \p target is the id
     /// of the attempt. Returns the status; 0 for none.
     net::task<int> try_stream(std::string endpoint, std::string target, stream_text& text,
@@ -133,6 +147,7 @@
     void check_text(const std::string& item, const std::string& text, std::uint64_t events);
     [[nodiscard]] daemon_process& random_entry_host();
     [[nodiscard]] std::string random_id();
+    [[nodiscard]] duration patience() const;
 
     net::asio::io_context& m_loop;
     random_source& m_random;
--- a/test/soak/soak_fleet.cpp
+++ b/test/soak/soak_fleet.cpp
@@ -4,6 +4,7 @@
 #include "check.hpp"
 #include "net/http_client.hpp"
 #include "net/notification.hpp"
+#include "soak/datagram_filter.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -21,27 +22,40 @@
 constexpr duration stop_grace = seconds(8);
 /// How long a disturbance of a daemon may have effects.
 constexpr duration contact_time = seconds(3);
+/// From the store's port to that of its proxy, and to those of other services' engines.
+constexpr int store_proxy_port_offset = 1;
+constexpr int service_port_offset = 10;
+constexpr std::size_t engines_per_service = 2;
+
 /// A configuration whose timeouts and limits depend on its number.
-std::string make_configuration(int number) {
+std::string make_configuration(int number, const std::vector<std::string>& services) {
     const std::string timeout = number % 2 == 0 ? "5000" : "4700";
     const std::string idle = number % 3 == 0 ? "15000" : "9000";
     const std::string body = number % 4 < 2 ? "4194304" : "2097152";
     const std::string common =
-        str_cat(R"("host":"h","timeoutMs":)", timeout, R"(,"service":"s","public":false,)");
+        str_cat(R"("host":"h","timeoutMs":)", timeout, R"(,"public":false,"service":")");
+    const std::string stream =
+        R"(,"kind":"streaming","gapAimMs":250,"targetLatencyMs":300,"priority":0,"maxAttempts":3)";
+    std::string service_routes;
+    std::string service_entries;
+    for (const std::string& each : services) {
+        str_append(service_routes, R"(,{"name":")", each, R"(",)", common, each,
+                   R"(","pathPrefix":"/)", each, R"(/","resumable":true)", stream, "}");
+        str_append(service_entries, R"(,{"name":")", each,
+                   R"(","healthPath":"/health","maxConnections":370})");
+    }
     return str_cat(
         R"({"version":)", 10 + 3 * number, R"(,"routes":[{"name":"question",)", common,
-        R"("pathPrefix":"/p/","kind":"streaming","resumable":true,"gapAimMs":250,)",
-        R"("targetLatencyMs":300,"priority":0,"maxAttempts":3},{"name":"plain",)", common,
-        R"("pathPrefix":"/s/","kind":"safe","targetLatencyMs":3000,"priority":0,)",
+        R"(s","pathPrefix":"/p/","resumable":true)", stream, R"(},{"name":"plain",)", common,
+        R"(s","pathPrefix":"/s/","kind":"safe","targetLatencyMs":3000,"priority":0,)",
         R"("maxAttempts":2},{"name":"once",)", common,
-        R"("pathPrefix":"/u/","kind":"unsafe","targetLatencyMs":3000,"priority":0,)",
+        R"(s","pathPrefix":"/u/","kind":"unsafe","targetLatencyMs":3000,"priority":0,)",
         R"("maxAttempts":3},{"name":"once-stream",)", common,
-        R"("pathPrefix":"/q/","kind":"streaming","resumable":false,"gapAimMs":250,)",
-        R"("targetLatencyMs":300,"priority":0,"maxAttempts":3},{"name":"jobs",)", common,
-        R"("pathPrefix":"/j/","kind":"batch","targetLatencyMs":400,"completionTargetMs":18000,)",
-        R"("queueTtlS":120,"maxAttempts":3,"cap":0,"priority":1}],)",
-        R"("services":[{"name":"s","healthPath":"/health","maxConnections":370}],)",
-        R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":)", body,
+        R"(s","pathPrefix":"/q/","resumable":false)", stream, R"(},{"name":"jobs",)", common,
+        R"(s","pathPrefix":"/j/","kind":"batch","targetLatencyMs":400,"completionTargetMs":18000,)",
+        R"("queueTtlS":120,"maxAttempts":3,"cap":0,"priority":1})", service_routes,
+        R"(],"services":[{"name":"s","healthPath":"/health","maxConnections":370})",
+        service_entries, R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":)", body,
         R"(,"headerTimeoutMs":3000,"idleTimeoutMs":)", idle,
         R"(},"tenants":[{"name":"c","apiKeys":["key-1"],"ratePerS":1000,"burst":1000}]})");
 }
@@ -54,20 +68,19 @@
 } // namespace
 
 soak_fleet::soak_fleet(net::asio::io_context& loop, random_source& random, std::string program,
-                       std::string folder)
-    : m_loop(loop), m_program(std::move(program)), m_folder(std::move(folder)),
+                       std::string folder, bool cuts_store)
+    : m_loop(loop), m_random(random), m_program(std::move(program)), m_folder(std::move(folder)),
       // Soaks that run side by side use different addresses.
       m_network(str_cat("127.", 20 + ::getpid() % 200, ".", 1 + ::getpid() / 200 % 250, ".")),
       // Below the ports that the kernel gives to outgoing connections.
       m_first_port(static_cast<int>(20'000 + random.next() % 10'000)),
       m_store_endpoint(str_cat(m_network, "200:", m_first_port)),
-      m_store(loop.get_executor(), m_store_endpoint),
-      m_engines(loop.get_executor(), m_store.memory(),
-                {.program = program_beside("soak_engine"),
-                 .folder = m_folder,
-                 .network = m_network,
-                 .first_port = m_first_port,
-                 .seed = random.next()}) {
+      m_own_store_endpoint(cuts_store
+                               ? str_cat(m_network, "200:", m_first_port + store_proxy_port_offset)
+                               : m_store_endpoint),
+      m_store(loop.get_executor(), m_own_store_endpoint),
+      m_store_cut(cuts_store ? std::make_unique<engine_cut>(loop.get_executor()) : nullptr),
+      m_engines(loop.get_executor(), m_store.memory(), engine_options()) {
     for (const std::string zone : {"a", "b"}) {
         for (int i = 1; i <= 2; ++i) {
             add_daemon(str_cat("entry-", zone, "-", i), zone, true);
@@ -78,6 +91,27 @@
     }
 }
 
+engine_fleet::options soak_fleet::engine_options() {
+    return {.program = program_beside("soak_engine"),
+            .folder = m_folder,
+            .network = m_network,
+            .first_port = m_first_port,
+            .seed = m_random.next()};
+}
+
+std::unique_ptr<engine_fleet> soak_fleet::add_service(const std::string& name, int first_version) {
+    engine_fleet::options options = engine_options();
+    m_services.push_back(name);
+    options.first_port += service_port_offset + static_cast<int>(m_services.size());
+    options.service = name;
+    options.id_prefix = name + "-";
+    options.engine_count = engines_per_service;
+    options.first_version = first_version;
+    change_configuration();
+    return std::make_unique<engine_fleet>(m_loop.get_executor(), m_store.memory(),
+                                          std::move(options));
+}
+
 void soak_fleet::add_daemon(const std::string& host, const std::string& zone, bool serves_callers) {
     daemon_spec spec{.host = host,
                      .availability_zone = zone,
@@ -98,7 +132,7 @@
 }
 
 void soak_fleet::change_configuration() {
-    m_store.memory().put("op/config", make_configuration(m_configuration++));
+    m_store.memory().put("op/config", make_configuration(m_configuration++, m_services));
 }
 
 bool soak_fleet::was_disturbed(const daemon_process& daemon, time_point time) const {
@@ -132,7 +166,10 @@
 }
 
 net::task<bool> soak_fleet::start() {
-    if (!m_store.start()) {
+    const bool listens =
+        m_store.start() &&
+        (!m_store_cut || m_store_cut->add_proxy(m_store_endpoint, m_own_store_endpoint));
+    if (!listens) {
         co_return false;
     }
     change_configuration();
@@ -225,6 +262,14 @@
     mark_disturbed(daemon);
 }
 
+net::task<> soak_fleet::cut_store(daemon_process& daemon, duration time) {
+    mark_disturbed(daemon);
+    m_store_cut->begin({&daemon}, cut_mode::hang);
+    co_await wait(time);
+    m_store_cut->end();
+    mark_disturbed(daemon);
+}
+
 net::task<> soak_fleet::disturb_store(store_state state, duration time) {
     m_store.set_state(state);
     m_store_disturbed = time_point::max() - contact_time;
@@ -233,6 +278,23 @@
     m_store_disturbed = steady_clock()();
 }
 
+net::task<> soak_fleet::cut_peers(daemon_process& daemon, duration time) {
+    mark_disturbed(daemon);
+    const auto address = net::asio::ip::make_address_v4(daemon.spec().address);
+    for (const auto& each : m_daemons) {
+        const bool is_other = each.get() != &daemon;
+        const bool drops =
+            drop_datagrams(each->pid(), is_other ? std::optional(address) : std::nullopt);
+        require(drops, str_cat("datagrams to ", each->spec().host, " are dropped"));
+    }
+    co_await wait(time);
+    for (const auto& each : m_daemons) {
+        const bool passes = pass_datagrams(each->pid());
+        require(passes, str_cat("datagrams to ", each->spec().host, " arrive again"));
+    }
+    mark_disturbed(daemon);
+}
+
 int soak_fleet::restart_ended() {
     int ended = 0;
     for (const auto& each : m_daemons) {
--- a/test/soak/soak_fleet.hpp
+++ b/test/soak/soak_fleet.hpp
@@ -27,8 +27,9 @@
 /// thread-safe: everything runs on one event loop.
 class soak_fleet {
 public:
+    /// \param cuts_store whether cut_store() can be called: a proxy stands in front of the store.
     soak_fleet(net::asio::io_context& loop, random_source& random, std::string program,
-               std::string folder);
+               std::string folder, bool cuts_store = false);
 
     /// Puts proxies in front of the engines, for cut() and end_connections(). Must be called before
     /// start().
@@ -55,9 +56,17 @@
     net::task<> kill_all(std::vector<daemon_process*> daemons, duration pause);
     /// Stops a daemon's process for a while.
     net::task<> freeze(daemon_process& daemon, duration pause);
+    /// Leaves a daemon's calls to the store without an answer for a while; one daemon at a time.
+    net::task<> cut_store(daemon_process& daemon, duration time);
+    /// Drops the datagrams between a daemon and the others for a while; one daemon at a time.
+    /// Processes that start meanwhile are not cut off.
+    net::task<> cut_peers(daemon_process& daemon, duration time);
     /// Writes another version of the configuration, with other timeouts and limits.
     void change_configuration();
     [[nodiscard]] engine_fleet& engines() { return m_engines; }
+    /// Returns two engines of a service of their own that are to be started, and configures a route
+    /// of resumable streams to it, `/NAME/`.
+    std::unique_ptr<engine_fleet> add_service(const std::string& name, int first_version);
     /// Whether a daemon was stopped, killed, frozen or started since some seconds before \p time.
     [[nodiscard]] bool was_disturbed(const daemon_process& daemon, time_point time) const;
     /// Whether the host was cut off from all engines.
@@ -78,22 +87,30 @@
 
 private:
     [[nodiscard]] std::vector<daemon_process*> select(bool serves_callers) const;
+    [[nodiscard]] engine_fleet::options engine_options();
     void add_daemon(const std::string& host, const std::string& zone, bool serves_callers);
     void mark_disturbed(const daemon_process& daemon) { m_disturbed[&daemon] = steady_clock()(); }
     net::task<bool> is_ready(std::string endpoint);
 
     net::asio::io_context& m_loop;
+    random_source& m_random;
     std::string m_program;
     std::string m_folder;
     std::string m_network;
     int m_first_port = 0;
+    /// `IP:PORT` at which daemons reach the store, and on which it listens.
     std::string m_store_endpoint;
+    std::string m_own_store_endpoint;
     store_server m_store;
     std::vector<std::unique_ptr<daemon_process>> m_daemons;
     std::vector<std::string> m_seeds;
     /// Unset without cuts.
     std::unique_ptr<engine_cut> m_cut;
+    /// Unset without cuts from the store.
+    std::unique_ptr<engine_cut> m_store_cut;
     engine_fleet m_engines;
+    /// Names of the services besides that of m_engines.
+    std::vector<std::string> m_services;
     std::vector<cut_window> m_cuts;
     time_point m_store_disturbed = time_point::min();
     /// Daemons that are down on purpose.
--- a/test/soak/soak_streams.cpp
+++ b/test/soak/soak_streams.cpp
@@ -15,6 +15,9 @@
 constexpr duration connect_timeout = seconds(1);
 constexpr duration retry_delay = milliseconds(350);
 constexpr int max_tries = 4;
+/// A caller that moves to another host leaves after one of the first events, or in a silence.
+constexpr std::uint64_t last_wanted_events = 8;
+constexpr duration moving_patience = milliseconds(300);
 
 } // namespace
 
@@ -35,8 +38,12 @@
     bool whole = false;
 };
 
+duration soak_clients::patience() const {
+    return m_traffic.patience > duration() ? m_traffic.patience : 2 * stream_deadline;
+}
+
 net::task<> soak_clients::run_stream(int number) {
-    stream_text text;
+    stream_text text{.patience = patience()};
     const time_point deadline = steady_clock()() + stream_deadline;
     for (int attempt = 0; attempt < max_tries && !text.whole && steady_clock()() < deadline;
          ++attempt) {
@@ -60,8 +67,39 @@
     check_stream(str_cat("stream ", number), text);
 }
 
+net::task<> soak_clients::run_moving_stream(std::string path, daemon_process& next) {
+    stream_text text{.last_wanted = 1 + m_random.below(last_wanted_events),
+                     .patience = moving_patience};
+    const time_point deadline = steady_clock()() + stream_deadline;
+    const daemon_process* host = &next;
+    while (host == &next) {
+        host = &random_entry_host();
+    }
+    std::uint64_t first_part = 0;
+    for (int attempt = 0; attempt < max_tries && !text.whole && steady_clock()() < deadline;
+         ++attempt) {
+        const std::string endpoint = host->caller_endpoint();
+        const std::string target = path + random_id();
+        (void)co_await try_stream(endpoint, target, text, deadline);
+        if (attempt == 0) {
+            first_part = text.last_event;
+            text.last_wanted = 0;
+            text.patience = patience();
+            host = &next;
+        } else {
+            co_await m_fleet.wait(retry_delay);
+            host = &random_entry_host();
+        }
+    }
+    if (first_part > 0) {
+        ++m_counts.moved_streams;
+        m_counts.resumed_moved_streams += text.last_event > first_part ? 1 : 0;
+    }
+    check_stream(path, text);
+}
+
 net::task<> soak_clients::run_once_stream() {
-    stream_text text;
+    stream_text text{.patience = patience()};
     const daemon_process& host = random_entry_host();
     const std::string endpoint = host.caller_endpoint();
     const std::string target = str_cat(once_stream_path, random_id());
@@ -133,11 +171,10 @@
     const auto one = std::make_shared<stream_try>(opened.value(), text, attempt);
     one->exchange.send(request);
     spawn(read_stream(one));
-    const duration patience =
-        m_traffic.patience > duration() ? m_traffic.patience : 2 * stream_deadline;
     bool patient = true;
     while (!one->ended && patient) {
-        patient = co_await one->progress.wait_until(steady_clock()() + patience);
+        const bool progress = co_await one->progress.wait_until(steady_clock()() + text.patience);
+        patient = progress && (text.last_wanted == 0 || text.last_event < text.last_wanted);
     }
     one->text = nullptr;
     text.whole = one->whole;
