Deny a request only by a configuration that is confirmed to be recent

Callers got 404 and 401, which they do not repeat, for a route and a key that were in force, from a host that was cut off or heard of no changes.

Cause: frontend::admit() and authenticate() took what the host's plan does not contain for what does not exist, however old the plan was.

Evidence: platform_denials_at_outdated_hosts.

Why it works: a denial needs an answer of the store to a call that began at most 1 s before the request, half of the time in which a configuration must be in force. Without one, the request is refused as not run, and other hosts may serve it. The age counts from the start of the call, so an answer that waited at a stopped host does not count as new.

--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -14,12 +14,21 @@
 constexpr duration min_logged_wait = milliseconds(20);
 /// Multiple of the mean service time of a route within which nearly all of its requests end.
 constexpr int service_time_allowance = 2;
+/// Age of the plan up to which a request is denied by it. Changes of the configuration take effect
+/// within two seconds.
+constexpr duration max_plan_age = seconds(1);
 
 error no_configuration_error() {
     return {error_code::unavailable, "no configuration is in force yet", run_state::not_run,
             seconds(1)};
 }
 
+/// For a request that the plan does not allow while a newer one may. Other hosts may have it.
+error outdated_configuration_error() {
+    return {error_code::unavailable, "the configuration may be outdated", run_state::not_run,
+            milliseconds(250)};
+}
+
 /// The HTTP request that \p decoded contains.
 const caller_request& request_of(const decoded_request& decoded) {
     return std::visit(
@@ -62,6 +71,27 @@
     return admission{route, std::move(customer)};
 }
 
+template <typename Result>
+net::task<result<Result>>
+frontend::decide(std::function<result<Result>(const config::serving_plan&)> rule,
+                 config::serving_plan_ptr& plan) {
+    plan = m_context.plan;
+    if (!plan) {
+        co_return no_configuration_error();
+    }
+    result<Result> decision = rule(*plan);
+    if (decision) {
+        co_return decision;
+    }
+    const time_point since = m_context.clock() - max_plan_age;
+    const bool is_confirmed = co_await m_confirm_plan(since);
+    if (!is_confirmed) {
+        co_return outdated_configuration_error();
+    }
+    plan = m_context.plan;
+    co_return rule(*plan);
+}
+
 void frontend::log_refusal(const std::string& id, const error& why) const {
     const std::uint64_t version = m_context.plan ? m_context.plan->version : 0;
     m_context.log.write(observe::event::request_refused, id,
@@ -95,9 +125,12 @@
         co_return;
     }
     const std::string id = request_of(decoded.value()).id;
-    const config::serving_plan_ptr plan = m_context.plan;
-    result<std::string> customer = plan ? authenticate(*plan, request_of(decoded.value()))
-                                        : result<std::string>(no_configuration_error());
+    config::serving_plan_ptr plan;
+    const std::function<result<std::string>(const config::serving_plan&)> rule =
+        [&decoded](const config::serving_plan& each) {
+            return authenticate(each, request_of(decoded.value()));
+        };
+    result<std::string> customer = co_await decide(rule, plan);
     if (!customer) {
         co_await refuse(exchange, id, customer.error());
         co_return;
@@ -155,9 +188,10 @@
 
 net::task<> frontend::handle_request(net::server_exchange& exchange, caller_request request) {
     // A running request keeps its plan even when a newer one takes effect.
-    config::serving_plan_ptr plan = m_context.plan;
-    result<admission> admitted =
-        plan ? admit(*plan, request) : result<admission>(no_configuration_error());
+    config::serving_plan_ptr plan;
+    const std::function<result<admission>(const config::serving_plan&)> rule =
+        [&request](const config::serving_plan& each) { return admit(each, request); };
+    result<admission> admitted = co_await decide(rule, plan);
     if (!admitted) {
         co_await refuse(exchange, request.id, admitted.error());
         co_return;
--- a/src/entry/frontend.hpp
+++ b/src/entry/frontend.hpp
@@ -8,6 +8,7 @@
 #include "net/http_server.hpp"
 #include "serving/service_context.hpp"
 
+#include <functional>
 #include <string>
 
 namespace eelgrassdoor::entry {
@@ -18,8 +19,14 @@
 /// \p jobs must outlive it.
 class frontend {
 public:
-    frontend(service_context& context, job_frontend& jobs, request_gate gate)
-        : m_context(context), m_online(context), m_jobs(jobs), m_gate(std::move(gate)) {}
+    /// Whether the serving plan holds every configuration acknowledged before \p since; asks the
+    /// key-value service if that is not known.
+    using confirm_plan_fn = std::function<net::task<bool>(time_point since)>;
+
+    frontend(service_context& context, job_frontend& jobs, request_gate gate,
+             confirm_plan_fn confirm_plan)
+        : m_context(context), m_online(context), m_jobs(jobs), m_gate(std::move(gate)),
+          m_confirm_plan(std::move(confirm_plan)) {}
 
     /// Decodes one request, responds to it and writes the outcome to the decision log. A failure is
     /// reported in an error response unless the caller has disconnected.
@@ -33,6 +40,13 @@
         std::string customer;
     };
 
+    /// Applies \p rule to the plan in force and writes the plan to \p plan. An error of the rule
+    /// rests on what the plan does not contain, so it stands only once the plan is confirmed to be
+    /// recent; until then the result is that the request was not run.
+    template <typename Result>
+    net::task<result<Result>>
+    decide(std::function<result<Result>(const config::serving_plan&)> rule,
+           config::serving_plan_ptr& plan);
     /// Finds route and customer in \p plan. Error codes: not_found without a matching route,
     /// unauthorized without a valid key.
     static result<admission> admit(const config::serving_plan& plan, const caller_request& request);
@@ -51,6 +65,7 @@
     online_proxy m_online;
     job_frontend& m_jobs;
     request_gate m_gate;
+    confirm_plan_fn m_confirm_plan;
 };
 
 } // namespace eelgrassdoor::entry
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -93,12 +93,12 @@
                             [this](const std::string& job) {
                                 return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
                             },
-                        .confirm_plan =
-                            [this](time_point since) { return m_plan_confirmation.confirm(since); },
+                        .confirm_plan = [this](time_point since) { return confirm_plan(since); },
                         .wall_clock = m_settings.wall_clock})
               : nullptr),
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
-      m_frontend(m_context, m_job_frontend, make_request_gate()),
+      m_frontend(m_context, m_job_frontend, make_request_gate(),
+                 [this](time_point since) { return confirm_plan(since); }),
       m_evacuation(m_context.executor, m_settings.host, adapter, log),
       m_relay(m_context, [this] { return !m_shutdown_start; }),
       m_peer_api(m_context, m_mirror, m_runner.get(), m_job_frontend, m_relay),
@@ -231,6 +231,14 @@
                        {.coalescing_delay = cancellation_coalescing_delay, .always_watched = true});
 }
 
+net::task<bool> fleet_daemon::confirm_plan(time_point since) {
+    // Calls that are made regularly show when the store is back.
+    if (m_feed.connected_since() == time_point::max()) {
+        co_return false;
+    }
+    co_return co_await m_plan_confirmation.confirm(since);
+}
+
 fleet::peer_status fleet_daemon::peer_status_of(std::string_view host) const {
     if (host == m_settings.host) {
         return m_feed.connected_since() != time_point::max() ? fleet::peer_status::with_store
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -49,6 +49,9 @@
     [[nodiscard]] fleet::member self() const;
     [[nodiscard]] fleet::registration_options registration_settings() const;
     void configure_mirror_feed();
+    /// Whether the serving plan holds every configuration acknowledged before \p since; asks the
+    /// key-value service if that is not known.
+    net::task<bool> confirm_plan(time_point since);
     /// Whether a daemon, which may be this one, is alive and reaches the store, as far as this
     /// daemon knows.
     [[nodiscard]] fleet::peer_status peer_status_of(std::string_view host) const;
