Do not take a response for whole whose connection breaks while its request is sent

The exchange saw the regular end and didn't look at the write of the request any more, which failed later. It now waits for that write before such a response is complete. A target that goes on reading the request after its response gets it whole, as before.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -19,10 +19,11 @@
     pending->done = true;
     pending->failed = static_cast<bool>(ec);
     pending->bytes.clear();
+    pending->on_done.notify();
 }
 
 void http_exchange::send(const http_request& request) {
-    m_write = std::make_shared<pending_write>();
+    m_write = std::make_shared<pending_write>(m_connection->executor());
     m_write->bytes = serialize(request);
     m_parser = std::make_unique<response_parser>(m_limits);
     asio::co_spawn(m_connection->executor(), write_all(m_connection, m_write), asio::detached);
@@ -36,6 +37,14 @@
     return {error_code::target_failed, std::string(description), run};
 }
 
+task<bool> http_exchange::wait_until_sent() {
+    const std::shared_ptr<pending_write> pending = m_write;
+    while (pending && !pending->done) {
+        co_await pending->on_done.wait_until(time_point::max());
+    }
+    co_return !pending || !pending->failed;
+}
+
 task<result<void>> http_exchange::advance() {
     std::string& input = m_connection->input();
     const std::size_t used = m_parser->feed(input);
@@ -55,10 +64,15 @@
     const io_error ec = co_await m_connection->read_more();
     if (ec == asio::error::eof) {
         m_parser->feed_eof();
-        if (m_parser->complete()) {
-            co_return success();
+        if (!m_parser->complete()) {
+            co_return failure("the connection was closed before the end of the response");
         }
-        co_return failure("the connection was closed before the end of the response");
+        // A peer may close its sending side before it resets the connection.
+        const bool is_sent = co_await wait_until_sent();
+        if (!is_sent) {
+            co_return failure("the connection broke before the end of the request");
+        }
+        co_return success();
     }
     if (ec) {
         co_return failure("the connection broke before the end of the response");
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -5,6 +5,7 @@
 #include "base/error.hpp"
 #include "net/http_parser.hpp"
 #include "net/memory_budget.hpp"
+#include "net/notification.hpp"
 #include "net/tcp_connection.hpp"
 
 #include <functional>
@@ -15,7 +16,9 @@
 
 /// Sends one request over a connection. The request is written while the response is read, because
 /// a server may respond before it has read a long body. An error has run_state::not_run only before
-/// send(), else run_state::unknown. Must be used on the thread of its event loop.
+/// send(), else run_state::unknown. A response that ends with its connection is complete only if
+/// the connection stays sound until the request has been written. Must be used on the thread of its
+/// event loop.
 class http_exchange {
 public:
     /// The response is limited by \p limits and by what \p budget, if any, has left.
@@ -47,12 +50,18 @@
 
 private:
     struct pending_write {
+        explicit pending_write(const asio::any_io_executor& executor) : on_done(executor) {}
+
+        notification on_done;
         std::string bytes;
         bool done = false;
         bool failed = false;
     };
     static task<> write_all(std::shared_ptr<tcp_connection> connection,
                             std::shared_ptr<pending_write> pending);
+    /// Waits until the request has been written. Returns whether it was, rather than that the
+    /// connection failed.
+    task<bool> wait_until_sent();
     /// Parses the received bytes; when there are none to parse, waits for more.
     task<result<void>> advance();
     /// Whether the budget allows for what the response holds, and for the \p expected length of its
--- a/test/stand_in/raw_target.cpp
+++ b/test/stand_in/raw_target.cpp
@@ -149,6 +149,9 @@
     if (!answer.endless_tail.empty()) {
         co_await send_endlessly(*connection, answer.endless_tail);
     }
+    if (answer.half_closes) {
+        connection->shut_down_sending();
+    }
     if (answer.end_delay > duration::zero()) {
         net::notification delay(m_acceptor.get_executor());
         co_await delay.wait_until(steady_clock()() + answer.end_delay);
--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -36,6 +36,8 @@
         std::string bytes;
         /// Whether the connection ends with a TCP reset rather than a regular close.
         bool reset = false;
+        /// Whether the sending side is closed right after the bytes, in order.
+        bool half_closes = false;
         /// Sent again and again after the bytes, until the caller closes, unless it is empty.
         std::string endless_tail = {};
         /// Whether end() is called after the bytes.
