--- a/src/entry/online_proxy.hpp
+++ b/src/entry/online_proxy.hpp
@@ -97,9 +97,10 @@
     net::task<attempt_outcome> relay_stream(running_request& run);
     net::task<attempt_outcome> relay_full_response(running_request& run);
     /// Whether a response without framing counts as complete only once a run that goes on after
-    /// the last event has brought none: the caller can have the stream taken up.
-    [[nodiscard]] static bool needs_rest(const running_request& run);
-    /// Whether the route and the deadline allow that run.
+    /// the last event has brought none: the route allows that run, and the caller can have the
+    /// stream taken up.
+    [[nodiscard]] bool needs_rest(const running_request& run) const;
+    /// Whether that run has time.
     [[nodiscard]] bool can_ask_for_rest(const running_request& run) const;
     /// Ends the attempt, and has another run asked for what follows the last event.
     attempt_outcome ask_for_rest(running_request& run) const;
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -191,12 +191,12 @@
     co_return attempt_outcome::done;
 }
 
-bool online_proxy::needs_rest(const running_request& run) {
-    return run.route.resumable && run.last_event && run.can_go_on();
+bool online_proxy::needs_rest(const running_request& run) const {
+    return run.route.resumable && run.last_event && run.can_go_on() && has_attempts_left(run);
 }
 
 bool online_proxy::can_ask_for_rest(const running_request& run) const {
-    return has_attempts_left(run) && run.deadline - m_context.clock() >= min_retry_time;
+    return run.deadline - m_context.clock() >= min_retry_time;
 }
 
 online_proxy::attempt_outcome online_proxy::ask_for_rest(running_request& run) const {
