--- a/test/stand_in/raw_target.hpp
+++ b/test/stand_in/raw_target.hpp
@@ -36,8 +36,6 @@
         std::string bytes;
         /// Whether the connection ends with a TCP reset rather than a regular close.
         bool reset = false;
-        /// Whether the sending side is closed right after the bytes, in order.
-        bool half_closes = false;
         /// Sent again and again after the bytes, until the caller closes, unless it is empty.
         std::string endless_tail = {};
         /// Whether end() is called after the bytes.
@@ -50,6 +48,8 @@
         std::function<bool()> is_held = {};
         /// Called before the connection ends, unless it is empty.
         std::function<void()> at_end = {};
+        /// Whether the sending side is closed right after the bytes, in order.
+        bool half_closes = false;
     };
     using responder = std::function<response(const net::http_request&)>;
 
