--- a/src/fleet/service_versions.cpp
+++ b/src/fleet/service_versions.cpp
@@ -98,8 +98,11 @@
     const std::uint64_t number = request_sync();
     std::function<bool()> has_ended = [this, number] { return m_ended >= number; };
     co_await wait_until(std::move(has_ended));
-    const bool has_ended_in_time = m_ended >= number;
-    co_return has_ended_in_time&& routing::contains(*m_stored, service, version);
+    co_return is_stored(service, version) && m_ended >= number;
+}
+
+bool service_versions::is_stored(std::string_view service, std::string_view version) const {
+    return m_stored && routing::contains(*m_stored, service, version);
 }
 
 std::uint64_t service_versions::request_sync() {
