--- a/review/lib-2/engine.hpp
+++ b/review/lib-2/engine.hpp
@@ -20,10 +20,6 @@
     int truncate_after = 0;
     /// Lines that belong to no answer, of 4 KB each, before the end of the answer.
     int spoiled_lines = 0;
-    /// Bytes without end in the body after the first event, at this rate and until this time; 0 for
-    /// none.
-    std::int64_t endless_bytes_per_ms = 0;
-    std::int64_t endless_until = 0;
     /// Answers 503 with Not-Executed, as a full engine does.
     bool refuse = false;
 };
@@ -68,8 +64,7 @@
         return id + "." + std::to_string(number);
     }
 
-    /// Called when a request has reached the engine, and when it begins to run.
-    std::function<void(const message& request)> on_arrival = [](const message&) {};
+    /// Called when a request begins to run.
     std::function<void(const message& request)> on_run = [](const message&) {};
 
 private:
@@ -112,7 +107,6 @@
         const std::string resume = request.header("Last-Event-Id");
         m_log.line("engine %s: %s arrives%s%s", m_options.id.c_str(), id.c_str(),
                    resume.empty() ? "" : ", resumed after event ", resume.c_str());
-        on_arrival(request);
         const std::string expected = request.header("Expect-Instance");
         if (!expected.empty() && expected != m_options.id) {
             return link.send(make_response(
@@ -178,9 +172,6 @@
                 return false;
             }
             ++sent;
-            if (plan.endless_bytes_per_ms > 0) {
-                return send_endlessly(link, id, plan);
-            }
             if (plan.truncate_after > 0 && sent == plan.truncate_after) {
                 m_log.line("engine %s: %s broken off after event %d", m_options.id.c_str(),
                            id.c_str(), number);
@@ -203,28 +194,6 @@
         return !plan.unframed && link.send("0\r\n\r\n");
     }
 
-    /// Sends the same line again and again until the caller closes the connection.
-    bool send_endlessly(connection& link, const std::string& id, const engine_plan& plan) {
-        m_log.line("engine %s: bytes without end for %s", m_options.id.c_str(), id.c_str());
-        const std::string line = "data: " + std::string(4000, '0') + "\n\n";
-        std::string block;
-        while (static_cast<std::int64_t>(block.size()) < 10 * plan.endless_bytes_per_ms) {
-            block += line;
-        }
-        char size[32];
-        std::snprintf(size, sizeof size, "%zx\r\n", block.size());
-        const std::string bytes = plan.unframed ? block : size + block + "\r\n";
-        std::int64_t total = 0;
-        while (now_ms() < plan.endless_until && link.send(bytes)) {
-            total += static_cast<std::int64_t>(block.size());
-            sleep_ms(10);
-        }
-        m_log.line("engine %s: sent %lld MB for %s, %s", m_options.id.c_str(),
-                   static_cast<long long>(total / 1000000), id.c_str(),
-                   link.is_closed() ? "the caller has closed" : "out of trouble again");
-        return false;
-    }
-
     engine_options m_options;
     store& m_store;
     record& m_log;
--- a/review/lib-2/fleet.hpp
+++ b/review/lib-2/fleet.hpp
@@ -201,14 +201,6 @@
     }
     daemon& edge(std::size_t index) { return *m_daemons.at(index); }
     daemon& runner(std::size_t index) { return *m_daemons.at(m_edges + index); }
-    /// Starts one more storage machine.
-    daemon& add_runner() {
-        add("storage-", false, static_cast<int>(m_daemons.size() - m_edges),
-            static_cast<int>(m_daemons.size() - m_edges));
-        m_daemons.back()->start(m_folder, m_store_at.text(), seeds(), false);
-        m_log.line("%s added", m_daemons.back()->node().c_str());
-        return *m_daemons.back();
-    }
     bool wait_until_ready(std::int64_t timeout_ms) {
         const std::int64_t end = now_ms() + timeout_ms;
         for (std::size_t i = 0; i < m_edges; ++i) {
@@ -251,7 +243,6 @@
     std::uint64_t version = 1;
     std::vector<std::string> tenants{"tenant-a", "tenant-b"};
     std::string service = "intake-lm";
-    int rate_per_second = 50;
     json routes = json::array();
 
     json to_json() const {
@@ -260,8 +251,8 @@
             list.push_back({{"name", each},
                             {"apiKeys", json::array({"key-of-" + each})},
                             {"priority", 1},
-                            {"ratePerS", rate_per_second},
-                            {"burst", rate_per_second}});
+                            {"ratePerS", 50},
+                            {"burst", 50}});
         }
         return {
             {"version", version},
@@ -296,12 +287,6 @@
             {"public", false},
             {"cap", cap}};
 }
-inline json stream_route(bool resumable) {
-    return {{"name", "ticket-read"}, {"host", "stream.example"}, {"pathPrefix", "/stream/"},
-            {"kind", "streaming"},   {"timeoutMs", 5000},        {"targetLatencyMs", 300},
-            {"priority", 0},         {"service", "intake-lm"},   {"maxAttempts", 2},
-            {"public", false},       {"resumable", resumable},   {"gapAimMs", 250}};
-}
 
 /// A batch job as its client sees it.
 struct batch_job {
--- a/review/lib-2/http.hpp
+++ b/review/lib-2/http.hpp
@@ -123,12 +123,6 @@
             m_fd = -1;
         }
     }
-    /// Closes with a reset.
-    void reset() {
-        const linger now{1, 0};
-        setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-        close();
-    }
     bool send(std::string_view bytes) {
         while (!bytes.empty()) {
             const ssize_t sent = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
--- a/review/lib-2/store.hpp
+++ b/review/lib-2/store.hpp
@@ -49,11 +49,6 @@
         write(key, to_base64(value.dump()), 0);
         m_changed.notify_all();
     }
-    void erase(const std::string& key) {
-        const std::lock_guard lock(m_mutex);
-        remove(key);
-        m_changed.notify_all();
-    }
     /// Number of answers that were due and of those that were lost so far; and of writes.
     std::atomic<int> answers{0};
     std::atomic<int> lost{0};
