--- a/review/src-2/cut_item.cpp
+++ b/review/src-2/cut_item.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Engines answer without a length or chunks, and a faulty one breaks off a few items' answers
-/// between two events. The engine that is asked for the rest is full: it doesn't run the request.
+/// Engines answer without a length or chunks, and faulty ones break off a few items' answers
+/// between two events, while another one sheds requests: it answers that it doesn't run them.
 ///
 /// usage: cut_item RECORD
 #include "engine.hpp"
@@ -10,12 +10,17 @@
 
 namespace {
 
-constexpr int lots = 12;
+constexpr int lots = 80;
 constexpr int items = 20;
-constexpr int events = 30;
-constexpr int cut_after = 12;
-/// One answer in this many is broken off (the sites' garble: up to 0.03 of the answers).
-constexpr int cut_interval = 40;
+constexpr int events = 8;
+constexpr int cut_after = 3;
+constexpr int engine_count = 7;
+/// The sites' garble: a share of up to 0.6 of the engines, 0.03 of their answers, for 5.5 s.
+constexpr int engines_cutting = 4;
+constexpr int cut_interval = 34;
+/// srv_grey with shed: a share of 0.15 of the engines refuses up to 0.4 of its requests.
+constexpr int shedding_engine = 6;
+constexpr std::int64_t trouble_ms = 5500;
 
 } // namespace
 
@@ -32,25 +37,35 @@
     std::mutex mutex;
     int answers = 0;
     int refused = 0;
-    std::map<std::string, int> cut;
+    int cut = 0;
+    int offered = 0;
+    std::map<int, int> answers_of;
+    std::int64_t trouble_end = 0;
     std::vector<std::unique_ptr<engine>> engines;
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < engine_count; ++i) {
         engines.push_back(std::make_unique<engine>(
             engine_options{.id = "i-" + random_id(),
                            .service = "intake-lm",
                            .at = {all.addresses.next(), 8080},
                            .zone = i % 2 == 0 ? "zone-a" : "zone-b"},
-            all.platform, log, [&](const message& request, int) {
-                engine_plan plan{.events = events, .event_interval_ms = 30, .unframed = true};
+            all.platform, log, [&, i](const message& request, int) {
+                engine_plan plan{.events = events, .event_interval_ms = 25, .unframed = true};
                 const std::lock_guard lock(mutex);
-                const std::string id = request.header("Attempt-Id");
-                const bool is_first = request.header("Last-Event-Id").empty();
-                if (is_first && ++answers % cut_interval == 0) {
-                    cut[id] = 0;
-                    plan.truncate_after = trouble ? cut_after : 0;
-                } else if (cut.contains(id) && cut[id]++ == 0) {
-                    plan.refuse = true;
-                    ++refused;
+                const bool is_rest = !request.header("Last-Event-Id").empty();
+                const bool in_trouble = now_ms() < trouble_end;
+                ++answers;
+                if (in_trouble && i < engines_cutting && ++answers_of[i] % cut_interval == 0 &&
+                    !is_rest) {
+                    ++cut;
+                    plan.truncate_after = cut_after;
+                }
+                // Of its requests those for a rest, as long as they are at most two in five.
+                if (in_trouble && i == shedding_engine) {
+                    ++offered;
+                    if (is_rest && (refused + 1) * 5 <= offered * 2) {
+                        ++refused;
+                        plan.refuse = true;
+                    }
                 }
                 return plan;
             }));
@@ -74,6 +89,11 @@
     sleep_ms(4000);
 
     std::vector<batch_job> jobs;
+    {
+        const std::lock_guard lock(mutex);
+        answers = 0;
+        trouble_end = trouble ? now_ms() + trouble_ms : 0;
+    }
     for (int i = 0; i < lots; ++i) {
         jobs.push_back({random_id(), "tenant-a", items, 300});
         if (client.submit(all.edge(static_cast<std::size_t>(i % 2)).front(), jobs.back()) != 202) {
@@ -111,9 +131,10 @@
             after = page->at("next");
         }
     }
-    log.line("%zu of %d answers were chosen, %d runs for the rest were not run; %d items are "
-             "listed with their whole text, %d as complete with less: MIXED %s",
-             cut.size(), answers, refused, whole, wrong, wrong > 0 ? "is broken" : "holds");
+    log.line(
+        "%d answers, %d broken off; %d of %d requests at the shedding engine not run; %d items "
+        "are listed with their whole text, %d as complete with less: MIXED %s",
+        answers, cut, refused, offered, whole, wrong, wrong > 0 ? "is broken" : "holds");
     const bool is_done = whole + wrong == lots * items;
-    all.finish(wrong > 0 ? broken : is_done && !cut.empty() ? held : could_not_run);
+    all.finish(wrong > 0 ? broken : is_done && (!trouble || cut > 0) ? held : could_not_run);
 }
