Start items only by confirmed news of cancellations

Cause: the owner learns of an end that another daemon has written only by its watch of egd/ended/. When the response of the waiting watch is lost, its silence was taken for "nothing has changed" for the rest of the watch (10 s) and the margin of the call.

Without items to start no call is made. While no daemon reaches the store items go on, as nobody can cancel.

--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -54,6 +54,9 @@
       m_feed(loop.get_executor(), adapter.store, m_mirror, m_clock, log),
       m_plan_confirmation(loop.get_executor(), m_clock,
                           [this] { return m_feed.refresh(m_adapter.operator_prefix); }),
+      m_cancellation_confirmation(
+          loop.get_executor(), m_clock,
+          [this] { return m_feed.refresh(std::string(jobs::cancelled_prefix)); }),
       m_messenger(
           loop.get_executor(),
           {.self = self(), .seeds = m_settings.seeds, .is_cut_off = m_settings.is_partitioned},
@@ -80,22 +83,9 @@
                 .is_partitioned_from_target = m_settings.is_partitioned_from_target,
                 .queues_requests = m_settings.queues_requests},
       m_repository(adapter.store, m_clock, log),
-      m_runner(
-          m_settings.runs_jobs
-              ? std::make_unique<jobs::job_runner>(
-                    m_context, m_repository,
-                    jobs::runner_options{
-                        .self = self(),
-                        .registration_valid = [this] { return m_registration.valid(); },
-                        .registration_generation = [this] { return m_registration.generation(); },
-                        .store_connected_since = [this] { return m_feed.connected_since(); },
-                        .is_cancelled =
-                            [this](const std::string& job) {
-                                return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
-                            },
-                        .confirm_plan = [this](time_point since) { return confirm_plan(since); },
-                        .wall_clock = m_settings.wall_clock})
-              : nullptr),
+      m_runner(m_settings.runs_jobs
+                   ? std::make_unique<jobs::job_runner>(m_context, m_repository, runner_settings())
+                   : nullptr),
       m_job_frontend(m_context, m_repository, {.is_partitioned = m_settings.is_partitioned}),
       m_frontend(m_context, m_job_frontend, make_request_gate(),
                  [this](time_point since) { return confirm_plan(since); }),
@@ -130,6 +120,24 @@
             .runs_jobs = m_settings.runs_jobs};
 }
 
+jobs::runner_options fleet_daemon::runner_settings() {
+    return {
+        .self = self(),
+        .registration_valid = [this] { return m_registration.valid(); },
+        .registration_generation = [this] { return m_registration.generation(); },
+        .store_connected_since = [this] { return m_feed.connected_since(); },
+        .is_cancelled =
+            [this](const std::string& job) {
+                return m_mirror.find(jobs::cancelled_key(job)) != nullptr;
+            },
+        .max_cancellation_delay = m_settings.max_cancellation_delay,
+        .knows_cancellations =
+            [this](time_point since) { return m_cancellation_confirmation.is_confirmed(since); },
+        .confirm_cancellations = [this](time_point since) { return confirm_cancellations(since); },
+        .confirm_plan = [this](time_point since) { return confirm_plan(since); },
+        .wall_clock = m_settings.wall_clock};
+}
+
 bool fleet_daemon::ready() const {
     return !m_shutdown_start && m_context.plan && m_mirror.revision(m_adapter.target_prefix) > 0 &&
            m_mirror.revision(fleet::member_prefix) > 0;
@@ -242,6 +250,13 @@
     co_return co_await m_plan_confirmation.confirm(since);
 }
 
+net::task<bool> fleet_daemon::confirm_cancellations(time_point since) {
+    if (m_feed.connected_since() == time_point::max()) {
+        co_return false;
+    }
+    co_return co_await m_cancellation_confirmation.confirm(since);
+}
+
 fleet::peer_status fleet_daemon::peer_status_of(std::string_view host) const {
     if (host == m_settings.host) {
         return m_feed.connected_since() != time_point::max() ? fleet::peer_status::with_store
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -52,6 +52,9 @@
     /// Whether the serving plan holds every configuration acknowledged before \p since; asks the
     /// key-value service if that is not known.
     net::task<bool> confirm_plan(time_point since);
+    /// The same for the mirror of cancelled jobs and cancellations.
+    net::task<bool> confirm_cancellations(time_point since);
+    [[nodiscard]] jobs::runner_options runner_settings();
     /// Whether a daemon, which may be this one, is alive and reaches the store, as far as this
     /// daemon knows.
     [[nodiscard]] fleet::peer_status peer_status_of(std::string_view host) const;
@@ -109,6 +112,7 @@
     store::mirror m_mirror;
     store::mirror_feed m_feed;
     store::mirror_confirmation m_plan_confirmation;
+    store::mirror_confirmation m_cancellation_confirmation;
     fleet::peer_messenger m_messenger;
     fleet::registration m_registration;
     target_discovery m_target_discovery;
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -35,6 +35,9 @@
     /// Whether requests that find all targets full wait for a place, because callers compete for
     /// too little room; otherwise they are refused at once.
     bool queues_requests = false;
+    /// Time after the acknowledged cancellation of a job within which its items may still be sent
+    /// to targets.
+    duration max_cancellation_delay = seconds(3);
     /// Maximum duration of a graceful shutdown.
     duration shutdown_grace = seconds(8);
     /// Called when a graceful shutdown is complete; if empty, the event loop is stopped.
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -16,7 +16,21 @@
 
 item_dispatcher::item_dispatcher(serving::service_context& context, const runner_options& options,
                                  job_table& table)
-    : m_context(context), m_options(options), m_table(table) {}
+    : m_context(context), m_options(options), m_table(table),
+      m_cancellations(context.executor, news_options()) {}
+
+cancellation_news::options item_dispatcher::news_options() {
+    return {.max_delay = m_options.max_cancellation_delay,
+            .clock = m_context.clock,
+            .is_known = m_options.knows_cancellations,
+            .confirm = m_options.confirm_cancellations,
+            .is_store_reachable =
+                [this] {
+                    return m_options.store_connected_since() != time_point::max() ||
+                           m_context.messenger.any_peer_reaches_store();
+                },
+            .on_confirmed = [this] { m_table.dispatch_wake.notify(); }};
+}
 
 void item_dispatcher::start() {
     net::asio::co_spawn(m_context.executor, dispatch_loop(), net::asio::detached);
@@ -161,12 +175,18 @@
         }
         return true;
     }
+    if (!m_cancellations.may_start()) {
+        m_context.metrics.count("item_starts_held_total");
+        m_scheduler.refund(job->record().state.customer);
+        return false;
+    }
     auto running = std::make_shared<item_run>();
     running->job = job;
     running->index = index;
     running->started_at = m_context.clock();
     running->exchange = std::make_shared<serving::target_exchange>(m_context, *target,
                                                                    serving::work_kind::batch, true);
+    running->exchange->may_send = [this] { return m_cancellations.may_send(); };
     job->mark_running(index, target->version, m_context.clock());
     m_slot_arbiter.record_start(target->id);
     m_table.running.push_back(running);
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "batch/scheduler.hpp"
+#include "jobs/cancellation_news.hpp"
 #include "jobs/dispatch_round.hpp"
 #include "jobs/job_table.hpp"
 #include "jobs/run_time_estimator.hpp"
@@ -40,7 +41,8 @@
     /// its due time, only those that can are returned.
     [[nodiscard]] std::vector<candidate> candidates(dispatch_round& round);
     /// Starts one item, or has \p round hold it when there is no free slot for it. Returns false
-    /// when there is no candidate left.
+    /// when there is no candidate left, or none may start before it is known which jobs are
+    /// cancelled.
     bool start_next(dispatch_round& round);
     /// Records that texts of this version wait for a free slot of \p service.
     void begin_wait(const std::string& service, const std::string& version);
@@ -57,6 +59,7 @@
     void preempt_runs();
     /// Stops up to \p count runs at \p target, the most recently started first.
     void preempt_runs_at(const std::string& target, int count);
+    [[nodiscard]] cancellation_news::options news_options();
     /// Whether this daemon may run items of the jobs it holds.
     [[nodiscard]] bool may_dispatch() const;
     /// The live daemons that run jobs, including this one.
@@ -68,6 +71,7 @@
     batch::scheduler m_scheduler;
     run_time_estimator m_estimator;
     slot_arbiter m_slot_arbiter;
+    cancellation_news m_cancellations;
 };
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -30,6 +30,12 @@
     /// Whether the key-value service has reported that a caller cancelled \p job. Later reports
     /// are passed to job_table::mark_cancelled().
     std::function<bool(const std::string& job)> is_cancelled;
+    /// Time after a job's cancellation within which its items may still be sent to targets.
+    duration max_cancellation_delay = seconds(3);
+    /// Whether is_cancelled() is known to cover every cancellation acknowledged before \p since.
+    std::function<bool(time_point since)> knows_cancellations;
+    /// The same; asks the key-value service if need be.
+    std::function<net::task<bool>(time_point since)> confirm_cancellations;
     /// Whether the serving plan is known to hold every configuration that was acknowledged before
     /// \p since; asks the key-value service if need be.
     std::function<net::task<bool>(time_point since)> confirm_plan;
--- a/src/serving/target_exchange.cpp
+++ b/src/serving/target_exchange.cpp
@@ -118,6 +118,9 @@
 
 std::optional<error> target_exchange::withhold() {
     std::optional<error> why = quarantine_error(m_context, m_gate);
+    if (!why && may_send && !may_send()) {
+        why = {error_code::unavailable, "the request may not be sent any more", run_state::not_run};
+    }
     if (why) {
         m_is_withheld = true;
         m_connection->close();
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -50,6 +50,9 @@
                     bool is_repeatable)
         : m_context(context), m_load_guard(context, target, kind), m_is_repeatable(is_repeatable) {}
 
+    /// Whether the request may still be sent; asked right before. Unset stands for true.
+    std::function<bool()> may_send;
+
     /// Connects to a process that passes \p check, sends the request unless \p gate holds it back
     /// at that moment, and waits until \p response_deadline for the headers of the response to
     /// \p request_id. Responses to other requests are skipped. The error's run state tells whether
@@ -57,8 +60,8 @@
     net::task<result<target_response>> open(make_request_fn make_request, std::string request_id,
                                             time_point response_deadline, process_check check,
                                             quarantine_gate gate);
-    /// Whether open() has failed because the request is in quarantine, here or at the daemon that
-    /// was asked to relay it. The failure is none of the target.
+    /// Whether open() has failed because may_send() was false or the request is in quarantine, here
+    /// or at the daemon that was asked to relay it. The failure is none of the target.
     [[nodiscard]] bool is_withheld() const { return m_is_withheld; }
     /// Software version of the process that has the request; nothing when it is not known to be the
     /// process of the target's entry.
--- a/src/store/mirror_confirmation.cpp
+++ b/src/store/mirror_confirmation.cpp
@@ -13,7 +13,7 @@
     const time_point end = m_clock() + timeout;
     const auto wake = std::make_shared<net::notification>(m_executor);
     m_waiting.push_back(wake);
-    while (m_confirmed_from < since && !has_failed(since) && m_clock() < end) {
+    while (!is_confirmed(since) && !has_failed(since) && m_clock() < end) {
         // A call that began before `since` may not do; the next one is made when it has ended.
         if (!m_is_calling) {
             m_is_calling = true;
@@ -22,7 +22,7 @@
         co_await wake->wait_until(end);
     }
     m_waiting.remove(wake);
-    co_return m_confirmed_from >= since;
+    co_return is_confirmed(since);
 }
 
 net::task<> mirror_confirmation::call() {
--- a/src/store/mirror_confirmation.hpp
+++ b/src/store/mirror_confirmation.hpp
@@ -34,6 +34,9 @@
     /// Returns true once the replica holds everything acknowledged before \p since, false when
     /// that cannot be confirmed within the timeout.
     net::task<bool> confirm(time_point since);
+    /// Whether the replica is known, without a call, to hold everything acknowledged before
+    /// \p since.
+    [[nodiscard]] bool is_confirmed(time_point since) const { return m_confirmed_from >= since; }
 
 private:
     /// Whether no call may be made because one that would do has failed a moment ago.
