Run items again whose results cannot be stored, and let no other job wait for them

Cause: the store refuses the value (400), and a commit that can't succeed was repeated for ever like one to a store that is away; it carried results of up to ten jobs. And nothing bounded an item's text; pages were measured by raw bytes, values of items by the bodies alone. Ruled out: a daemon that is busy or out of memory (all runs end, the targets stand idle).

Change: a call that the store refuses for good fails as invalid_request and is not repeated. Then each job's results are committed apart, the refused job's one by one, and a complete result that is refused by itself is withdrawn (616): its item runs again, elsewhere first. A text that exceeds what the store takes, or a response of 1 MB in JSON, ends its run while it is read. Pages and values count what is encoded. A job that no value could hold is refused with 400 at once.

--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -135,6 +135,7 @@
             [this](time_point since) { return m_cancellation_confirmation.is_confirmed(since); },
         .confirm_cancellations = [this](time_point since) { return confirm_cancellations(since); },
         .confirm_plan = [this](time_point since) { return confirm_plan(since); },
+        .max_value_bytes = m_settings.max_value_bytes,
         .wall_clock = m_settings.wall_clock};
 }
 
--- a/src/host/host_settings.hpp
+++ b/src/host/host_settings.hpp
@@ -48,6 +48,8 @@
     duration watch_grace = milliseconds(1600);
     /// Limit of the process's memory in bytes; it bounds what responses of targets may take.
     std::size_t max_memory_bytes = 256UL * 1024 * 1024;
+    /// Longest value that the key-value service takes, in bytes.
+    std::size_t max_value_bytes = 1024UL * 1024;
     /// Limit of open file descriptors; it bounds the number of callers' connections.
     std::size_t max_descriptors = 4096;
     /// Returns the time of the host's clock in Unix milliseconds.
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -215,7 +215,8 @@
     const bool has_closed = running->job->item(running->index).has_closed_after_last_event();
     if (running->stopped) {
         outcome = item_outcome::interrupted;
-    } else if (outcome != item_outcome::complete && !has_closed) {
+    } else if (!has_closed) {
+        // A complete result matters here only if it is withdrawn.
         running->job->set_last_failed_target(running->index, target.id);
     }
     running->exchange.reset();
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -33,6 +33,14 @@
     return item_outcome::interrupted;
 }
 
+/// Records that the target's answer is too long to be a result.
+void record_oversized(serving::service_context& context, const item_run& running) {
+    const std::string& target = running.exchange->target().id;
+    context.loads.record_failure(target, routing::target_failure::response_failed, context.clock());
+    context.log.write(observe::event::target_failed, running.job->item(running.index).content.id,
+                      {{"target", target}, {"reason", "the answer is too long for a result"}});
+}
+
 /// Reads the events of an open stream into the item until the stream ends.
 net::task<item_outcome> collect(serving::service_context& context, item_run& running,
                                 serving::crash_suspects suspects) {
@@ -65,6 +73,11 @@
             running.job->clear_closed(running.index);
             co_return item_outcome::interrupted;
         }
+        if (running.job->is_output_too_long(running.index)) {
+            running.job->discard_text(running.index);
+            record_oversized(context, running);
+            co_return item_outcome::interrupted;
+        }
         if (parser.is_event_too_long()) {
             running.job->clear_closed(running.index);
             context.loads.record_failure(exchange->target().id,
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_repository.hpp"
 
 #include "base/text.hpp"
+#include "jobs/result_size.hpp"
 #include "net/notification.hpp"
 
 #include <algorithm>
@@ -11,7 +12,7 @@
 
 /// Delay before a failed commit is sent again.
 constexpr duration retry_delay = milliseconds(150);
-/// Limit for the outputs of the results in one page, in bytes; the protocol allows 1 MB per reply.
+/// Limit for a page of several results, in bytes; a response may have max_response_bytes.
 constexpr std::size_t max_page_bytes = 700 * 1024;
 
 /// Decodes the values and concatenates their entries. Fails when a value is malformed.
@@ -60,7 +61,7 @@
             co_return outcome;
         }
         may_have_committed = may_have_committed || outcome.error().run != run_state::not_run;
-        if (m_clock() + retry_delay >= deadline) {
+        if (is_refused_for_good(outcome.error()) || m_clock() + retry_delay >= deadline) {
             error failure = outcome.error();
             failure.run = may_have_committed ? run_state::unknown : run_state::not_run;
             m_log.write(
@@ -250,16 +251,20 @@
     }
 }
 
+bool is_refused_for_good(const error& why) {
+    return why.code == error_code::invalid_request;
+}
+
 serving::result_page make_page(const job_state& state,
                                const std::vector<serving::item_result>& results,
                                std::uint64_t after) {
     serving::result_page page{state.items, after, {}};
-    std::size_t bytes = 0;
+    std::size_t bytes = value_frame_bytes;
     for (std::uint64_t i = after; i < results.size(); ++i) {
-        if (!page.results.empty() && bytes + results[i].output.size() > max_page_bytes) {
+        bytes += listed_size(results[i]);
+        if (!page.results.empty() && bytes > max_page_bytes) {
             break;
         }
-        bytes += results[i].output.size();
         page.results.push_back(results[i]);
         ++page.next;
     }
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -36,8 +36,8 @@
 
 /// Reads and changes jobs. A change whose response was lost is retried with the same bytes under
 /// the same condition, so it takes effect at most once, whichever attempt arrives first. Changes
-/// are retried until their deadline; the error of one that still failed tells by its run state
-/// whether it may have taken effect. Not thread-safe.
+/// are retried until their deadline, unless the store refuses them for good; the error of one that
+/// still failed tells by its run state whether it may have taken effect. Not thread-safe.
 class job_repository {
 public:
     job_repository(store::kv_store& store, clock_fn clock, observe::decision_log& log)
@@ -83,9 +83,9 @@
     template <typename Entry>
     net::task<result<std::vector<Entry>>>
     read_entries(std::string prefix, std::optional<std::vector<Entry>> (*decode)(std::string_view));
-    /// Commits \p change and retries failed attempts until \p deadline. A conflict with an earlier
-    /// attempt of the same change counts as committed. The run state of the error is `unknown` when
-    /// any attempt may have taken effect.
+    /// Commits \p change and retries failed attempts until \p deadline, unless the store refuses
+    /// the change for good. A conflict with an earlier attempt of the same change counts as
+    /// committed. The run state of the error is `unknown` when any attempt may have taken effect.
     net::task<result<store::commit_outcome>> commit_until(store::kv_transaction change,
                                                           time_point deadline);
 
@@ -95,6 +95,9 @@
     random_source m_random{secure_random_uint64()};
 };
 
+/// Whether the store has refused a change for good: it would refuse the same bytes again.
+[[nodiscard]] bool is_refused_for_good(const error& why);
+
 /// The results from position \p after on that fit into one reply; at least one if there are any.
 serving::result_page make_page(const job_state& state,
                                const std::vector<serving::item_result>& results,
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -1,5 +1,9 @@
 #include "jobs/job_runner.hpp"
 
+#include "jobs/result_size.hpp"
+
+#include <algorithm>
+
 namespace eelgrassdoor::jobs {
 
 namespace {
@@ -10,6 +14,20 @@
 /// takes a few milliseconds.
 constexpr duration commit_wait = milliseconds(250);
 
+/// Longest id of a job, in bytes: the keys that contain it have at most 200.
+constexpr std::size_t max_job_id_bytes = 160;
+
+/// Whether the job can be stored, and the results of its items listed: an item or its id may be too
+/// long for one value.
+bool is_storable(const std::string& job, const std::vector<serving::submitted_item>& items,
+                 std::size_t max_value_bytes) {
+    const auto fits = [max_value_bytes](const serving::submitted_item& item) {
+        return stored_size(item) + value_frame_bytes <= max_value_bytes &&
+               listed_size(item.id) <= max_response_bytes / 2;
+    };
+    return job.size() <= max_job_id_bytes && std::all_of(items.begin(), items.end(), fits);
+}
+
 job_reply make_reply(reply_status status) {
     job_reply reply;
     reply.status = status;
@@ -88,6 +106,9 @@
     if (!items) {
         co_return make_reply(reply_status::invalid);
     }
+    if (!is_storable(call.job, items.value(), m_options.max_value_bytes)) {
+        co_return make_reply(reply_status::invalid);
+    }
     job_state state{.job = call.job,
                     .customer = call.customer,
                     .route = call.route,
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -1,6 +1,7 @@
 #include "jobs/job_state.hpp"
 
 #include "base/text.hpp"
+#include "jobs/result_size.hpp"
 #include "peer/codec.hpp"
 
 #include <cereal/types/string.hpp>
@@ -47,8 +48,8 @@
 
 namespace {
 
-/// Limit for the item bodies in one value. The store allows 1 MB per value; the rest leaves room
-/// for the encoding on the wire.
+/// Limit for the items in one value, unless it holds a single one. The store allows 1 MB per value;
+/// the rest leaves room for the encoding on the wire.
 constexpr std::size_t max_part_bytes = 384 * 1024;
 
 } // namespace
@@ -82,13 +83,14 @@
     std::vector<serving::submitted_item> part;
     std::size_t bytes = 0;
     for (const serving::submitted_item& item : items) {
-        if (!part.empty() && bytes + item.body.size() > max_part_bytes) {
+        const std::size_t item_bytes = stored_size(item);
+        if (!part.empty() && bytes + item_bytes > max_part_bytes) {
             parts.push_back(peer::encode(part));
             part.clear();
             bytes = 0;
         }
         part.push_back(item);
-        bytes += item.body.size();
+        bytes += item_bytes;
     }
     parts.push_back(peer::encode(part));
     return parts;
--- a/src/jobs/job_table.cpp
+++ b/src/jobs/job_table.cpp
@@ -79,9 +79,9 @@
     const milliseconds age(
         std::max<std::int64_t>(m_options.wall_clock() - record.state.submitted_at, 0));
     const std::string id = record.state.job;
-    m_jobs[id] =
-        std::make_shared<owned_job>(std::move(record), std::move(items),
-                                    std::move(committed_results), m_context.clock() + target - age);
+    m_jobs[id] = std::make_shared<owned_job>(
+        std::move(record), std::move(items), std::move(committed_results),
+        m_context.clock() + target - age, m_options.max_value_bytes);
     m_jobs[id]->confirm(m_options.registration_generation());
     m_added_at[id] = m_context.clock();
     m_evict_at.erase(id);
--- a/src/jobs/job_table.hpp
+++ b/src/jobs/job_table.hpp
@@ -39,6 +39,8 @@
     /// Whether the serving plan is known to hold every configuration that was acknowledged before
     /// \p since; asks the key-value service if need be.
     std::function<net::task<bool>(time_point since)> confirm_plan;
+    /// Longest value that the key-value service takes, in bytes.
+    std::size_t max_value_bytes = default_max_value_bytes;
     /// Returns the time in Unix milliseconds.
     std::function<std::int64_t()> wall_clock;
 };
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -1,5 +1,7 @@
 #include "jobs/owned_job.hpp"
 
+#include "jobs/result_size.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -19,8 +21,10 @@
 }
 
 owned_job::owned_job(versioned_state record, std::vector<serving::submitted_item> items,
-                     std::vector<serving::item_result> committed_results, time_point due)
-    : m_record(std::move(record)), m_committed(std::move(committed_results)), m_due(due) {
+                     std::vector<serving::item_result> committed_results, time_point due,
+                     std::size_t max_value_bytes)
+    : m_record(std::move(record)), m_committed(std::move(committed_results)), m_due(due),
+      m_max_value_bytes(max_value_bytes) {
     std::set<std::string_view> done;
     for (const serving::item_result& result : m_committed) {
         done.insert(result.item);
@@ -58,14 +62,7 @@
     const bool goes_on = item.version == version && version != routing::unknown_version &&
                          !item.has_unnumbered_event;
     if (item.has_text() && !goes_on) {
-        item.last_event.reset();
-        item.closed_after.reset();
-        item.output.clear();
-        item.events = 0;
-        item.has_unnumbered_event = false;
-        item.text_time = {};
-        item.waited = {};
-        item.waiting_since.reset();
+        discard_text(index);
     }
     if (item.has_text() && !item.waiting_since) {
         // A run without events must not end the wait: a target that can't be reached would keep the
@@ -78,6 +75,28 @@
     item.last_progress = now;
 }
 
+void owned_job::discard_text(std::size_t index) {
+    owned_item& item = m_items[index];
+    item.last_event.reset();
+    item.closed_after.reset();
+    item.output.clear();
+    item.output.shrink_to_fit();
+    item.listed_bytes = 0;
+    item.events = 0;
+    item.has_unnumbered_event = false;
+    item.text_time = {};
+    item.waited = {};
+    item.waiting_since.reset();
+}
+
+bool owned_job::is_output_too_long(std::size_t index) const {
+    const owned_item& item = m_items[index];
+    // What a result takes beside its output.
+    const serving::item_result frame{item.content.id, true, {}};
+    return listed_size(frame) + item.listed_bytes + value_frame_bytes > max_response_bytes ||
+           stored_size(frame) + item.output.size() + value_frame_bytes > m_max_value_bytes;
+}
+
 void owned_job::begin_wait(std::string_view version, time_point now) {
     for (owned_item& item : m_items) {
         const bool waits = !item.done && !item.running && item.has_text();
@@ -98,8 +117,10 @@
         if (event.id && item.last_event && *event.id != *item.last_event + 1) {
             return false;
         }
-        item.output += item.events > 0 ? "\n" : "";
+        const std::string_view separator = item.events > 0 ? "\n" : "";
+        item.output += separator;
         item.output += event.data;
+        item.listed_bytes += listed_size(separator) + listed_size(event.data);
         item.last_event = event.id ? event.id : item.last_event;
         ++item.events;
         item.has_unnumbered_event = item.has_unnumbered_event || !event.id;
@@ -116,6 +137,20 @@
     item.output.clear();
 }
 
+bool owned_job::withdraw_result() {
+    const serving::item_result& refused = m_uncommitted.front();
+    const auto item = std::find_if(m_items.begin(), m_items.end(), [&](const owned_item& each) {
+        return each.content.id == refused.item;
+    });
+    if (!refused.complete || item == m_items.end()) {
+        return false;
+    }
+    item->done = false;
+    discard_text(static_cast<std::size_t>(item - m_items.begin()));
+    m_uncommitted.erase(m_uncommitted.begin());
+    return true;
+}
+
 void owned_job::finish_run(std::size_t index, item_outcome outcome, int max_attempts) {
     owned_item& item = m_items[index];
     item.running = false;
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -14,6 +14,9 @@
 
 namespace eelgrassdoor::jobs {
 
+/// Longest value that a key-value service takes unless it says otherwise, in bytes.
+inline constexpr std::size_t default_max_value_bytes = 1024UL * 1024;
+
 /// Outcome of one run of an item.
 enum class item_outcome {
     /// The target's stream was received completely.
@@ -48,6 +51,8 @@
     /// and number of events. The next run resumes after it.
     std::optional<std::uint64_t> last_event;
     std::string output;
+    /// Upper bound of the bytes that the output takes in a response that lists it.
+    std::size_t listed_bytes = 0;
     std::size_t events = 0;
     /// Whether an event of the text has no id, so that no run can resume the text.
     bool has_unnumbered_event = false;
@@ -91,8 +96,10 @@
 /// have to be committed. Not thread-safe.
 class owned_job {
 public:
+    /// \p max_value_bytes is the longest value that the store takes.
     owned_job(versioned_state record, std::vector<serving::submitted_item> items,
-              std::vector<serving::item_result> committed_results, time_point due);
+              std::vector<serving::item_result> committed_results, time_point due,
+              std::size_t max_value_bytes = default_max_value_bytes);
 
     /// Index of the next item to run, or none if no item is pending or the job is cancelled. Items
     /// for which \p is_held returns true are passed over; unset stands for none.
@@ -115,6 +122,11 @@
     /// false when an event id is missing in the sequence; the run must then be aborted.
     bool add_events(std::size_t index, const std::vector<serving::stream_event>& events,
                     time_point now);
+    /// Whether the item's output is too long to be stored or listed. Only a target in trouble
+    /// writes so much.
+    [[nodiscard]] bool is_output_too_long(std::size_t index) const;
+    /// Discards the item's progress; its next run starts over.
+    void discard_text(std::size_t index);
     /// Records that other targets have free slots, but none of this software version has: items
     /// with a text of that version that don't run have waited since \p now or longer.
     void begin_wait(std::string_view version, time_point now);
@@ -132,6 +144,10 @@
     [[nodiscard]] const std::vector<serving::item_result>& uncommitted() const {
         return m_uncommitted;
     }
+    /// Takes the first uncommitted result back, which the store refuses for good: the item runs
+    /// again. Returns false, and changes nothing, for an incomplete result, which has no output
+    /// that another run could replace.
+    bool withdraw_result();
     /// Moves the first \p count uncommitted results to the committed ones, after the commit that
     /// wrote \p record.
     void mark_committed(std::size_t count, versioned_state record);
@@ -180,6 +196,7 @@
     std::vector<serving::item_result> m_committed;
     std::vector<serving::item_result> m_uncommitted;
     time_point m_due;
+    std::size_t m_max_value_bytes;
     std::uint64_t m_confirmed_generation = 0;
     change_state m_last_change = change_state::settled;
 };
--- a/src/jobs/result_committer.cpp
+++ b/src/jobs/result_committer.cpp
@@ -1,5 +1,7 @@
 #include "jobs/result_committer.hpp"
 
+#include "jobs/result_size.hpp"
+
 namespace eelgrassdoor::jobs {
 
 namespace {
@@ -53,10 +55,10 @@
         }
         result_batch batch{job->record(), {}};
         for (const serving::item_result& each : job->uncommitted()) {
-            if (!batch.results.empty() && bytes + each.output.size() > max_commit_bytes) {
+            if (!batch.results.empty() && bytes + stored_size(each) > max_commit_bytes) {
                 break;
             }
-            bytes += each.output.size();
+            bytes += stored_size(each);
             batch.results.push_back(each);
         }
         batches.push_back(std::move(batch));
@@ -97,19 +99,20 @@
             co_return;
         }
         const result<change_outcome> outcome = co_await send(batches);
-        if (!outcome) {
-            // The results stay uncommitted and are sent again with the next ones.
-            m_table.commit_wake.notify();
-            co_return;
+        if (outcome && outcome.value() == change_outcome::done) {
+            continue;
         }
-        if (outcome.value() == change_outcome::conflict) {
+        // A conflict or refusal concerns some of the jobs; the others must not wait for them. After
+        // another failure all results are sent again with the next ones.
+        const bool concerns_some = outcome || is_refused_for_good(outcome.error());
+        if (concerns_some) {
             for (result_batch& batch : batches) {
                 co_await commit_single(std::move(batch));
             }
-            // Jobs whose conflict could not be resolved are tried again after the commit interval.
-            m_table.commit_wake.notify();
-            co_return;
         }
+        // What could not be committed is tried again after the commit interval.
+        m_table.commit_wake.notify();
+        co_return;
     }
 }
 
@@ -123,6 +126,32 @@
     if (outcome && outcome.value() == change_outcome::conflict) {
         co_await resolve_conflict(id);
     }
+    if (!outcome && is_refused_for_good(outcome.error())) {
+        co_await commit_each_result(id);
+    }
+}
+
+net::task<> result_committer::commit_each_result(std::string id) {
+    for (;;) {
+        const job_ptr job = m_table.find(id);
+        if (!job || job->uncommitted().empty() || job->record().state.cancelled) {
+            co_return;
+        }
+        const std::string item = job->uncommitted().front().item;
+        std::vector<result_batch> one{{job->record(), {job->uncommitted().front()}}};
+        const result<change_outcome> outcome = co_await send(one);
+        if (outcome && outcome.value() == change_outcome::done) {
+            continue;
+        }
+        const bool is_refused = !outcome && is_refused_for_good(outcome.error());
+        if (!is_refused || !job->withdraw_result()) {
+            // A conflict is resolved with the next commit.
+            co_return;
+        }
+        m_context.log.write(observe::event::result_withdrawn, item,
+                            {{"job", id}, {"reason", outcome.error().message}});
+        m_table.dispatch_wake.notify();
+    }
 }
 
 net::task<> result_committer::resolve_conflict(std::string id) {
--- a/src/jobs/result_committer.hpp
+++ b/src/jobs/result_committer.hpp
@@ -39,8 +39,12 @@
     net::task<> confirm_jobs();
     /// Commits until no results are left or a commit fails.
     net::task<> commit_results();
-    /// Commits the results of one job, so that a conflict of another job does not affect them.
+    /// Commits the results of one job, so that a conflict or refusal of another job's does not
+    /// affect them.
     net::task<> commit_single(result_batch batch);
+    /// Commits the results of one job one by one, and withdraws those that the store refuses for
+    /// good.
+    net::task<> commit_each_result(std::string id);
     /// Marks results as committed that the store has beyond those known here. Reloads the job when
     /// they differ from the uncommitted results. Returns false when \p job is not up to date
     /// afterwards.
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -185,6 +185,8 @@
                "This host no longer owns any batch jobs, as requested by an operator."},
     event_info{event::commit_failed, "commit_failed", warning,
                "A change could not be committed to the key-value service."},
+    event_info{event::result_withdrawn, "result_withdrawn", warning,
+               "The key-value service refused a batch item's result, so the item runs again."},
     event_info{event::segment_truncated, "segment_truncated", warning,
                "An incomplete record at the end of a segment was truncated."},
     event_info{event::engine_ran, "engine_ran", info,
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -97,6 +97,7 @@
     job_released = 613,
     host_emptied = 614,
     commit_failed = 615,
+    result_withdrawn = 616,
     segment_truncated = 620,
     engine_ran = 900,
 };
--- a/src/store/kv_store.hpp
+++ b/src/store/kv_store.hpp
@@ -99,7 +99,9 @@
 
 /// The calls of the key-value service. The run_state of an error says whether a change may have
 /// taken effect: not_run when the store refused it, unknown when the response was lost. In the
-/// latter case the change may even take effect later, as long as its conditions hold.
+/// latter case the change may even take effect later, as long as its conditions hold. A call that
+/// the store refuses for good, such as one with a value that is too long, fails with
+/// error_code::invalid_request; to repeat it does not help.
 struct kv_store {
     template <typename T> using reply = net::task<result<T>>;
 
--- a/test/correctness/job_repository.cpp
+++ b/test/correctness/job_repository.cpp
@@ -156,6 +156,21 @@
     }
 }
 
+void check_refused_changes() {
+    fixture f;
+    f.memory.max_value_bytes = 1000;
+    f.run([&]() -> net::task<> {
+        const std::vector<std::string> values{std::string(2000, 'x')};
+        std::uint64_t revision = 0;
+        const job_state first = new_job();
+        const time_point before = steady_clock()();
+        const auto refused = co_await f.repository.create(first, values, deadline(), revision);
+        require(!refused && is_refused_for_good(refused.error()) &&
+                    steady_clock()() < before + seconds(10),
+                "a change that the store refuses for good is not retried until its deadline");
+    });
+}
+
 void check_codec() {
     std::vector<serving::submitted_item> items;
     for (int i = 0; i < 30; ++i) {
@@ -192,6 +207,7 @@
     check_appends();
     check_conflicts();
     check_delayed_commit();
+    check_refused_changes();
     check_codec();
     check_pages();
     return eelgrassdoor::test::finish();
--- a/test/stand_in/memory_store.cpp
+++ b/test/stand_in/memory_store.cpp
@@ -2,6 +2,8 @@
 
 #include "net/notification.hpp"
 
+#include <algorithm>
+
 namespace eelgrassdoor::test {
 
 namespace {
@@ -25,6 +27,15 @@
     co_return error{error_code::deadline_exceeded, "no response", run_state::unknown};
 }
 
+net::task<> memory_store::apply_late(kv_transaction change) {
+    net::notification step(m_executor);
+    while (postpone(change)) {
+        co_await step.wait_until(steady_clock()() + poll_interval);
+    }
+    (void)apply(change);
+    --m_postponed_transactions;
+}
+
 void memory_store::erase(const std::string& key) {
     m_items.erase(key);
     m_history.push_back({{key, "", ++m_revision}, true});
@@ -153,6 +164,19 @@
             co_return error{error_code::unavailable, "the transaction has too many entries",
                             run_state::not_run};
         }
+        const bool is_too_long =
+            std::any_of(change.writes.begin(), change.writes.end(), [this](const kv_write& each) {
+                return each.value.size() > max_value_bytes;
+            });
+        if (is_too_long) {
+            co_return error{error_code::invalid_request, "a value is too long", run_state::not_run};
+        }
+        if (postpone(change)) {
+            ++m_postponed_transactions;
+            net::asio::co_spawn(m_executor, apply_late(change), net::asio::detached);
+            const error failure = co_await wait_in_vain(response_timeout);
+            co_return failure;
+        }
         const commit_outcome outcome = apply(change);
         while (delay_response(change)) {
             net::notification step(m_executor);
--- a/test/stand_in/memory_store.hpp
+++ b/test/stand_in/memory_store.hpp
@@ -6,13 +6,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
 
 namespace eelgrassdoor::test {
 
-/// Implements store::kv_store without limits on value or page size; leases never expire unless
+/// Implements store::kv_store without limits on page size; leases never expire unless
 /// end_leases() is called. Calls take effect immediately, on the caller's executor. Not
 /// thread-safe.
 class memory_store {
@@ -38,6 +39,13 @@
     std::function<bool(const std::string& prefix)> delay_list = [](const auto&) { return false; };
     /// Whether a call of any kind is refused without effect.
     std::function<bool()> refuse = [] { return false; };
+    /// Whether a transaction gets no response and is executed later, if its conditions hold then;
+    /// polled until false.
+    std::function<bool(const store::kv_transaction&)> postpone = [](const auto&) { return false; };
+    /// Number of postponed transactions that have not been decided yet.
+    [[nodiscard]] int postponed_transactions() const { return m_postponed_transactions; }
+    /// Transactions with a longer value are refused for good.
+    std::size_t max_value_bytes = std::numeric_limits<std::size_t>::max();
 
     /// Whether the store is silent: reads, watches and renewals that are made or wait meanwhile get
     /// no response, also not afterwards, and fail when their callers' timeouts have passed.
@@ -66,11 +74,14 @@
     /// Executes a transaction if its conditions hold and its leases exist.
     store::commit_outcome apply(const store::kv_transaction& change);
 
+    /// Executes a transaction once it is no longer postponed.
+    net::task<> apply_late(store::kv_transaction change);
     /// Fails after \p timeout, as a call does whose response never comes.
     net::task<error> wait_in_vain(duration timeout);
 
     net::asio::any_io_executor m_executor;
     std::uint64_t m_silent_renewals = 0;
+    int m_postponed_transactions = 0;
     std::map<std::string, store::kv_item> m_items;
     std::vector<store::kv_event> m_history;
     std::map<std::string, int> m_reports;
--- a/test/stand_in/scripted_engine.cpp
+++ b/test/stand_in/scripted_engine.cpp
@@ -160,10 +160,12 @@
     }
     std::uint64_t first = 0;
     (void)parse_int(exchange.request().headers.get("Last-Event-Id"), first);
+    const std::string padding = m_padding(exchange.request());
     bool open = co_await begin(exchange, unframed);
     exchange.on_client_disconnect([] {});
     for (std::uint64_t id = first + 1; open && id <= last; ++id) {
-        const std::string event = str_cat("id: ", id, "\ndata: ", m_event_prefix, "e", id, "\n\n");
+        const std::string event =
+            str_cat("id: ", id, "\ndata: ", m_event_prefix, "e", id, padding, "\n\n");
         if (id == first + 3 && action == engine_action::hang_in_stream) {
             co_await hang(exchange);
             co_return;
--- a/test/stand_in/scripted_engine.hpp
+++ b/test/stand_in/scripted_engine.hpp
@@ -80,6 +80,10 @@
     }
     /// Text at the beginning of each event's data, which tells by which engine it was sent.
     void set_event_prefix(std::string prefix) { m_event_prefix = std::move(prefix); }
+    /// Sets the function that chooses the text at the end of each event's data, for one response.
+    void set_padding(std::function<std::string(const net::http_request&)> choose) {
+        m_padding = std::move(choose);
+    }
     /// Whether responses announce that the engine is about to exit.
     void set_leaving(bool leaving) { m_leaving = leaving; }
     /// The request limit that responses name; nothing for none.
@@ -163,6 +167,9 @@
         return 5;
     };
     std::string m_event_prefix;
+    std::function<std::string(const net::http_request&)> m_padding = [](const net::http_request&) {
+        return std::string();
+    };
     duration m_event_interval = milliseconds(1);
     duration m_pause{};
     bool m_leaving = false;
