Make sure of a refusal before it is promised, and keep unknown outcomes unknown

Cause: the store carried the creation out late. call_runners() forgot the unknown outcome of the first daemon as soon as the next one refused; the daemon that wrote released the job's tokens and refused later attempts by the cap; and "there is no record", read before a refusal, was taken for "there never will be".

Change: a refusal is stored, under a lease, on the condition that there is no record, in the place of that read. A creation is conditional on the refusal that its daemon knew of when it began, so a late one fails, whoever wrote it and whether that process lives. Once an outcome is unknown only an acceptance settles it, and the caller hears 502 before its deadline. A reply that can't be decoded, and a cancellation in the store without an answer, are unknown outcomes, too.

--- a/src/entry/job_frontend.cpp
+++ b/src/entry/job_frontend.cpp
@@ -18,6 +18,10 @@
 /// Extra time for a call that another frontend forwards: one more round trip, and scheduling delay
 /// on a busy host.
 constexpr duration forwarding_allowance = milliseconds(200);
+/// Time before the caller's deadline at which it is told that the outcome is unknown.
+constexpr duration reply_allowance = milliseconds(200);
+/// Least time that another daemon is given to settle an unknown outcome.
+constexpr duration min_call_time = milliseconds(200);
 /// Maximum age of a frontend's report that it reaches the store: two digest intervals.
 constexpr duration max_store_report_age = milliseconds(1100);
 constexpr duration store_timeout = seconds(2);
@@ -33,6 +37,22 @@
 /// Retry delay on a route whose token queue is full.
 constexpr duration overload_retry_after = seconds(1);
 
+/// Whether a daemon's response other than a reply means that it has not executed the call: it
+/// refused to read it, or its HTTP server answered.
+bool is_not_executed(int status) {
+    return (status >= 400 && status < 500) || status == 503;
+}
+
+/// Whether a reply ends the search for a daemon that executes the call. Once a daemon \p
+/// may_have_executed a submission, nothing but an acceptance does.
+bool is_definite(const jobs::job_reply& reply, jobs::call_kind kind, bool may_have_executed) {
+    if (kind == jobs::call_kind::submit && may_have_executed) {
+        return reply.status == jobs::reply_status::ok;
+    }
+    return reply.status != jobs::reply_status::unavailable &&
+           reply.status != jobs::reply_status::unknown && reply.status != jobs::reply_status::moved;
+}
+
 /// The error for a job submission that was not accepted.
 error submission_error(jobs::reply_status status) {
     switch (status) {
@@ -129,7 +149,8 @@
 }
 
 net::task<jobs::job_reply> job_frontend::call_daemon(const call_destination& destination,
-                                                     const jobs::job_call& call) {
+                                                     const jobs::job_call& call,
+                                                     time_point reply_by) {
     net::http_request request;
     request.method = "POST";
     request.target = destination.forwards ? jobs::forwarded_call_path : jobs::job_call_path;
@@ -140,19 +161,25 @@
             : milliseconds(call.wait_ms) + read_timeout;
     const duration extra_time = destination.forwards ? forwarding_allowance : duration::zero();
     jobs::job_reply failed;
-    result<net::http_response> response = co_await m_client.call(
-        destination.endpoint, std::move(request), m_context.clock() + timeout + extra_time);
+    const time_point deadline = std::min(m_context.clock() + timeout + extra_time, reply_by);
+    result<net::http_response> response =
+        co_await m_client.call(destination.endpoint, std::move(request), deadline);
     if (!response) {
         failed.status = response.error().run == run_state::not_run ? jobs::reply_status::unavailable
                                                                    : jobs::reply_status::unknown;
         co_return failed;
     }
     std::optional<jobs::job_reply> reply = jobs::decode_reply(response.value().body);
-    co_return reply ? std::move(*reply) : failed;
+    if (reply && response.value().status == 200) {
+        co_return std::move(*reply);
+    }
+    failed.status = is_not_executed(response.value().status) ? jobs::reply_status::unavailable
+                                                             : jobs::reply_status::unknown;
+    co_return failed;
 }
 
 net::task<jobs::job_reply> job_frontend::call_owner(const std::string& endpoint,
-                                                    jobs::job_call call) {
+                                                    jobs::job_call call, time_point reply_by) {
     call.redirected = true;
     m_owners.find_or_create(call.job) = endpoint;
     if (!m_context.messenger.receives_directly_from(endpoint)) {
@@ -160,25 +187,26 @@
         co_return jobs::job_reply{};
     }
     const call_destination owner{endpoint};
-    co_return co_await call_daemon(owner, call);
+    co_return co_await call_daemon(owner, call, reply_by);
 }
 
-net::task<jobs::job_reply> job_frontend::call_runners(jobs::job_call call, call_origin origin) {
+net::task<jobs::job_reply> job_frontend::call_runners(jobs::job_call call, call_origin origin,
+                                                      time_point reply_by) {
     jobs::job_reply last;
     bool unknown = false;
     const std::vector<call_destination> all = destinations(call.job, origin);
     for (const call_destination& destination : all) {
-        last = co_await call_daemon(destination, call);
+        if (unknown && reply_by - m_context.clock() < min_call_time) {
+            break;
+        }
+        last = co_await call_daemon(destination, call, reply_by);
         for (int redirect = 0; redirect < max_redirects && last.status == jobs::reply_status::moved;
              ++redirect) {
             const std::string owner = last.owner_endpoint;
-            last = co_await call_owner(owner, call);
+            last = co_await call_owner(owner, call, reply_by);
         }
         unknown = unknown || last.status == jobs::reply_status::unknown;
-        const bool settled = last.status != jobs::reply_status::unavailable &&
-                             last.status != jobs::reply_status::unknown &&
-                             last.status != jobs::reply_status::moved;
-        if (settled) {
+        if (is_definite(last, call.kind, unknown)) {
             co_return last;
         }
         m_owners.erase(call.job);
@@ -217,8 +245,12 @@
     call.host = request.host;
     call.body = std::move(request.content.body);
     const std::string job = call.job;
+    const time_point reply_by = request.time_left
+                                    ? m_context.clock() + *request.time_left - reply_allowance
+                                    : time_point::max();
     exchange.set_may_have_run();
-    const jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller);
+    const jobs::job_reply reply =
+        co_await execute(std::move(call), call_origin::from_caller, reply_by);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response accepted;
         accepted.status = 202;
@@ -268,12 +300,15 @@
         co_await m_repository.cancel(call.job, call.customer, m_context.clock() + store_timeout);
     if (ended) {
         reply.status = ended.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
+    } else if (ended.error().run != run_state::not_run) {
+        reply.status = jobs::reply_status::unknown;
     }
     co_return reply;
 }
 
-net::task<jobs::job_reply> job_frontend::execute(jobs::job_call call, call_origin origin) {
-    jobs::job_reply reply = co_await call_runners(call, origin);
+net::task<jobs::job_reply> job_frontend::execute(jobs::job_call call, call_origin origin,
+                                                 time_point reply_by) {
+    jobs::job_reply reply = co_await call_runners(call, origin, reply_by);
     const bool unavailable = reply.status == jobs::reply_status::unavailable;
     const bool inconclusive = unavailable || reply.status == jobs::reply_status::unknown;
     switch (call.kind) {
--- a/src/entry/job_frontend.hpp
+++ b/src/entry/job_frontend.hpp
@@ -47,7 +47,9 @@
 
     /// Executes a call on a daemon that runs jobs, through another frontend that reaches one, or
     /// on the store. Failures are reported in the status of the reply.
-    net::task<jobs::job_reply> execute(jobs::job_call call, call_origin origin);
+    /// \p reply_by limits the wait for the daemons that are called.
+    net::task<jobs::job_reply> execute(jobs::job_call call, call_origin origin,
+                                       time_point reply_by = time_point::max());
 
 private:
     /// A daemon to send a call to.
@@ -63,12 +65,15 @@
                        std::string customer);
 
     /// Calls the destinations one after the other until one gives a definite reply. The status is
-    /// unknown when a daemon that did not reply may have executed the call.
-    net::task<jobs::job_reply> call_runners(jobs::job_call call, call_origin origin);
+    /// unknown when a daemon that did not reply may have executed the call. Another daemon's
+    /// refusal to do so does not change that; only its acceptance does.
+    net::task<jobs::job_reply> call_runners(jobs::job_call call, call_origin origin,
+                                            time_point reply_by);
     net::task<jobs::job_reply> call_daemon(const call_destination& destination,
-                                           const jobs::job_call& call);
+                                           const jobs::job_call& call, time_point reply_by);
     /// Calls the owner that another daemon's redirect named, and caches it as the job's owner.
-    net::task<jobs::job_reply> call_owner(const std::string& endpoint, jobs::job_call call);
+    net::task<jobs::job_reply> call_owner(const std::string& endpoint, jobs::job_call call,
+                                          time_point reply_by);
     net::task<jobs::job_reply> read_from_store(jobs::job_call call);
     net::task<jobs::job_reply> cancel_in_store(jobs::job_call call);
     /// Responds to a call about an existing job with \p success_response, or with the error for
--- a/src/jobs/job_ownership.cpp
+++ b/src/jobs/job_ownership.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace eelgrassdoor::jobs {
 
@@ -33,9 +34,49 @@
     net::asio::co_spawn(m_context.executor, adopt_loop(), net::asio::detached);
 }
 
+void job_ownership::begin_creation(const std::string& job, std::uint64_t backlog,
+                                   std::uint64_t tokens) {
+    const bool is_unconfirmed = may_be_created(job) && m_creations.at(job).is_unconfirmed;
+    settle_creation(job);
+    m_table.reserve_waiting(backlog, tokens);
+    m_creations[job] = {.backlog = backlog,
+                        .tokens = tokens,
+                        .until = m_context.clock() + unconfirmed_poll_duration,
+                        .is_unconfirmed = is_unconfirmed};
+}
+
 void job_ownership::track_unconfirmed_creation(const std::string& job) {
-    m_unconfirmed_creations[job] = m_context.clock() + unconfirmed_poll_duration;
-    m_table.adopt_wake.notify();
+    const auto found = m_creations.find(job);
+    if (found != m_creations.end()) {
+        found->second.until = m_context.clock() + unconfirmed_poll_duration;
+        found->second.is_unconfirmed = true;
+        m_table.adopt_wake.notify();
+    }
+}
+
+void job_ownership::settle_creation(std::string_view job) {
+    const auto found = m_creations.find(job);
+    if (found != m_creations.end()) {
+        m_table.release_waiting(found->second.backlog, found->second.tokens);
+        m_creations.erase(found);
+    }
+}
+
+void job_ownership::expire_creations() {
+    std::vector<std::string> expired;
+    for (const auto& [job, each] : m_creations) {
+        if (each.until <= m_context.clock()) {
+            expired.push_back(job);
+        }
+    }
+    for (const std::string& job : expired) {
+        settle_creation(job);
+    }
+}
+
+bool job_ownership::has_unconfirmed_creation() const {
+    return std::any_of(m_creations.begin(), m_creations.end(),
+                       [](const auto& entry) { return entry.second.is_unconfirmed; });
 }
 
 bool job_ownership::may_own_jobs(std::string_view host, std::uint64_t incarnation) const {
@@ -83,7 +124,7 @@
 net::task<> job_ownership::adopt_loop() {
     for (;;) {
         const bool scan_again_soon = co_await adopt_orphans();
-        const duration wait = scan_again_soon || !m_unconfirmed_creations.empty()
+        const duration wait = scan_again_soon || has_unconfirmed_creation()
                                   ? unconfirmed_poll_interval
                                   : adopt_interval;
         co_await m_table.adopt_wake.wait_until(m_context.clock() + wait);
@@ -91,8 +132,7 @@
 }
 
 net::task<bool> job_ownership::adopt_orphans() {
-    std::erase_if(m_unconfirmed_creations,
-                  [&](const auto& entry) { return entry.second <= m_context.clock(); });
+    expire_creations();
     if (m_table.draining || !m_options.registration_valid()) {
         co_return true;
     }
@@ -106,6 +146,8 @@
     std::set<job_owners::process> owners;
     for (const versioned_state& record : all.value()) {
         if (!is_orphan(record.state)) {
+            // It exists: its tokens count where it is owned.
+            settle_creation(record.state.job);
             continue;
         }
         if (should_adopt(record.state)) {
@@ -162,7 +204,7 @@
         m_table.find(id) || m_table.draining) {
         co_return;
     }
-    m_unconfirmed_creations.erase(id);
+    settle_creation(id);
     m_table.add(std::move(*latest.value()), std::move(items.value()),
                 std::move(committed_results.value()));
 }
--- a/src/jobs/job_ownership.hpp
+++ b/src/jobs/job_ownership.hpp
@@ -21,9 +21,18 @@
     /// Starts the coroutine that scans for orphaned jobs.
     void start();
 
-    /// Scans more often for a while for \p job, whose creation by this daemon has an unknown
-    /// outcome and may still take effect.
+    /// Records that this daemon begins to create \p job. Its \p tokens count as waiting for
+    /// \p backlog, see backlog_key(), until the outcome is known.
+    void begin_creation(const std::string& job, std::uint64_t backlog, std::uint64_t tokens);
+    /// Scans more often for a while for \p job, whose creation has an unknown outcome and may still
+    /// take effect.
     void track_unconfirmed_creation(const std::string& job);
+    /// Records that the creation of \p job has taken effect or never will, if that was not known.
+    void settle_creation(std::string_view job);
+    /// Whether the creation of a job by this daemon may still take effect.
+    [[nodiscard]] bool may_be_created(std::string_view job) const {
+        return m_creations.contains(job);
+    }
     /// Whether this incarnation of another daemon may own unfinished jobs.
     [[nodiscard]] bool may_own_jobs(std::string_view host, std::uint64_t incarnation) const;
     /// Hands every unfinished job over to its preferred owner among the other daemons. Jobs stay
@@ -39,6 +48,9 @@
 
 private:
     net::task<> adopt_loop();
+    /// Forgets the creations that can't take effect any more.
+    void expire_creations();
+    [[nodiscard]] bool has_unconfirmed_creation() const;
     /// Scans all jobs once. Returns whether the next scan is due soon: orphans are left or the scan
     /// was not possible.
     net::task<bool> adopt_orphans();
@@ -58,8 +70,17 @@
     const runner_options& m_options;
     job_repository& m_repository;
     job_table& m_table;
-    /// Jobs whose creation has an unknown outcome, with the end of the frequent scans for each.
-    std::map<std::string, time_point, std::less<>> m_unconfirmed_creations;
+    /// A creation that may take effect.
+    struct creation {
+        std::uint64_t backlog = 0;
+        std::uint64_t tokens = 0;
+        /// End of the time in which it may take effect.
+        time_point until;
+        /// Whether the store has not responded to it.
+        bool is_unconfirmed = false;
+    };
+    /// By job.
+    std::map<std::string, creation, std::less<>> m_creations;
     job_owners m_owners;
 };
 
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -12,8 +12,20 @@
 
 /// Delay before a failed commit is sent again.
 constexpr duration retry_delay = milliseconds(150);
+
 /// Limit for a page of several results, in bytes; a response may have max_response_bytes.
 constexpr std::size_t max_page_bytes = 700 * 1024;
+/// How long a refusal lasts, and at least lasts when it shares its lease with earlier ones. Longer
+/// than a change whose response was lost may take until it takes effect.
+constexpr duration refusal_lifetime = seconds(30);
+constexpr duration min_refusal_lifetime = seconds(20);
+
+/// Current revision of \p key, one of the conditions that did not all hold; 0 if it does not exist.
+std::uint64_t revision_of(const store::kv_conflict& conflict, std::string_view key) {
+    const auto found = std::find_if(conflict.current.begin(), conflict.current.end(),
+                                    [&](const store::kv_item& item) { return item.key == key; });
+    return found == conflict.current.end() ? 0 : found->revision;
+}
 
 /// Decodes the values and concatenates their entries. Fails when a value is malformed.
 template <typename Entry>
@@ -43,12 +55,13 @@
 
 } // namespace
 
-net::task<result<store::commit_outcome>> job_repository::commit_until(store::kv_transaction change,
-                                                                      time_point deadline) {
+net::task<result<store::commit_outcome>>
+job_repository::commit_until(const store::kv_transaction& change, time_point deadline) {
     bool may_have_committed = false;
     for (;;) {
         result<store::commit_outcome> outcome = co_await m_store.commit(change);
         if (outcome) {
+            record_revision(outcome.value());
             const auto* conflict = std::get_if<store::kv_conflict>(&outcome.value());
             if (conflict != nullptr && may_have_committed && !change.writes.empty() &&
                 is_already_applied(*conflict, change.writes.front())) {
@@ -74,6 +87,16 @@
     }
 }
 
+void job_repository::record_revision(const store::commit_outcome& outcome) {
+    if (const auto* committed = std::get_if<store::kv_committed>(&outcome)) {
+        m_latest_revision = std::max(m_latest_revision, committed->revision);
+    } else if (const auto* conflict = std::get_if<store::kv_conflict>(&outcome)) {
+        for (const store::kv_item& item : conflict->current) {
+            m_latest_revision = std::max(m_latest_revision, item.revision);
+        }
+    }
+}
+
 void job_repository::add_state_write(store::kv_transaction& change, job_state& state,
                                      std::uint64_t revision) {
     state.change_id = m_random.next();
@@ -85,20 +108,73 @@
                                                          std::vector<std::string> item_values,
                                                          time_point deadline,
                                                          std::uint64_t& revision) {
+    const std::uint64_t latest_before = m_latest_revision;
     store::kv_transaction change;
     add_state_write(change, state, 0);
+    change.conditions.push_back({refusal_key(state.job), 0});
     for (std::size_t part = 0; part < item_values.size(); ++part) {
         change.writes.push_back({items_key(state.job, part), std::move(item_values[part])});
     }
-    result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
+    for (;;) {
+        const result<store::commit_outcome> outcome = co_await commit_until(change, deadline);
+        if (!outcome) {
+            co_return outcome.error();
+        }
+        if (const auto* committed = std::get_if<store::kv_committed>(&outcome.value())) {
+            revision = committed->revision;
+            co_return change_outcome::done;
+        }
+        const auto* conflict = std::get_if<store::kv_conflict>(&outcome.value());
+        const std::uint64_t refusal =
+            conflict == nullptr ? 0 : revision_of(*conflict, refusal_key(state.job));
+        const bool exists =
+            conflict == nullptr || revision_of(*conflict, state_key(state.job)) != 0;
+        if (exists || refusal == change.conditions.back().revision) {
+            co_return change_outcome::conflict;
+        }
+        if (refusal > latest_before) {
+            // Its caller may have been promised after this attempt began that it creates no job.
+            co_return error{error_code::unavailable,
+                            str_cat("job ", state.job, " was refused meanwhile"),
+                            run_state::not_run};
+        }
+        change.conditions.back().revision = refusal;
+    }
+}
+
+net::task<result<std::uint64_t>> job_repository::lease_for_refusal() {
+    const time_point asked_at = m_clock();
+    if (asked_at >= m_refusal_lease.reuse_until) {
+        const result<store::kv_lease> granted = co_await m_store.grant_lease(refusal_lifetime);
+        if (!granted) {
+            co_return granted.error();
+        }
+        m_refusal_lease = {granted.value().id,
+                           asked_at + granted.value().ttl - min_refusal_lifetime};
+    }
+    co_return m_refusal_lease.id;
+}
+
+net::task<result<change_outcome>> job_repository::refuse(std::string job, time_point deadline) {
+    const result<std::uint64_t> lease = co_await lease_for_refusal();
+    if (!lease) {
+        co_return lease.error();
+    }
+    store::kv_transaction change;
+    change.conditions.push_back({state_key(job), 0});
+    change.writes.push_back({refusal_key(job), "1", lease.value()});
+    const result<store::commit_outcome> outcome = co_await commit_until(change, deadline);
     if (!outcome) {
         co_return outcome.error();
     }
-    if (const auto* committed = std::get_if<store::kv_committed>(&outcome.value())) {
-        revision = committed->revision;
-        co_return change_outcome::done;
+    if (std::holds_alternative<store::kv_lease_ended>(outcome.value())) {
+        m_refusal_lease = {};
+        co_return error{error_code::unavailable,
+                        str_cat("the lease for the refusal of job ", job, " has ended")};
     }
-    co_return change_outcome::conflict;
+    co_return std::holds_alternative<store::kv_committed>(outcome.value())
+        ? change_outcome::done
+        : change_outcome::conflict;
 }
 
 net::task<result<std::optional<versioned_state>>> job_repository::read(std::string job) {
@@ -189,7 +265,7 @@
         change.writes.push_back({results_key(state.job, position), encode(batch.results)});
         next.push_back(std::move(state));
     }
-    result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
+    result<store::commit_outcome> outcome = co_await commit_until(change, deadline);
     if (!outcome) {
         co_return outcome.error();
     }
@@ -207,7 +283,7 @@
                                                           time_point deadline) {
     store::kv_transaction change;
     add_state_write(change, next, revision);
-    result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
+    result<store::commit_outcome> outcome = co_await commit_until(change, deadline);
     if (!outcome) {
         co_return outcome.error();
     }
@@ -223,7 +299,10 @@
     for (;;) {
         result<std::optional<versioned_state>> found = co_await read(job);
         if (!found) {
-            co_return found.error();
+            error failure = found.error();
+            // Nothing has been sent that could change the job.
+            failure.run = run_state::not_run;
+            co_return failure;
         }
         if (!found.value() || found.value()->state.customer != customer) {
             co_return false;
@@ -236,7 +315,7 @@
         store::kv_transaction change;
         add_state_write(change, next, found.value()->revision);
         change.writes.push_back({cancelled_key(job), "1"});
-        result<store::commit_outcome> outcome = co_await commit_until(std::move(change), deadline);
+        result<store::commit_outcome> outcome = co_await commit_until(change, deadline);
         if (!outcome) {
             co_return outcome.error();
         }
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -44,9 +44,14 @@
         : m_store(store), m_clock(std::move(clock)), m_log(log) {}
 
     /// Creates a job with its encoded items. Sets \p revision when done; `conflict` means that the
-    /// job exists already.
+    /// job exists already. Fails as not run when the job is refused meanwhile.
     net::task<result<change_outcome>> create(job_state state, std::vector<std::string> item_values,
                                              time_point deadline, std::uint64_t& revision);
+    /// Makes sure that no earlier attempt of any daemon creates the job any more: the store may
+    /// carry out a creation whose response was lost seconds later, but not past a refusal that it
+    /// has stored meanwhile. A create() that begins later goes past it. `conflict` means that the
+    /// job exists.
+    net::task<result<change_outcome>> refuse(std::string job, time_point deadline);
     /// The latest record of a job, by a linearizable read; nothing when there is no such job.
     net::task<result<std::optional<versioned_state>>> read(std::string job);
     /// The items of a job, in the order of submission.
@@ -72,6 +77,16 @@
     net::task<result<bool>> cancel(std::string job, std::string customer, time_point deadline);
 
 private:
+    /// A lease whose end deletes refusals.
+    struct refusal_lease {
+        std::uint64_t id = 0;
+        /// New refusals get a new lease from then on.
+        time_point reuse_until = time_point::min();
+    };
+
+    void record_revision(const store::commit_outcome& outcome);
+    /// Id of a lease that lasts longer than a creation may be late.
+    net::task<result<std::uint64_t>> lease_for_refusal();
     /// Adds the write of a job's record to \p change, on the condition that the record still has
     /// \p revision, and sets a new change id. It has to be the first write of the job in the
     /// transaction.
@@ -86,13 +101,16 @@
     /// Commits \p change and retries failed attempts until \p deadline, unless the store refuses
     /// the change for good. A conflict with an earlier attempt of the same change counts as
     /// committed. The run state of the error is `unknown` when any attempt may have taken effect.
-    net::task<result<store::commit_outcome>> commit_until(store::kv_transaction change,
+    net::task<result<store::commit_outcome>> commit_until(const store::kv_transaction& change,
                                                           time_point deadline);
 
     store::kv_store& m_store;
     clock_fn m_clock;
     observe::decision_log& m_log;
     random_source m_random{secure_random_uint64()};
+    refusal_lease m_refusal_lease;
+    /// Highest revision of the store that this daemon has seen in a response to a change.
+    std::uint64_t m_latest_revision = 0;
 };
 
 /// Whether the store has refused a change for good: it would refuse the same bytes again.
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -93,6 +93,31 @@
     if (m_table.find(call.job)) {
         co_return make_reply(reply_status::ok);
     }
+    const std::string job = call.job;
+    job_reply reply = co_await create(std::move(call));
+    const bool is_promise =
+        reply.status == reply_status::unavailable || reply.status == reply_status::invalid;
+    if (is_promise && m_ownership.may_be_created(job)) {
+        reply.status = reply_status::unknown;
+    }
+    co_return reply;
+}
+
+net::task<job_reply> job_runner::refuse(const std::string& job) {
+    const result<change_outcome> refused =
+        co_await m_repository.refuse(job, m_context.clock() + create_timeout);
+    if (!refused) {
+        co_return make_reply(reply_status::unknown);
+    }
+    if (refused.value() == change_outcome::conflict) {
+        // A resubmission of a job that was accepted before.
+        co_return make_reply(reply_status::ok);
+    }
+    m_ownership.settle_creation(job);
+    co_return make_reply(reply_status::refused);
+}
+
+net::task<job_reply> job_runner::create(job_call call) {
     if (m_table.draining || !m_options.registration_valid()) {
         co_return make_reply(reply_status::unavailable);
     }
@@ -123,34 +148,33 @@
     }
     const std::uint64_t key = backlog_key(state.customer, state.route);
     const std::uint64_t max_tokens = route->jobs.max_waiting_tokens;
+    // The tokens of an earlier attempt that may still create the job are counted already.
+    const bool is_repeated = m_ownership.may_be_created(call.job);
     const std::uint64_t waiting_tokens =
         m_table.waiting_tokens(key) +
         m_context.messenger.peer_waiting_tokens(
             key, [this](std::string_view host, std::uint64_t incarnation) {
                 return m_ownership.may_own_jobs(host, incarnation);
             });
-    if (max_tokens > 0 && waiting_tokens + state.tokens > max_tokens) {
-        // A resubmission of a job that was accepted before is not refused.
-        const result<std::optional<versioned_state>> stored_record =
-            co_await m_repository.read(call.job);
-        if (!stored_record) {
-            co_return make_reply(reply_status::unavailable);
-        }
-        co_return make_reply(stored_record.value() ? reply_status::ok : reply_status::refused);
+    if (max_tokens > 0 && waiting_tokens + (is_repeated ? 0 : state.tokens) > max_tokens) {
+        co_return co_await refuse(call.job);
     }
-    m_table.reserve_waiting(key, state.tokens);
+    m_ownership.begin_creation(call.job, key, state.tokens);
     std::uint64_t revision = 0;
     const result<change_outcome> created = co_await m_repository.create(
         state, encode_items(items.value()), m_context.clock() + create_timeout, revision);
-    m_table.release_waiting(key, state.tokens);
-    if (!created) {
-        if (created.error().run == run_state::not_run) {
-            co_return make_reply(reply_status::unavailable);
-        }
+    if (!created && created.error().run != run_state::not_run) {
         m_ownership.track_unconfirmed_creation(call.job);
         co_return make_reply(reply_status::unknown);
     }
-    if (created.value() == change_outcome::done && !m_table.find(call.job)) {
+    const bool is_done = created && created.value() == change_outcome::done;
+    if (is_done || !is_repeated) {
+        m_ownership.settle_creation(call.job);
+    }
+    if (!created) {
+        co_return make_reply(reply_status::unavailable);
+    }
+    if (is_done && !m_table.find(call.job)) {
         m_context.log.write(observe::event::job_accepted, call.job,
                             {{"customer", state.customer},
                              {"items", std::to_string(state.items)},
--- a/src/jobs/job_runner.hpp
+++ b/src/jobs/job_runner.hpp
@@ -49,7 +49,13 @@
     }
 
 private:
+    /// Creates a job, unless that is known to have been done. A reply that the job was not accepted
+    /// is given only when no earlier attempt can create it any more.
     net::task<job_reply> submit(job_call call);
+    /// Creates a job that is not in the table.
+    net::task<job_reply> create(job_call call);
+    /// The reply to the submission of a job that exceeds the route's limit.
+    net::task<job_reply> refuse(const std::string& job);
     net::task<job_reply> read(job_call call);
     net::task<job_reply> read_item(job_call call);
     net::task<job_reply> cancel(job_call call);
--- a/src/jobs/job_state.cpp
+++ b/src/jobs/job_state.cpp
@@ -70,6 +70,10 @@
     return str_cat(cancelled_prefix, job);
 }
 
+std::string refusal_key(std::string_view job) {
+    return str_cat(refusals_prefix, job);
+}
+
 std::string encode(const job_state& state) {
     return peer::encode(state);
 }
--- a/src/jobs/job_state.hpp
+++ b/src/jobs/job_state.hpp
@@ -50,6 +50,8 @@
 inline constexpr std::string_view results_prefix = "egd/job-results/";
 /// Prefix of the keys of cancelled jobs, one for each; owners watch it.
 inline constexpr std::string_view cancelled_prefix = "egd/ended/";
+/// Prefix of the keys of refused jobs, one for each; they lapse after a while.
+inline constexpr std::string_view refusals_prefix = "egd/refused/";
 
 std::string state_key(std::string_view job);
 /// Key of the value with number \p part, from 0, of a job's items.
@@ -57,6 +59,7 @@
 /// Key of the value whose first result has \p position.
 std::string results_key(std::string_view job, std::uint64_t position);
 std::string cancelled_key(std::string_view job);
+std::string refusal_key(std::string_view job);
 
 /// Binary encoding of records. The decoders here return nothing when the bytes are malformed.
 std::string encode(const job_state& state);
--- a/test/correctness/job_repository.cpp
+++ b/test/correctness/job_repository.cpp
@@ -3,6 +3,7 @@
 #include "jobs/job_repository.hpp"
 
 #include "check.hpp"
+#include "net/notification.hpp"
 #include "stand_in/memory_store.hpp"
 
 #include <algorithm>
@@ -156,6 +157,66 @@
     }
 }
 
+/// Creations of "j" that the store carries out when the test says so.
+struct late_creations {
+    explicit late_creations(fixture& of) {
+        of.memory.postpone = [this](const store::kv_transaction& change) {
+            return is_late && change.writes.front().key == state_key("j");
+        };
+    }
+    bool is_late = true;
+};
+
+net::task<result<change_outcome>> create(fixture& f, time_point until) {
+    const std::vector<std::string> values{"items"};
+    std::uint64_t revision = 0;
+    const job_state first = new_job();
+    co_return co_await f.repository.create(first, values, until, revision);
+}
+
+void check_refusals() {
+    fixture f;
+    late_creations late(f);
+    f.run([&]() -> net::task<> {
+        const auto unknown = co_await create(f, steady_clock()());
+        require(!unknown && unknown.error().run == run_state::unknown,
+                "a creation that the store does not answer has an unknown outcome");
+        const std::string job = "j";
+        const auto refused = co_await f.repository.refuse(job, deadline());
+        require(refused && refused.value() == change_outcome::done, "the job is refused");
+        late.is_late = false;
+        while (f.memory.postponed_transactions() > 0) {
+            net::notification step(f.loop.get_executor());
+            co_await step.wait_until(steady_clock()() + milliseconds(1));
+        }
+        const auto read = co_await f.repository.read(job);
+        require(read && !read.value(), "a late creation does not take effect after a refusal");
+        const auto created = co_await create(f, deadline());
+        require(created && created.value() == change_outcome::done,
+                "a creation that begins after the refusal succeeds");
+        const auto again = co_await f.repository.refuse(job, deadline());
+        require(again && again.value() == change_outcome::conflict,
+                "a job that exists is not refused");
+    });
+}
+
+/// A daemon that has not seen the refusal cannot tell that it is older than its own attempt.
+void check_unseen_refusal() {
+    fixture f;
+    job_repository other(f.store, steady_clock(), f.log);
+    f.run([&]() -> net::task<> {
+        const std::string job = "j";
+        const auto refused = co_await other.refuse(job, deadline());
+        require(refused && refused.value() == change_outcome::done, "another daemon refuses");
+        const auto first = co_await create(f, deadline());
+        require(!first && first.error().run == run_state::not_run,
+                "a creation does not go past a refusal that may be newer");
+        const auto second = co_await create(f, deadline());
+        require(second && second.value() == change_outcome::done,
+                "the next one knows that the refusal is older");
+    });
+}
+
 void check_refused_changes() {
     fixture f;
     f.memory.max_value_bytes = 1000;
@@ -207,6 +268,8 @@
     check_appends();
     check_conflicts();
     check_delayed_commit();
+    check_refusals();
+    check_unseen_refusal();
     check_refused_changes();
     check_codec();
     check_pages();
