Ask for the rest of an item again when nobody has run the request for it

Cause: any run for the rest that brought no event counted as the word that nothing follows, also one that was refused with 503, not connected, reset or failed.

Change: an item is complete when the stream of such a run ends without a further event.

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -210,12 +210,13 @@
                          {"version", target.version},
                          {"events", std::to_string(earlier_events)}});
     const bool first_run = earlier_events == 0;
+    const bool asks_for_rest = running->job->item(running->index).has_closed_after_last_event();
     item_outcome outcome = co_await run_item_at(m_context, *running, target);
     // All that is left is to ask for what follows the last event.
     const bool has_closed = running->job->item(running->index).has_closed_after_last_event();
     if (running->stopped) {
         outcome = item_outcome::interrupted;
-    } else if (!has_closed) {
+    } else if (!has_closed || asks_for_rest) {
         // A complete result matters here only if it is withdrawn.
         running->job->set_last_failed_target(running->index, target.id);
     }
--- a/src/jobs/item_run.cpp
+++ b/src/jobs/item_run.cpp
@@ -45,6 +45,8 @@
 net::task<item_outcome> collect(serving::service_context& context, item_run& running,
                                 serving::crash_suspects suspects) {
     const std::shared_ptr<serving::target_exchange> exchange = running.exchange;
+    const owned_item& item = running.job->item(running.index);
+    const bool asks_for_rest = item.has_closed_after_last_event();
     serving::event_stream_parser parser;
     std::size_t reads_with_events = 0;
     for (;;) {
@@ -89,13 +91,19 @@
             if (is_cut) {
                 running.job->clear_closed(running.index);
             }
+            if (!is_cut && asks_for_rest && item.has_closed_after_last_event()) {
+                // The target has told that nothing follows the text.
+                co_return item_outcome::complete;
+            }
             co_return end_of(running, exchange->response().framed, reads_with_events > 0, is_cut);
         }
     }
 }
 
-net::task<item_outcome> run_once(serving::service_context& context, item_run& running,
-                                 routing::fleet_target target) {
+} // namespace
+
+net::task<item_outcome> run_item_at(serving::service_context& context, item_run& running,
+                                    routing::fleet_target target) {
     const owned_item& item = running.job->item(running.index);
     const job_state& state = running.job->record().state;
     serving::caller_request request;
@@ -138,7 +146,8 @@
     }
     context.loads.record_success(target.id, context.clock());
     if (response_head.value().not_run) {
-        co_return item_outcome::interrupted;
+        co_return running.job->record_refused_rest(running.index) ? item_outcome::complete
+                                                                  : item_outcome::interrupted;
     }
     running.job->set_version(running.index, exchange->software_version());
     const int status = exchange->response().status;
@@ -155,16 +164,4 @@
     co_return co_await collect(context, running, std::move(suspects));
 }
 
-} // namespace
-
-net::task<item_outcome> run_item_at(serving::service_context& context, item_run& running,
-                                    routing::fleet_target target) {
-    const owned_item& item = running.job->item(running.index);
-    const std::optional<std::uint64_t> last_event = item.last_event;
-    const bool asks_for_rest = item.has_closed_after_last_event();
-    const item_outcome outcome = co_await run_once(context, running, std::move(target));
-    const bool has_no_rest = item.has_closed_after_last_event() && item.last_event == last_event;
-    co_return asks_for_rest&& has_no_rest && !running.stopped ? item_outcome::complete : outcome;
-}
-
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/owned_job.cpp
+++ b/src/jobs/owned_job.cpp
@@ -7,6 +7,14 @@
 
 namespace eelgrassdoor::jobs {
 
+namespace {
+
+/// Requests for what follows a text, each at another target if there is one, that targets may
+/// refuse before the text counts as whole.
+constexpr int max_refused_rests = 4;
+
+} // namespace
+
 bool owned_item::may_start_over(time_point now) const {
     return waiting_since && waited + (now - *waiting_since) >= text_time;
 }
@@ -97,6 +105,15 @@
            stored_size(frame) + item.output.size() + value_frame_bytes > m_max_value_bytes;
 }
 
+bool owned_job::record_refused_rest(std::size_t index) {
+    owned_item& item = m_items[index];
+    if (!item.has_closed_after_last_event()) {
+        return false;
+    }
+    ++item.refused_rests;
+    return item.refused_rests >= max_refused_rests;
+}
+
 void owned_job::begin_wait(std::string_view version, time_point now) {
     for (owned_item& item : m_items) {
         const bool waits = !item.done && !item.running && item.has_text();
--- a/src/jobs/owned_job.hpp
+++ b/src/jobs/owned_job.hpp
@@ -58,6 +58,8 @@
     bool has_unnumbered_event = false;
     /// Id of the event after which a run without framing ended, as if the text were complete.
     std::optional<std::uint64_t> closed_after;
+    /// Number of runs since then that were to bring what follows, and were not run.
+    int refused_rests = 0;
     /// Software version of the target of the latest run, or routing::unknown_version. All events of
     /// the text are of this version.
     std::string version;
@@ -115,7 +117,13 @@
         m_items[index].version = version.value_or(std::string(routing::unknown_version));
     }
     /// Records that a run without framing has ended after the item's last event.
-    void set_closed(std::size_t index) { m_items[index].closed_after = m_items[index].last_event; }
+    void set_closed(std::size_t index) {
+        m_items[index].closed_after = m_items[index].last_event;
+        m_items[index].refused_rests = 0;
+    }
+    /// Records that a target has not run a request for what follows the item's last event, if that
+    /// was asked for. Returns whether so many have refused that the confirmed end has to count.
+    bool record_refused_rest(std::size_t index);
     /// Forgets that: another run has shown a part of a further event.
     void clear_closed(std::size_t index) { m_items[index].closed_after.reset(); }
     /// Appends events of a run to the item's output and skips those that it already has. Returns
