--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -44,6 +44,18 @@
     return out;
 }
 
+bool is_control_character(char c) {
+    const auto code = static_cast<unsigned char>(c);
+    return code < 0x20 || code == 0x7f;
+}
+
+/// Whether \p c may stand in the name of a field (RFC 9110, 5.6.2).
+bool is_token_character(char c) {
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+           others.find(c) != std::string_view::npos;
+}
+
 bool is_unreserved(char c) {
     return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
            c == '.' || c == '_' || c == '~' || c == '/';
@@ -97,6 +109,18 @@
     return std::nullopt;
 }
 
+bool is_valid_field(std::string_view name, std::string_view value) {
+    return !name.empty() && std::all_of(name.begin(), name.end(), is_token_character) &&
+           std::none_of(value.begin(), value.end(),
+                        [](char c) { return c != '\t' && is_control_character(c); });
+}
+
+bool is_valid_target(std::string_view target) {
+    return target.starts_with('/') && std::none_of(target.begin(), target.end(), [](char c) {
+               return c == ' ' || is_control_character(c);
+           });
+}
+
 bool is_hop_by_hop(std::string_view name, std::string_view connection_value) {
     for (std::string_view field : hop_by_hop_fields) {
         if (equals_ignore_case(name, field)) {
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -33,6 +33,12 @@
     std::vector<http_header> m_fields;
 };
 
+/// Whether a field can be sent as it is: its name is a token, and its value has no control
+/// character, which could end the field or the message.
+[[nodiscard]] bool is_valid_field(std::string_view name, std::string_view value);
+/// Whether \p target is a path, with or without a query, that can be sent as it is.
+[[nodiscard]] bool is_valid_target(std::string_view target);
+
 /// A request. Serialization ignores keep_alive, which the parser sets.
 struct http_request {
     std::string method;
