--- /dev/null
+++ b/review/stand_in_3/engine.cpp
@@ -0,0 +1,100 @@
+#include "engine.hpp"
+
+#include "base/text.hpp"
+#include "net/notification.hpp"
+
+#include <utility>
+
+namespace eelgrassdoor::review {
+
+namespace {
+
+constexpr duration queue_poll_interval = milliseconds(5);
+constexpr duration prefill_time = milliseconds(30);
+
+} // namespace
+
+engine::engine(net::asio::any_io_executor executor, options settings,
+               std::function<void(const std::string&)> record)
+    : m_executor(executor), m_settings(std::move(settings)), m_record(std::move(record)),
+      m_server(executor, net::http_server_options{.endpoint = m_settings.endpoint},
+               [this](net::server_exchange& exchange) { return handle(exchange); }),
+      m_born(static_cast<std::uint64_t>(wall_clock_ms())) {}
+
+bool engine::start() {
+    return m_server.start().has_value();
+}
+
+std::string engine::entry() const {
+    return str_cat(R"({"service":"s","address":")", m_settings.endpoint, R"(","zone":")",
+                   m_settings.zone, R"(","version":"v1","slots":)", m_settings.slots,
+                   R"(,"state":"ready","coldRemainingMs":0,"seq":1,"born":)", m_born, "}");
+}
+
+net::task<> engine::handle(net::server_exchange& exchange) {
+    const net::header_list& headers = exchange.request().headers;
+    if (exchange.request().path() == "/eelgrassdoor/report") {
+        net::http_response report;
+        report.status = 200;
+        report.headers.set("Content-Type", "application/json");
+        report.body =
+            str_cat(R"({"stage":"both","busy":false,"seq":1,"waiting":)", m_load - m_running,
+                    R"(,"running":)", m_running, R"(,"born":)", m_born, "}");
+        co_await exchange.respond(std::move(report));
+        co_return;
+    }
+    const std::string expected(headers.get("Expect-Instance"));
+    const bool is_other = !expected.empty() && expected != m_settings.id;
+    if (is_other || m_load >= m_settings.slots + m_settings.queue) {
+        net::http_response refusal;
+        refusal.status = is_other ? 421 : 503;
+        refusal.headers.set("Attempt-Id", headers.get("Attempt-Id"));
+        refusal.headers.set("Not-Executed", "1");
+        co_await exchange.respond(std::move(refusal));
+        co_return;
+    }
+    ++m_load;
+    exchange.on_client_disconnect([] {});
+    while (m_running >= m_settings.slots && !exchange.client_disconnected()) {
+        co_await net::sleep_for(queue_poll_interval);
+    }
+    if (!exchange.client_disconnected()) {
+        ++m_running;
+        ++m_runs;
+        co_await run(exchange);
+        --m_running;
+    }
+    --m_load;
+}
+
+net::task<> engine::run(net::server_exchange& exchange) {
+    const std::string attempt(exchange.request().headers.get("Attempt-Id"));
+    std::uint64_t id = 0;
+    (void)parse_int(exchange.request().headers.get("Last-Event-Id"), id);
+    const std::string tenant(exchange.request().headers.get("Tenant"));
+    m_tenants[attempt].insert(tenant);
+    m_record(
+        str_cat("engine ", m_settings.id, " runs ", attempt, " of tenant ", tenant, " from ", id));
+    co_await net::sleep_for(prefill_time);
+    net::http_response head;
+    head.status = 200;
+    head.headers.set("Attempt-Id", attempt);
+    head.headers.set("Server-Seal", str_cat("seal-", m_settings.id));
+    head.headers.set("Content-Type", "text/event-stream");
+    bool is_open = co_await exchange.begin(std::move(head));
+    while (is_open && id < m_settings.events) {
+        ++id;
+        is_open = co_await exchange.write(str_cat("id: ", id, "\ndata: ", attempt.substr(0, 16),
+                                                  "-", id, m_settings.padding, "\n\n"));
+        co_await net::sleep_for(m_settings.event_interval);
+        is_open = is_open && !exchange.client_disconnected();
+    }
+    if (!is_open) {
+        exchange.abort();
+        co_return;
+    }
+    co_await exchange.finish();
+    m_finished.insert(attempt);
+}
+
+} // namespace eelgrassdoor::review
--- /dev/null
+++ b/review/stand_in_3/engine.hpp
@@ -0,0 +1,63 @@
+/// \file
+/// Defines a sound engine that records what it runs.
+#pragma once
+
+#include "net/http_server.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace eelgrassdoor::review {
+
+/// Serves each request as a stream of numbered events, a bounded number of requests at a time, and
+/// queues a few more. Goes on after Last-Event-Id. Not thread-safe.
+class engine {
+public:
+    struct options {
+        std::string id;
+        std::string endpoint;
+        std::string zone;
+        int slots = 8;
+        int queue = 24;
+        std::uint64_t events = 256;
+        duration event_interval = milliseconds(20);
+        /// Text at the end of each event.
+        std::string padding;
+    };
+
+    /// \p record writes a line of the record.
+    engine(net::asio::any_io_executor executor, options settings,
+           std::function<void(const std::string&)> record);
+
+    bool start();
+    /// What the engine writes into the store.
+    [[nodiscard]] std::string entry() const;
+    [[nodiscard]] const std::string& id() const { return m_settings.id; }
+    /// Ids of the requests whose last event was sent.
+    [[nodiscard]] const std::set<std::string>& finished() const { return m_finished; }
+    /// The tenants for which each request was run.
+    [[nodiscard]] const std::map<std::string, std::set<std::string>>& tenants() const {
+        return m_tenants;
+    }
+    [[nodiscard]] int runs() const { return m_runs; }
+
+private:
+    net::task<> handle(net::server_exchange& exchange);
+    net::task<> run(net::server_exchange& exchange);
+
+    net::asio::any_io_executor m_executor;
+    options m_settings;
+    std::function<void(const std::string&)> m_record;
+    net::http_server m_server;
+    std::uint64_t m_born;
+    std::set<std::string> m_finished;
+    std::map<std::string, std::set<std::string>> m_tenants;
+    int m_load = 0;
+    int m_running = 0;
+    int m_runs = 0;
+};
+
+} // namespace eelgrassdoor::review
