--- a/review/stand_in_3/engine.hpp
+++ b/review/stand_in_3/engine.hpp
@@ -9,6 +9,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace eelgrassdoor::review {
 
@@ -22,7 +24,10 @@
         std::string zone;
         int slots = 8;
         int queue = 24;
+        /// Events of an item, and of a stream of the route /q/.
         std::uint64_t events = 256;
+        std::uint64_t stream_events = 37;
+        std::string version = "v1";
         duration event_interval = milliseconds(20);
         /// Text at the end of each event.
         std::string padding;
@@ -42,11 +47,14 @@
     [[nodiscard]] const std::map<std::string, std::set<std::string>>& tenants() const {
         return m_tenants;
     }
-    [[nodiscard]] int runs() const { return m_runs; }
+    /// When each request that was run arrived, in the order of the runs.
+    [[nodiscard]] const std::vector<std::pair<std::string, time_point>>& arrivals() const {
+        return m_arrivals;
+    }
 
 private:
     net::task<> handle(net::server_exchange& exchange);
-    net::task<> run(net::server_exchange& exchange);
+    net::task<> run(net::server_exchange& exchange, time_point arrived_at);
 
     net::asio::any_io_executor m_executor;
     options m_settings;
@@ -57,7 +65,7 @@
     std::map<std::string, std::set<std::string>> m_tenants;
     int m_load = 0;
     int m_running = 0;
-    int m_runs = 0;
+    std::vector<std::pair<std::string, time_point>> m_arrivals;
 };
 
 } // namespace eelgrassdoor::review
--- a/review/stand_in_3/fleet.hpp
+++ b/review/stand_in_3/fleet.hpp
@@ -31,6 +31,10 @@
     int job_memory_mb = 290;
     /// Bytes that each event has more.
     std::size_t event_padding = 0;
+    /// Software versions of the engines, in turn.
+    std::vector<std::string> versions{"v1"};
+    std::uint64_t stream_events = 37;
+    duration event_interval = milliseconds(20);
 };
 
 struct reply {
@@ -70,6 +74,8 @@
     [[nodiscard]] std::vector<std::unique_ptr<engine>>& engines() { return m_engines; }
     [[nodiscard]] test::store_server& store() { return m_store; }
     /// Whether an engine has sent the last event of this request.
+    /// Whether an engine has begun to work on this request.
+    [[nodiscard]] bool has_run(const std::string& attempt) const;
     [[nodiscard]] bool is_finished(const std::string& attempt) const;
     /// Number of job hosts that are registered in the store.
     [[nodiscard]] std::size_t registered_runners();
@@ -85,8 +91,10 @@
     /// Resident set of a process now, in MB; 0 when it does not run.
     static double memory_mb(pid_t process, std::string_view field = "VmRSS:");
 
-private:
+    /// Writes the next version of the configuration; the store has accepted it on return.
     void write_configuration();
+
+private:
     net::task<bool> is_ready(test::daemon_process& host);
 
     net::asio::io_context& m_loop;
@@ -102,6 +110,7 @@
     std::vector<std::unique_ptr<test::daemon_process>> m_runners;
     std::vector<std::unique_ptr<engine>> m_engines;
     std::map<std::string, int> m_ends;
+    int m_version = 0;
 };
 
 /// Whether the case runs with its disruption: unless TROUBLE is 0.
