--- a/review/stand_in_3/case_id_with_slash.cpp
+++ b/review/stand_in_3/case_id_with_slash.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Two tenants hand in batch jobs; the id of one job is that of the other, a slash and a digit.
-/// The processes of the job hosts are killed at the same moment and are back within a second.
+/// A tenant hands in a batch job and a second one whose id goes on from the first one's with a
+/// slash; another tenant hands in one whose id does, too. The processes of the job hosts are killed
+/// at the same moment and are back within a second.
 #include "base/text.hpp"
 #include "fleet.hpp"
 
@@ -67,12 +68,13 @@
 }
 
 net::task<int> run(fleet& all) {
-    const std::string job = "7c41e09b52d6a3f8";
+    const std::string job = "settle-2026-12-07";
     // PLAIN_ID=1 is a control: the same disruption with an id that has no slash.
     const bool has_slash = std::getenv("PLAIN_ID") == nullptr;
-    const std::string other = has_slash ? job + "/0" : std::string("91bd3f06e4402b7d");
+    const std::string separator = has_slash ? "/" : "-";
     const bool accepted = co_await submit(all, job, "mine-", "key-0") &&
-                          co_await submit(all, other, "theirs-", "key-1");
+                          co_await submit(all, job + separator + "late", "late-", "key-0") &&
+                          co_await submit(all, job + separator + "0", "theirs-", "key-1");
     if (!accepted) {
         co_return could_not_run;
     }
@@ -94,7 +96,7 @@
     for (const std::string& item : listed) {
         const bool is_foreign = !item.starts_with("mine-");
         if (is_foreign) {
-            all.record(str_cat("MIXED: ", item, " of another tenant's job is listed in ", job));
+            all.record(str_cat("MIXED: ", item, " of another job is listed in ", job));
         } else {
             own.insert(item);
         }
@@ -107,7 +109,7 @@
     for (const auto& each : all.engines()) {
         for (const auto& [attempt, tenants] : each->tenants()) {
             for (const std::string& tenant : tenants) {
-                const std::string owner = attempt.starts_with("mine-") ? "t0" : "t1";
+                const std::string owner = attempt.starts_with("theirs-") ? "t1" : "t0";
                 if (tenant != owner) {
                     all.record(str_cat("UNASKED: engine ", each->id(), " ran ", attempt,
                                        " of tenant ", owner, " as one of ", tenant));
