Review: case 11 judges LOST as written, with items that agree with their tokens

Cause: the first line of a claim names a rule, and "Fault" has no name in capitals; besides, the items of the first form had 10 output tokens and 256 events, which a sound engine doesn't make. Change: 240 jobs of 7 items of 760 tokens, still below the cap and the limit of a body; another tenant's job at engines of its own; the check is LOST with its bounds and excuses.

--- a/review/stand_in_3/engine.cpp
+++ b/review/stand_in_3/engine.cpp
@@ -26,10 +26,10 @@
 }
 
 std::string engine::entry() const {
-    return str_cat(R"({"service":"s","address":")", m_settings.endpoint, R"(","zone":")",
-                   m_settings.zone, R"(","version":")", m_settings.version, R"(","slots":)",
-                   m_settings.slots, R"(,"state":"ready","coldRemainingMs":0,"seq":1,"born":)",
-                   m_born, "}");
+    return str_cat(R"({"service":")", m_settings.service, R"(","address":")", m_settings.endpoint,
+                   R"(","zone":")", m_settings.zone, R"(","version":")", m_settings.version,
+                   R"(","slots":)", m_settings.slots,
+                   R"(,"state":"ready","coldRemainingMs":0,"seq":1,"born":)", m_born, "}");
 }
 
 net::task<> engine::handle(net::server_exchange& exchange) {
@@ -66,6 +66,7 @@
         --m_running;
     }
     --m_load;
+    m_last_held = steady_clock()();
 }
 
 net::task<> engine::run(net::server_exchange& exchange, time_point arrived_at) {
@@ -99,6 +100,7 @@
     }
     co_await exchange.finish();
     m_finished.insert(attempt);
+    m_last_finished = steady_clock()();
 }
 
 } // namespace eelgrassdoor::review
--- a/review/stand_in_3/engine.hpp
+++ b/review/stand_in_3/engine.hpp
@@ -22,6 +22,7 @@
         std::string id;
         std::string endpoint;
         std::string zone;
+        std::string service = "s";
         int slots = 8;
         int queue = 24;
         /// Events of an item, and of a stream of the route /q/.
@@ -41,6 +42,13 @@
     /// What the engine writes into the store.
     [[nodiscard]] std::string entry() const;
     [[nodiscard]] const std::string& id() const { return m_settings.id; }
+    [[nodiscard]] const std::string& service() const { return m_settings.service; }
+    /// When the engine last held a request, in a slot or its queue; the start of time if never.
+    [[nodiscard]] time_point last_held() const {
+        return m_load > 0 ? steady_clock()() : m_last_held;
+    }
+    /// When the engine last finished a request; the start of time if never.
+    [[nodiscard]] time_point last_finished() const { return m_last_finished; }
     /// Ids of the requests whose last event was sent.
     [[nodiscard]] const std::set<std::string>& finished() const { return m_finished; }
     /// The tenants for which each request was run.
@@ -64,6 +72,8 @@
     std::set<std::string> m_finished;
     std::map<std::string, std::set<std::string>> m_tenants;
     int m_load = 0;
+    time_point m_last_held = time_point::min();
+    time_point m_last_finished = time_point::min();
     int m_running = 0;
     std::vector<std::pair<std::string, time_point>> m_arrivals;
 };
--- a/review/stand_in_3/fleet.cpp
+++ b/review/stand_in_3/fleet.cpp
@@ -54,14 +54,18 @@
         (is_entry ? m_entries : m_runners).push_back(std::move(daemon));
     }
     for (int i = 0; i < m_options.engines; ++i) {
-        const engine::options settings{
-            .id = str_cat("i-", i + 1),
-            .endpoint = str_cat(m_network, 100 + i, ":", m_first_port),
-            .zone = zones[static_cast<std::size_t>(i) % count],
-            .stream_events = m_options.stream_events,
-            .version = m_options.versions[static_cast<std::size_t>(i) % m_options.versions.size()],
-            .event_interval = m_options.event_interval,
-            .padding = std::string(m_options.event_padding, '.')};
+        const auto index = static_cast<std::size_t>(i);
+        engine::options settings{.id = str_cat("i-", i + 1),
+                                 .endpoint = str_cat(m_network, 100 + i, ":", m_first_port),
+                                 .zone = zones[index % count],
+                                 .service = m_options.services[index % m_options.services.size()],
+                                 .stream_events = m_options.stream_events,
+                                 .version = m_options.versions[index % m_options.versions.size()],
+                                 .padding = std::string(m_options.event_padding, '.')};
+        if (settings.service == "s") {
+            settings.events = m_options.item_events;
+            settings.event_interval = m_options.event_interval;
+        }
         m_engines.push_back(std::make_unique<engine>(
             loop.get_executor(), settings, [this](const std::string& text) { record(text); }));
     }
@@ -98,21 +102,27 @@
 
 void fleet::write_configuration() {
     m_version += 7;
-    const std::string common =
-        R"("host":"h","service":"s","public":false,"sessionAffinity":true,"priority":0,)";
+    const std::string common = R"("host":"h","public":false,"sessionAffinity":true,"priority":0,)";
+    const std::string batch = str_cat(
+        common, R"("kind":"batch","timeoutMs":15000,"targetLatencyMs":400,)",
+        R"("completionTargetMs":18000,"queueTtlS":60,"maxAttempts":3,"cap":)", m_options.cap, "}");
+    const bool has_second = std::find(m_options.services.begin(), m_options.services.end(), "s2") !=
+                            m_options.services.end();
     m_store.memory().put(
         "op/config",
-        str_cat(
-            R"({"version":)", m_version, R"(,"routes":[{"name":"q","pathPrefix":"/q/",)", common,
-            R"("kind":"streaming","resumable":true,"timeoutMs":5000,"targetLatencyMs":300,)",
-            R"("gapAimMs":250,"maxAttempts":2},{"name":"j","pathPrefix":"/j/",)", common,
-            R"("kind":"batch","timeoutMs":15000,"targetLatencyMs":400,)",
-            R"("completionTargetMs":18000,"queueTtlS":60,"maxAttempts":3,"cap":)", m_options.cap,
-            R"(}],"services":[{"name":"s","healthPath":"/health","maxConnections":370}],)",
-            R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)",
-            R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)",
-            R"({"name":"t0","apiKeys":["key-0"],"ratePerS":1000,"burst":1000},)",
-            R"({"name":"t1","apiKeys":["key-1"],"ratePerS":1000,"burst":1000}]})"));
+        str_cat(R"({"version":)", m_version,
+                R"(,"routes":[{"name":"q","pathPrefix":"/q/","service":"s",)", common,
+                R"("kind":"streaming","resumable":true,"timeoutMs":5000,"targetLatencyMs":300,)",
+                R"("gapAimMs":250,"maxAttempts":2},)",
+                R"({"name":"j","pathPrefix":"/j/","service":"s",)", batch,
+                has_second ? str_cat(R"(,{"name":"k","pathPrefix":"/k/","service":"s2",)", batch)
+                           : std::string(),
+                R"(],"services":[{"name":"s","healthPath":"/health","maxConnections":370})",
+                has_second ? R"(,{"name":"s2","healthPath":"/health","maxConnections":370})" : "",
+                R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,)",
+                R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[)",
+                R"({"name":"t0","apiKeys":["key-0"],"ratePerS":1000,"burst":1000},)",
+                R"({"name":"t1","apiKeys":["key-1"],"ratePerS":1000,"burst":1000}]})"));
 }
 
 std::size_t fleet::registered_runners() {
--- a/review/stand_in_3/fleet.hpp
+++ b/review/stand_in_3/fleet.hpp
@@ -33,6 +33,11 @@
     std::size_t event_padding = 0;
     /// Software versions of the engines, in turn.
     std::vector<std::string> versions{"v1"};
+    /// Services of the engines, in turn: "s", which the routes /q/ and /j/ use, and "s2", which the
+    /// batch route /k/ uses.
+    std::vector<std::string> services{"s"};
+    /// Events of an item at "s", and the pause between events there.
+    std::uint64_t item_events = 256;
     std::uint64_t stream_events = 37;
     duration event_interval = milliseconds(20);
 };
