--- a/review/stand_in_3/engine.hpp
+++ b/review/stand_in_3/engine.hpp
@@ -6,10 +6,9 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace eelgrassdoor::review {
@@ -32,6 +31,11 @@
         duration event_interval = milliseconds(20);
         /// Text at the end of each event.
         std::string padding;
+        /// A part of prompts, never the last, on which the engine ends as it begins to write an
+        /// answer; none if empty.
+        std::string crashing_part;
+        /// Called when the engine is back after such an end.
+        std::function<void(const engine&)> on_restart;
     };
 
     /// \p record writes a line of the record.
@@ -39,6 +43,8 @@
            std::function<void(const std::string&)> record);
 
     bool start();
+    /// When the engine ended on a part of a prompt.
+    [[nodiscard]] const std::vector<time_point>& crashes() const { return m_crashes; }
     /// What the engine writes into the store.
     [[nodiscard]] std::string entry() const;
     [[nodiscard]] const std::string& id() const { return m_settings.id; }
@@ -49,33 +55,31 @@
     }
     /// When the engine last finished a request; the start of time if never.
     [[nodiscard]] time_point last_finished() const { return m_last_finished; }
-    /// Ids of the requests whose last event was sent.
-    [[nodiscard]] const std::set<std::string>& finished() const { return m_finished; }
-    /// The tenants for which each request was run.
-    [[nodiscard]] const std::map<std::string, std::set<std::string>>& tenants() const {
-        return m_tenants;
-    }
-    /// When each request that was run arrived, in the order of the runs.
-    [[nodiscard]] const std::vector<std::pair<std::string, time_point>>& arrivals() const {
-        return m_arrivals;
+    /// Whether the engine has begun to work on this request.
+    [[nodiscard]] bool has_run(const std::string& attempt) const {
+        return m_attempts.contains(attempt);
     }
 
 private:
     net::task<> handle(net::server_exchange& exchange);
-    net::task<> run(net::server_exchange& exchange, time_point arrived_at);
+    net::task<> run(net::server_exchange& exchange);
+    /// Ends the process, as far as others can see, and starts another one after a while.
+    void crash();
+    net::task<> restart();
 
     net::asio::any_io_executor m_executor;
     options m_settings;
     std::function<void(const std::string&)> m_record;
-    net::http_server m_server;
+    std::unique_ptr<net::http_server> m_server;
+    /// Those of earlier starts, whose coroutines may still run.
+    std::vector<std::unique_ptr<net::http_server>> m_ended_servers;
     std::uint64_t m_born;
-    std::set<std::string> m_finished;
-    std::map<std::string, std::set<std::string>> m_tenants;
+    std::vector<time_point> m_crashes;
+    std::set<std::string> m_attempts;
     int m_load = 0;
     time_point m_last_held = time_point::min();
     time_point m_last_finished = time_point::min();
     int m_running = 0;
-    std::vector<std::pair<std::string, time_point>> m_arrivals;
 };
 
 } // namespace eelgrassdoor::review
