--- a/review/stand_in_3/case_streams_after_kill.cpp
+++ b/review/stand_in_3/case_streams_after_kill.cpp
@@ -74,7 +74,7 @@
     run_case(argc, argv,
              {.engines = 8,
               .versions = {"v1", "v2"},
-              .stream_events = 200,
-              .event_interval = milliseconds(40)},
+              .stream_events = 37,
+              .event_interval = milliseconds(120)},
              run);
 }
