--- a/review/stand_in_3/case_shared_first_part.cpp
+++ b/review/stand_in_3/case_shared_first_part.cpp
@@ -41,7 +41,7 @@
                        first_tries* tries) {
     stream state{.attempt = attempt};
     net::http_request request = stream_request(attempt, deadline);
-    request.headers.set("Prompt-Prefix", str_cat(first_part, ":200,", attempt, ":250"));
+    request.headers.set("Prompt-Prefix", str_cat(first_part, ":100,good0:100,", attempt, ":250"));
     const stream_answer answer =
         co_await read_stream(all, host, std::move(request), state, steady_clock()() + deadline);
     const bool has_begun = answer.status == 200 && answer.first_event == 1;
@@ -57,7 +57,7 @@
     stream state{.attempt = attempt};
     net::http_request request = stream_request(attempt, deadline);
     request.headers.set("Prompt-Prefix",
-                        str_cat("new0:200,", crashing_part, ":100,", attempt, ":250"));
+                        str_cat("new0:100,", crashing_part, ":100,", attempt, ":250"));
     const stream_answer answer =
         co_await read_stream(all, host, std::move(request), state, steady_clock()() + deadline);
     all.record(str_cat("request ", attempt, " with the crashing part: answer ", answer.status));
