--- a/src/entry/frontend.cpp
+++ b/src/entry/frontend.cpp
@@ -135,6 +135,7 @@
         co_await refuse(exchange, id, customer.error());
         co_return;
     }
+    exchange.set_label({id, customer.value()});
     co_await m_jobs.handle(exchange, std::move(decoded.value()), customer.value());
 }
 
@@ -197,6 +198,7 @@
         co_return;
     }
     const std::string customer = admitted.value().customer;
+    exchange.set_label({request.id, customer});
     if (has_quarantine(m_context)) {
         const crash_suspects suspects = suspects_of(request, customer);
         const std::optional<error> quarantined = quarantine_error(m_context, suspects);
--- a/src/entry/job_frontend.cpp
+++ b/src/entry/job_frontend.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.hpp"
 #include "base/text.hpp"
+#include "entry/request_gate.hpp"
 
 #include <algorithm>
 
@@ -150,6 +151,7 @@
 
 net::task<jobs::job_reply> job_frontend::call_daemon(const call_destination& destination,
                                                      const jobs::job_call& call,
+                                                     net::server_exchange& exchange,
                                                      time_point reply_by) {
     net::http_request request;
     request.method = "POST";
@@ -162,8 +164,11 @@
     const duration extra_time = destination.forwards ? forwarding_allowance : duration::zero();
     jobs::job_reply failed;
     const time_point deadline = std::min(m_context.clock() + timeout + extra_time, reply_by);
+    net::call_limits limits{.deadline = deadline, .has_room = [&exchange](std::size_t bytes) {
+                                return exchange.reserve_response(bytes);
+                            }};
     result<net::http_response> response =
-        co_await m_client.call(destination.endpoint, std::move(request), deadline);
+        co_await m_client.call(destination.endpoint, std::move(request), std::move(limits));
     if (!response) {
         failed.status = response.error().run == run_state::not_run ? jobs::reply_status::unavailable
                                                                    : jobs::reply_status::unknown;
@@ -179,7 +184,9 @@
 }
 
 net::task<jobs::job_reply> job_frontend::call_owner(const std::string& endpoint,
-                                                    jobs::job_call call, time_point reply_by) {
+                                                    jobs::job_call call,
+                                                    net::server_exchange& exchange,
+                                                    time_point reply_by) {
     call.redirected = true;
     m_owners.find_or_create(call.job) = endpoint;
     if (!m_context.messenger.receives_directly_from(endpoint)) {
@@ -187,10 +194,11 @@
         co_return jobs::job_reply{};
     }
     const call_destination owner{endpoint};
-    co_return co_await call_daemon(owner, call, reply_by);
+    co_return co_await call_daemon(owner, call, exchange, reply_by);
 }
 
 net::task<jobs::job_reply> job_frontend::call_runners(jobs::job_call call, call_origin origin,
+                                                      net::server_exchange& exchange,
                                                       time_point reply_by) {
     jobs::job_reply last;
     bool unknown = false;
@@ -199,11 +207,14 @@
         if (unknown && reply_by - m_context.clock() < min_call_time) {
             break;
         }
-        last = co_await call_daemon(destination, call, reply_by);
+        last = co_await call_daemon(destination, call, exchange, reply_by);
         for (int redirect = 0; redirect < max_redirects && last.status == jobs::reply_status::moved;
              ++redirect) {
             const std::string owner = last.owner_endpoint;
-            last = co_await call_owner(owner, call, reply_by);
+            last = co_await call_owner(owner, call, exchange, reply_by);
+        }
+        if (exchange.lacks_memory()) {
+            co_return last;
         }
         unknown = unknown || last.status == jobs::reply_status::unknown;
         if (is_definite(last, call.kind, unknown)) {
@@ -231,7 +242,7 @@
         co_await exchange.respond(std::move(success_response));
         co_return;
     }
-    const error why = call_error(status);
+    const error why = exchange.lacks_memory() ? refused_for_memory() : call_error(status);
     co_await respond_with_error(exchange, job, why);
 }
 
@@ -250,7 +261,7 @@
                                     : time_point::max();
     exchange.set_may_have_run();
     const jobs::job_reply reply =
-        co_await execute(std::move(call), call_origin::from_caller, reply_by);
+        co_await execute(std::move(call), call_origin::from_caller, exchange, reply_by);
     if (reply.status == jobs::reply_status::ok) {
         net::http_response accepted;
         accepted.status = 202;
@@ -261,8 +272,12 @@
     co_await respond_with_error(exchange, job, why);
 }
 
-net::task<jobs::job_reply> job_frontend::read_from_store(jobs::job_call call) {
+net::task<jobs::job_reply> job_frontend::read_from_store(jobs::job_call call,
+                                                         net::server_exchange& exchange) {
     jobs::job_reply reply;
+    if (!exchange.reserve_response(jobs::store_read_bytes)) {
+        co_return reply;
+    }
     const result<std::optional<jobs::versioned_state>> known = co_await m_repository.read(call.job);
     if (!known) {
         co_return reply;
@@ -272,24 +287,19 @@
         co_return reply;
     }
     if (call.kind == jobs::call_kind::read) {
-        const result<std::vector<item_result>> results =
-            co_await m_repository.read_results(call.job);
-        if (results) {
+        result<result_page> page =
+            co_await m_repository.read_page(known.value()->state, call.after, call.max_page_bytes);
+        if (page) {
             reply.status = jobs::reply_status::ok;
-            reply.page = jobs::make_page(known.value()->state, results.value(), call.after);
+            reply.page = std::move(page.value());
         }
         co_return reply;
     }
-    const result<std::vector<submitted_item>> items = co_await m_repository.read_items(call.job);
-    if (!items) {
-        co_return reply;
-    }
-    reply.status = jobs::reply_status::not_found;
-    for (const submitted_item& item : items.value()) {
-        if (item.id == call.item) {
-            reply.status = jobs::reply_status::ok;
-            reply.body = item.body;
-        }
+    result<std::optional<std::string>> body =
+        co_await m_repository.read_item_body(call.job, call.item);
+    if (body) {
+        reply.status = body.value() ? jobs::reply_status::ok : jobs::reply_status::not_found;
+        reply.body = std::move(body.value()).value_or(std::string());
     }
     co_return reply;
 }
@@ -307,15 +317,16 @@
 }
 
 net::task<jobs::job_reply> job_frontend::execute(jobs::job_call call, call_origin origin,
+                                                 net::server_exchange& exchange,
                                                  time_point reply_by) {
-    jobs::job_reply reply = co_await call_runners(call, origin, reply_by);
+    jobs::job_reply reply = co_await call_runners(call, origin, exchange, reply_by);
     const bool unavailable = reply.status == jobs::reply_status::unavailable;
     const bool inconclusive = unavailable || reply.status == jobs::reply_status::unknown;
     switch (call.kind) {
     case jobs::call_kind::read:
     case jobs::call_kind::read_item:
-        if (inconclusive) {
-            reply = co_await read_from_store(std::move(call));
+        if (inconclusive && !exchange.lacks_memory()) {
+            reply = co_await read_from_store(std::move(call), exchange);
         }
         break;
     case jobs::call_kind::cancel:
@@ -339,8 +350,11 @@
     call.after = request.after;
     call.wait_ms =
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(request.wait).count());
-    const jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller);
+    call.max_page_bytes = exchange.plan_response(jobs::min_page_bytes, jobs::max_page_bytes);
+    jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller, exchange);
     net::http_response response = m_context.codec.encode_results(reply.page);
+    // The response may take long to be sent, and has what the page has.
+    reply.page = {};
     co_await respond_to_call(exchange, request.job, reply.status, std::move(response));
 }
 
@@ -351,7 +365,7 @@
     call.job = request.job;
     call.customer = std::move(customer);
     call.item = request.item;
-    jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller);
+    jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller, exchange);
     net::http_response response;
     response.status = 200;
     response.headers.set("Content-Type", "application/octet-stream");
@@ -366,7 +380,8 @@
     call.job = request.job;
     call.customer = std::move(customer);
     exchange.set_may_have_run();
-    const jobs::job_reply reply = co_await execute(std::move(call), call_origin::from_caller);
+    const jobs::job_reply reply =
+        co_await execute(std::move(call), call_origin::from_caller, exchange);
     net::http_response response;
     response.status = 200;
     co_await respond_to_call(exchange, request.job, reply.status, std::move(response));
--- a/src/entry/job_frontend.hpp
+++ b/src/entry/job_frontend.hpp
@@ -46,9 +46,12 @@
                        std::string customer);
 
     /// Executes a call on a daemon that runs jobs, through another frontend that reaches one, or
-    /// on the store. Failures are reported in the status of the reply.
+    /// on the store. Failures are reported in the status of the reply. \p exchange reserves memory
+    /// for the reply before it is read; when there is none, a read is not executed, see
+    /// server_exchange::lacks_memory().
     /// \p reply_by limits the wait for the daemons that are called.
     net::task<jobs::job_reply> execute(jobs::job_call call, call_origin origin,
+                                       net::server_exchange& exchange,
                                        time_point reply_by = time_point::max());
 
 private:
@@ -68,13 +71,14 @@
     /// unknown when a daemon that did not reply may have executed the call. Another daemon's
     /// refusal to do so does not change that; only its acceptance does.
     net::task<jobs::job_reply> call_runners(jobs::job_call call, call_origin origin,
-                                            time_point reply_by);
+                                            net::server_exchange& exchange, time_point reply_by);
     net::task<jobs::job_reply> call_daemon(const call_destination& destination,
-                                           const jobs::job_call& call, time_point reply_by);
+                                           const jobs::job_call& call,
+                                           net::server_exchange& exchange, time_point reply_by);
     /// Calls the owner that another daemon's redirect named, and caches it as the job's owner.
     net::task<jobs::job_reply> call_owner(const std::string& endpoint, jobs::job_call call,
-                                          time_point reply_by);
-    net::task<jobs::job_reply> read_from_store(jobs::job_call call);
+                                          net::server_exchange& exchange, time_point reply_by);
+    net::task<jobs::job_reply> read_from_store(jobs::job_call call, net::server_exchange& exchange);
     net::task<jobs::job_reply> cancel_in_store(jobs::job_call call);
     /// Responds to a call about an existing job with \p success_response, or with the error for
     /// any other \p status than ok.
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -87,6 +87,8 @@
         bytes += event.text;
         ++run.events;
     }
+    // The caller may take long to read what is written.
+    events = {};
     if (bytes.empty()) {
         co_return true;
     }
--- a/src/host/daemon_servers.cpp
+++ b/src/host/daemon_servers.cpp
@@ -62,7 +62,8 @@
             net::http_server_options{.endpoint = endpoint,
                                      .limits = std::move(limits),
                                      .max_connections = max_connections,
-                                     .memory = handlers.request_memory},
+                                     .memory = handlers.request_memory,
+                                     .responses = handlers.responses},
             std::move(handler));
     };
     const std::size_t memory = settings.max_memory_bytes;
@@ -81,7 +82,8 @@
                                      .max_connections = max_callers,
                                      .stop_response = std::move(handlers.stop_response),
                                      .memory = handlers.request_memory,
-                                     .memory_response = std::move(handlers.memory_response)},
+                                     .memory_response = std::move(handlers.memory_response),
+                                     .responses = handlers.responses},
             std::move(handlers.caller));
     }
     if (!settings.readiness_endpoint.empty()) {
--- a/src/host/daemon_servers.hpp
+++ b/src/host/daemon_servers.hpp
@@ -23,6 +23,8 @@
     std::function<net::http_response(bool may_have_run)> stop_response;
     /// Memory that the requests of callers and of other daemons share. Must outlive the servers.
     net::request_memory* request_memory = nullptr;
+    /// Memory that the responses of all servers share. Must outlive the servers.
+    net::outgoing_memory* responses = nullptr;
     /// Builds the response to callers' requests that are not run for lack of memory.
     std::function<net::http_response()> memory_response;
 };
--- a/src/host/fleet_daemon.cpp
+++ b/src/host/fleet_daemon.cpp
@@ -33,6 +33,8 @@
 /// What requests hold, with the copies made of them, may take one part in this many of the memory.
 /// Apart from that of responses, so that neither side can keep out the other.
 constexpr std::size_t memory_per_requests = 4;
+/// Responses that their clients have not read may take one part in this many of the memory.
+constexpr std::size_t memory_per_outgoing = 8;
 
 std::vector<std::string> mirrored_prefixes(const platform_interface& adapter, bool runs_jobs) {
     std::vector<std::string> prefixes{adapter.operator_prefix, adapter.target_prefix,
@@ -67,6 +69,7 @@
       m_service_versions(loop.get_executor(), adapter.store, m_clock, log, m_settings.first_start),
       m_response_memory(m_settings.max_memory_bytes / memory_per_responses),
       m_request_memory(m_settings.max_memory_bytes / memory_per_requests),
+      m_outgoing_memory(m_settings.max_memory_bytes / memory_per_outgoing, m_clock),
       m_context{.executor = loop.get_executor(),
                 .clock = m_clock,
                 .random = m_random,
@@ -154,6 +157,7 @@
             [this] { return m_context.plan ? m_context.plan->limits : net::client_limits(); },
         .stop_response = [this](bool may_have_run) { return make_stop_response(may_have_run); },
         .request_memory = &m_request_memory,
+        .responses = &m_outgoing_memory,
         .memory_response =
             [this] { return m_adapter.codec.encode_error(entry::refused_for_memory()); }};
 }
@@ -166,6 +170,7 @@
     m_request_memory.on_yield = [this](time_point began_at, std::size_t bytes) {
         log_yield(began_at, bytes);
     };
+    m_outgoing_memory.on_yield = [this](const net::yielded_response& each) { log_yield(each); };
     BOOST_OUTCOME_TRY(m_messenger.start());
     BOOST_OUTCOME_TRY(m_servers.start());
     m_log.write(observe::event::daemon_started, m_settings.host,
--- a/src/host/fleet_daemon.hpp
+++ b/src/host/fleet_daemon.hpp
@@ -76,6 +76,8 @@
     void apply_limits();
     /// Logs that a request gave way, at a bounded rate.
     void log_yield(time_point began_at, std::size_t bytes);
+    /// Logs that a response gave way.
+    void log_yield(const net::yielded_response& yielded);
     void apply_cold_limits();
     /// Takes over another daemon's evidence on prompt segments that crash targets.
     void merge_evidence(routing::prompt_quarantine& quarantine, std::string_view kind,
@@ -120,6 +122,7 @@
     fleet::service_versions m_service_versions;
     net::memory_budget m_response_memory;
     net::request_memory m_request_memory;
+    net::outgoing_memory m_outgoing_memory;
     /// When a request that gave way was last logged.
     time_point m_yield_logged = time_point::min();
     serving::service_context m_context;
--- a/src/host/fleet_daemon_metrics.cpp
+++ b/src/host/fleet_daemon_metrics.cpp
@@ -36,6 +36,10 @@
     m_metrics.gauge("request_bytes_reserved", static_cast<double>(m_request_memory.reserved()));
     m_metrics.gauge("requests_yielded", static_cast<double>(m_request_memory.yielded()));
     m_metrics.gauge("requests_refused_for_memory", static_cast<double>(m_request_memory.refused()));
+    m_metrics.gauge("response_bytes_unsent", static_cast<double>(m_outgoing_memory.reserved()));
+    m_metrics.gauge("responses_yielded", static_cast<double>(m_outgoing_memory.yielded()));
+    m_metrics.gauge("responses_refused_for_memory",
+                    static_cast<double>(m_outgoing_memory.refused()));
     set_mirror_gauges();
     response.body = m_metrics.text();
     co_await exchange.respond(std::move(response));
@@ -54,6 +58,14 @@
                  {"refused", std::to_string(m_request_memory.refused())}});
 }
 
+void fleet_daemon::log_yield(const net::yielded_response& yielded) {
+    m_log.write(observe::event::response_yielded, yielded.label.id,
+                {{"customer", yielded.label.customer},
+                 {"unread_ms", std::to_string(to_ms(yielded.unread_for))},
+                 {"bytes", std::to_string(yielded.held_bytes)},
+                 {"taken", std::to_string(yielded.taken_bytes)}});
+}
+
 void fleet_daemon::set_mirror_gauges() {
     const time_point now = m_clock();
     for (const std::string& prefix : m_mirror.prefixes()) {
--- a/src/host/peer_api.cpp
+++ b/src/host/peer_api.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
+
 namespace eelgrassdoor::host {
 
 namespace {
@@ -61,20 +63,28 @@
     m_transfers.end(bytes);
 }
 
+net::task<std::string> peer_api::execute_job_call(net::server_exchange& exchange,
+                                                  jobs::job_call call, bool forward) {
+    if (forward) {
+        const jobs::job_reply reply = co_await m_job_frontend.execute(
+            std::move(call), entry::call_origin::forwarded, exchange);
+        co_return jobs::encode(reply);
+    }
+    const auto reserve = [&](std::size_t bytes) { return exchange.reserve_response(bytes); };
+    const jobs::job_reply reply = co_await m_runner->handle(std::move(call), reserve);
+    co_return jobs::encode(reply);
+}
+
 net::task<> peer_api::handle_job_call(net::server_exchange& exchange, bool forward) {
     std::optional<jobs::job_call> call = jobs::decode_call(exchange.request().body);
     net::http_response response;
     response.status = call ? 200 : 400;
     if (call) {
         exchange.request().body.clear();
-        jobs::job_reply reply;
-        if (forward) {
-            reply =
-                co_await m_job_frontend.execute(std::move(*call), entry::call_origin::forwarded);
-        } else {
-            reply = co_await m_runner->handle(std::move(*call));
-        }
-        response.body = jobs::encode(reply);
+        const std::size_t max_bytes = call->max_page_bytes;
+        call->max_page_bytes =
+            exchange.plan_response(std::min(max_bytes, jobs::min_page_bytes), max_bytes);
+        response.body = co_await execute_job_call(exchange, std::move(*call), forward);
     }
     co_await exchange.respond(std::move(response));
 }
--- a/src/host/peer_api.hpp
+++ b/src/host/peer_api.hpp
@@ -35,6 +35,9 @@
     /// Executes a call about a job on the local runner or, with \p forward, through the frontend on
     /// behalf of a daemon that cannot reach any runner.
     net::task<> handle_job_call(net::server_exchange& exchange, bool forward);
+    /// Returns the encoded reply to \p call, whose memory \p exchange reserves.
+    net::task<std::string> execute_job_call(net::server_exchange& exchange, jobs::job_call call,
+                                            bool forward);
 
     store::mirror& m_mirror;
     jobs::job_runner* m_runner;
--- a/src/host/snapshot_puller.cpp
+++ b/src/host/snapshot_puller.cpp
@@ -71,9 +71,10 @@
     request.target = str_cat(mirror_path, "?prefix=", newer.prefix, "&revision=", newer.revision);
     request.headers.set("Accept-Encoding", compressed_encoding);
     const time_point started = m_context.clock();
-    const net::call_timeouts timeouts{started + transfer_timeout, max_silence};
+    const net::call_limits limits{
+        .deadline = started + transfer_timeout, .max_silence = max_silence, .has_room = nullptr};
     const result<net::http_response> response =
-        co_await m_client.call(newer.endpoint, std::move(request), timeouts);
+        co_await m_client.call(newer.endpoint, std::move(request), limits);
     if (!response) {
         co_return fail(newer, response.error().message, started);
     }
--- a/src/jobs/job_call.cpp
+++ b/src/jobs/job_call.cpp
@@ -28,11 +28,16 @@
 }
 
 std::string encode(const job_call& call) {
-    return peer::encode(call);
+    return peer::encode(call) + peer::encode(call.max_page_bytes);
 }
 
 std::optional<job_call> decode_call(std::string_view bytes) {
-    return peer::decode<job_call>(bytes);
+    std::optional<job_call> call = peer::decode_front<job_call>(bytes);
+    if (call && !bytes.empty()) {
+        const auto max_page_bytes = peer::decode<std::uint64_t>(bytes);
+        call->max_page_bytes = max_page_bytes.value_or(call->max_page_bytes);
+    }
+    return call;
 }
 
 std::string encode(const job_reply& reply) {
--- a/src/jobs/job_call.hpp
+++ b/src/jobs/job_call.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "jobs/job_state.hpp"
+#include "jobs/result_size.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -34,6 +35,9 @@
     /// Whether another daemon redirected the call here. Cached owners may be stale, so the receiver
     /// then reads the store instead of redirecting from its own cache.
     bool redirected = false;
+    /// read: the reply lists no second result beyond this many bytes. Daemons of older builds
+    /// neither send nor read it.
+    std::uint64_t max_page_bytes = jobs::max_page_bytes;
 };
 
 enum class reply_status : std::uint8_t {
--- a/src/jobs/job_repository.cpp
+++ b/src/jobs/job_repository.cpp
@@ -1,7 +1,6 @@
 #include "jobs/job_repository.hpp"
 
 #include "base/text.hpp"
-#include "jobs/result_size.hpp"
 #include "net/notification.hpp"
 
 #include <algorithm>
@@ -13,8 +12,6 @@
 /// Delay before a failed commit is sent again.
 constexpr duration retry_delay = milliseconds(150);
 
-/// Limit for a page of several results, in bytes; a response may have max_response_bytes.
-constexpr std::size_t max_page_bytes = 700 * 1024;
 /// How long a refusal lasts, and at least lasts when it shares its lease with earlier ones. Longer
 /// than a change whose response was lost may take until it takes effect.
 constexpr duration refusal_lifetime = seconds(30);
@@ -43,6 +40,37 @@
     return all;
 }
 
+/// Fills a page with the results from a position on, as far as they fit.
+class result_lister {
+public:
+    result_lister(std::uint64_t total, std::uint64_t after, std::size_t max_bytes)
+        : m_page{total, after, {}}, m_max_bytes(max_bytes) {}
+
+    /// Adds the result at the next position; those before the first position of the page are
+    /// skipped. Returns false when the page is full.
+    bool add(const serving::item_result& next) {
+        if (m_position < m_page.next) {
+            ++m_position;
+            return true;
+        }
+        m_bytes += listed_size(next);
+        if (!m_page.results.empty() && m_bytes > m_max_bytes) {
+            return false;
+        }
+        m_page.results.push_back(next);
+        m_page.next = ++m_position;
+        return true;
+    }
+    serving::result_page take() { return std::move(m_page); }
+
+private:
+    serving::result_page m_page;
+    std::size_t m_max_bytes;
+    std::size_t m_bytes = value_frame_bytes;
+    /// Position of the next result.
+    std::uint64_t m_position = 0;
+};
+
 /// Whether the current record is the one that \p wanted writes. Then an earlier attempt of the same
 /// change took effect and its response was lost. job_state::change_id makes every record unique, so
 /// checking the first record is enough for the whole transaction.
@@ -233,6 +261,67 @@
     return read_entries(str_cat(results_prefix, job, "/"), decode_results);
 }
 
+template <typename Entry>
+net::task<result<void>>
+job_repository::visit_entries(std::string prefix,
+                              std::optional<std::vector<Entry>> (*decode)(std::string_view),
+                              std::function<bool(Entry&)> visit) {
+    std::string last_key;
+    for (;;) {
+        const result<store::kv_page> listed =
+            co_await m_store.list(prefix, last_key, store::consistency::linearizable);
+        if (!listed) {
+            co_return listed.error();
+        }
+        for (const store::kv_item& value : listed.value().items) {
+            last_key = value.key;
+            std::optional<std::vector<Entry>> entries = decode(value.value);
+            if (!entries) {
+                co_return error{error_code::internal, str_cat(value.key, " is malformed")};
+            }
+            for (Entry& each : *entries) {
+                if (!visit(each)) {
+                    co_return success();
+                }
+            }
+        }
+        if (!listed.value().has_more) {
+            co_return success();
+        }
+    }
+}
+
+net::task<result<serving::result_page>>
+job_repository::read_page(job_state state, std::uint64_t after, std::size_t max_bytes) {
+    result_lister lister(state.items, after, max_bytes);
+    const std::function<bool(serving::item_result&)> add = [&](const serving::item_result& each) {
+        return lister.add(each);
+    };
+    const result<void> read =
+        co_await visit_entries(str_cat(results_prefix, state.job, "/"), decode_results, add);
+    if (!read) {
+        co_return read.error();
+    }
+    co_return lister.take();
+}
+
+net::task<result<std::optional<std::string>>> job_repository::read_item_body(std::string job,
+                                                                             std::string item) {
+    std::optional<std::string> body;
+    const std::function<bool(serving::submitted_item&)> find = [&](serving::submitted_item& each) {
+        if (each.id == item) {
+            body = std::move(each.body);
+        }
+        return !body;
+    };
+    const result<void> read =
+        co_await visit_entries(str_cat(items_prefix, job, "/"), decode_items, find);
+    if (!read) {
+        co_return read.error();
+    }
+    co_return body;
+}
+
 net::task<result<std::vector<versioned_state>>>
 job_repository::read_all(store::consistency consistency) {
     const std::string prefix(state_prefix);
@@ -336,18 +425,14 @@
 
 serving::result_page make_page(const job_state& state,
                                const std::vector<serving::item_result>& results,
-                               std::uint64_t after) {
-    serving::result_page page{state.items, after, {}};
-    std::size_t bytes = value_frame_bytes;
-    for (std::uint64_t i = after; i < results.size(); ++i) {
-        bytes += listed_size(results[i]);
-        if (!page.results.empty() && bytes > max_page_bytes) {
+                               std::uint64_t after, std::size_t max_bytes) {
+    result_lister lister(state.items, after, max_bytes);
+    for (const serving::item_result& each : results) {
+        if (!lister.add(each)) {
             break;
         }
-        page.results.push_back(results[i]);
-        ++page.next;
     }
-    return page;
+    return lister.take();
 }
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/job_repository.hpp
+++ b/src/jobs/job_repository.hpp
@@ -4,6 +4,7 @@
 
 #include "base/random_source.hpp"
 #include "jobs/job_state.hpp"
+#include "jobs/result_size.hpp"
 #include "observe/decision_log.hpp"
 #include "store/kv_store.hpp"
 
@@ -58,6 +59,12 @@
     net::task<result<std::vector<serving::submitted_item>>> read_items(std::string job);
     /// All committed results of a job, in the order of their positions.
     net::task<result<std::vector<serving::item_result>>> read_results(std::string job);
+    /// The committed results of a job that make_page() would list. Holds store_read_bytes at most.
+    net::task<result<serving::result_page>> read_page(job_state state, std::uint64_t after,
+                                                      std::size_t max_bytes);
+    /// The body of one item of a job; nothing when the job has no such item. Holds store_read_bytes
+    /// at most.
+    net::task<result<std::optional<std::string>>> read_item_body(std::string job, std::string item);
     /// The records of all jobs. Malformed records are logged and left out.
     net::task<result<std::vector<versioned_state>>> read_all(store::consistency consistency);
 
@@ -98,6 +105,12 @@
     template <typename Entry>
     net::task<result<std::vector<Entry>>>
     read_entries(std::string prefix, std::optional<std::vector<Entry>> (*decode)(std::string_view));
+    /// Calls \p visit for the entries of all values with a prefix, in the order of their keys,
+    /// until it returns false. Holds one response of the store at a time.
+    template <typename Entry>
+    net::task<result<void>>
+    visit_entries(std::string prefix, std::optional<std::vector<Entry>> (*decode)(std::string_view),
+                  std::function<bool(Entry&)> visit);
     /// Commits \p change and retries failed attempts until \p deadline, unless the store refuses
     /// the change for good. A conflict with an earlier attempt of the same change counts as
     /// committed. The run state of the error is `unknown` when any attempt may have taken effect.
@@ -116,9 +129,14 @@
 /// Whether the store has refused a change for good: it would refuse the same bytes again.
 [[nodiscard]] bool is_refused_for_good(const error& why);
 
-/// The results from position \p after on that fit into one reply; at least one if there are any.
+/// What a read of results or items from the store may hold for a while: a response of the store,
+/// its values, and what they contain.
+inline constexpr std::size_t store_read_bytes = 4UL * 1024 * 1024;
+
+/// The results from position \p after on that fit into \p max_bytes as listed; at least one if
+/// there are any.
 serving::result_page make_page(const job_state& state,
                                const std::vector<serving::item_result>& results,
-                               std::uint64_t after);
+                               std::uint64_t after, std::size_t max_bytes = max_page_bytes);
 
 } // namespace eelgrassdoor::jobs
--- a/src/jobs/job_runner.cpp
+++ b/src/jobs/job_runner.cpp
@@ -72,14 +72,14 @@
     m_table.commit_wake.notify();
 }
 
-net::task<job_reply> job_runner::handle(job_call call) {
+net::task<job_reply> job_runner::handle(job_call call, reserve_fn reserve) {
     switch (call.kind) {
     case call_kind::submit:
         co_return co_await submit(std::move(call));
     case call_kind::read:
-        co_return co_await read(std::move(call));
+        co_return co_await read(std::move(call), std::move(reserve));
     case call_kind::read_item:
-        co_return co_await read_item(std::move(call));
+        co_return co_await read_item(std::move(call), std::move(reserve));
     case call_kind::cancel:
         co_return co_await cancel(std::move(call));
     case call_kind::adopt:
@@ -184,7 +184,7 @@
     co_return make_reply(reply_status::ok);
 }
 
-net::task<job_reply> job_runner::read(job_call call) {
+net::task<job_reply> job_runner::read(job_call call, reserve_fn reserve) {
     const time_point called_at = m_context.clock();
     const time_point wait_until = called_at + milliseconds(call.wait_ms);
     const time_point commit_until = called_at + commit_wait;
@@ -200,7 +200,7 @@
             co_return *moved;
         }
         if (!job || !m_table.is_authoritative(*job)) {
-            co_return co_await read_from_store(std::move(call));
+            co_return co_await read_from_store(std::move(call), std::move(reserve));
         }
         if (job->record().state.customer != call.customer) {
             co_return make_reply(reply_status::not_found);
@@ -208,7 +208,8 @@
         const bool has_more = job->committed_results().size() > call.after;
         if (has_more || job->finished() || m_context.clock() >= wait_until) {
             job_reply reply = make_reply(reply_status::ok);
-            reply.page = make_page(job->record().state, job->committed_results(), call.after);
+            reply.page = make_page(job->record().state, job->committed_results(), call.after,
+                                   call.max_page_bytes);
             co_return reply;
         }
         co_await m_table.wait_for_results(wait_until);
@@ -247,22 +248,25 @@
     co_return found;
 }
 
-net::task<job_reply> job_runner::read_from_store(job_call call) {
+net::task<job_reply> job_runner::read_from_store(job_call call, reserve_fn reserve) {
     const lookup found = co_await look_up(call);
     if (found.reply) {
         co_return *found.reply;
     }
-    const result<std::vector<serving::item_result>> results =
-        co_await m_repository.read_results(call.job);
-    if (!results) {
+    if (!reserve(store_read_bytes)) {
+        co_return make_reply(reply_status::unavailable);
+    }
+    result<serving::result_page> page =
+        co_await m_repository.read_page(found.state, call.after, call.max_page_bytes);
+    if (!page) {
         co_return make_reply(reply_status::unavailable);
     }
     job_reply reply = make_reply(reply_status::ok);
-    reply.page = make_page(found.state, results.value(), call.after);
+    reply.page = std::move(page.value());
     co_return reply;
 }
 
-net::task<job_reply> job_runner::read_item(job_call call) {
+net::task<job_reply> job_runner::read_item(job_call call, reserve_fn reserve) {
     if (const job_ptr job = m_table.find(call.job)) {
         const owned_item* item = job->find(call.item);
         if (job->record().state.customer != call.customer || item == nullptr) {
@@ -279,19 +283,17 @@
     if (found.reply) {
         co_return *found.reply;
     }
-    const result<std::vector<serving::submitted_item>> items =
-        co_await m_repository.read_items(call.job);
-    if (!items) {
+    if (!reserve(store_read_bytes)) {
         co_return make_reply(reply_status::unavailable);
     }
-    for (const serving::submitted_item& item : items.value()) {
-        if (item.id == call.item) {
-            job_reply reply = make_reply(reply_status::ok);
-            reply.body = item.body;
-            co_return reply;
-        }
+    result<std::optional<std::string>> body =
+        co_await m_repository.read_item_body(call.job, call.item);
+    if (!body) {
+        co_return make_reply(reply_status::unavailable);
     }
-    co_return make_reply(reply_status::not_found);
+    job_reply reply = make_reply(body.value() ? reply_status::ok : reply_status::not_found);
+    reply.body = std::move(body.value()).value_or(std::string());
+    co_return reply;
 }
 
 net::task<job_reply> job_runner::cancel(job_call call) {
--- a/src/jobs/job_runner.hpp
+++ b/src/jobs/job_runner.hpp
@@ -10,6 +10,7 @@
 #include "jobs/owner_cache.hpp"
 #include "jobs/result_committer.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,14 +23,19 @@
 /// event loop's thread.
 class job_runner {
 public:
+    /// Reserves memory for a reply. Returns false when there is none left.
+    using reserve_fn = std::function<bool(std::size_t bytes)>;
+
     job_runner(serving::service_context& context, job_repository& repository,
                runner_options options);
 
     /// Starts dispatching, committing and adopting.
     void start();
 
-    /// Executes a call. A read waits for new results for as long as the call says.
-    net::task<job_reply> handle(job_call call);
+    /// Executes a call. A read waits for new results for as long as the call says. \p reserve is
+    /// called with the bytes that a read of the store may hold; when it returns false, the call is
+    /// not executed.
+    net::task<job_reply> handle(job_call call, reserve_fn reserve);
 
     /// Call when the load at the targets has changed: runs may have to be preempted or may start.
     void on_load_change();
@@ -56,10 +62,10 @@
     net::task<job_reply> create(job_call call);
     /// The reply to the submission of a job that exceeds the route's limit.
     net::task<job_reply> refuse(const std::string& job);
-    net::task<job_reply> read(job_call call);
-    net::task<job_reply> read_item(job_call call);
+    net::task<job_reply> read(job_call call, reserve_fn reserve);
+    net::task<job_reply> read_item(job_call call, reserve_fn reserve);
     net::task<job_reply> cancel(job_call call);
-    net::task<job_reply> read_from_store(job_call call);
+    net::task<job_reply> read_from_store(job_call call, reserve_fn reserve);
     /// Result of reading a job's record from the store.
     struct lookup {
         /// The final reply, unless the job's items or results are needed for it.
--- a/src/jobs/result_size.hpp
+++ b/src/jobs/result_size.hpp
@@ -13,6 +13,12 @@
 /// Limit of a response that lists results, in bytes.
 inline constexpr std::size_t max_response_bytes = 1'000'000;
 
+/// Bytes from which on a response that lists results lists no further one; a single one may be
+/// longer.
+inline constexpr std::size_t max_page_bytes = 700UL * 1024;
+/// What max_page_bytes may be lowered to when a daemon is short of memory.
+inline constexpr std::size_t min_page_bytes = 32UL * 1024;
+
 /// Bytes of a response that lists results, or of a stored value, beside the results or items.
 inline constexpr std::size_t value_frame_bytes = 256;
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -51,11 +51,12 @@
 
 task<result<http_response>> http_client::call(std::string endpoint, http_request request,
                                               time_point deadline) {
-    return call(std::move(endpoint), std::move(request), call_timeouts{.deadline = deadline});
+    return call(std::move(endpoint), std::move(request),
+                call_limits{.deadline = deadline, .has_room = nullptr});
 }
 
 task<result<http_response>> http_client::call(std::string endpoint, http_request request,
-                                              call_timeouts timeouts) {
+                                              call_limits limits) {
     if (m_options.is_partitioned && m_options.is_partitioned(endpoint)) {
         co_return error{
             error_code::target_failed,
@@ -65,7 +66,7 @@
     std::shared_ptr<tcp_connection> connection = take_idle(endpoint);
     if (!connection) {
         const time_point connect_by =
-            std::min(timeouts.deadline, steady_clock()() + m_options.connect_timeout);
+            std::min(limits.deadline, steady_clock()() + m_options.connect_timeout);
         result<std::shared_ptr<tcp_connection>> opened =
             co_await connect(m_executor, endpoint, connect_by);
         if (!opened) {
@@ -73,13 +74,14 @@
         }
         connection = std::move(opened.value());
     }
-    const std::function<void()> extend_deadline = [&timeouts, connection = connection.get()] {
+    const std::function<void()> extend_deadline = [&limits, connection = connection.get()] {
         const time_point now = steady_clock()();
-        const bool is_limited = timeouts.max_silence < timeouts.deadline - now;
-        connection->set_deadline(is_limited ? now + timeouts.max_silence : timeouts.deadline);
+        const bool is_limited = limits.max_silence < limits.deadline - now;
+        connection->set_deadline(is_limited ? now + limits.max_silence : limits.deadline);
     };
     extend_deadline();
     http_exchange exchange(connection, m_options.limits);
+    exchange.set_has_room(std::move(limits.has_room));
     exchange.send(request);
     const result<void> read = co_await exchange.read_all(extend_deadline);
     if (!read) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -25,12 +25,14 @@
     std::function<bool(std::string_view)> is_partitioned;
 };
 
-/// Time limits of one call.
-struct call_timeouts {
+/// Limits of one call.
+struct call_limits {
     /// When the call fails if it is not complete.
     time_point deadline;
     /// How long the server may send nothing before the call fails.
     duration max_silence = duration::max();
+    /// See http_exchange::set_has_room(). May be empty.
+    std::function<bool(std::size_t bytes)> has_room;
 };
 
 /// Sends complete requests and reads complete responses. Never retries a request. Must be used on
@@ -45,9 +47,9 @@
     /// run_state::unknown that the server may have received it.
     task<result<http_response>> call(std::string endpoint, http_request request,
                                      time_point deadline);
-    /// The same with a limit on the server's silence.
+    /// The same with further limits.
     task<result<http_response>> call(std::string endpoint, http_request request,
-                                     call_timeouts timeouts);
+                                     call_limits limits);
     /// Opens a connection outside of the pool. Its deadline stays set to \p deadline. Fails with
     /// error_code::invalid_request when \p endpoint is malformed, and otherwise with
     /// error_code::deadline_exceeded or target_failed, always as run_state::not_run.
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -82,7 +82,9 @@
 
 bool http_exchange::reserve_memory(std::uint64_t expected) {
     const std::size_t held = m_connection->input().size() + m_parser->message().body.size();
-    return m_memory.resize(std::max<std::size_t>(held, expected));
+    const std::size_t needed = std::max<std::size_t>(held, expected);
+    const bool has_room = !m_has_room || m_has_room(needed);
+    return has_room && m_memory.resize(needed);
 }
 
 task<result<void>> http_exchange::read_head() {
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -30,6 +30,11 @@
 
     /// Starts to write \p request; returns at once.
     void send(const http_request& request);
+    /// Calls \p has_room with the bytes that a response needs, as far as they are known, before it
+    /// is read any further. The response fails when \p has_room returns false.
+    void set_has_room(std::function<bool(std::size_t bytes)> has_room) {
+        m_has_room = std::move(has_room);
+    }
     /// Waits for the head of the next response. After a complete response it waits for another one,
     /// for the case that the first belonged to a different request.
     task<result<void>> read_head();
@@ -64,7 +69,7 @@
     task<bool> wait_until_sent();
     /// Parses the received bytes; when there are none to parse, waits for more.
     task<result<void>> advance();
-    /// Whether the budget allows for what the response holds, and for the \p expected length of its
+    /// Whether there is memory for what the response holds, and for the \p expected length of its
     /// body.
     bool reserve_memory(std::uint64_t expected);
     [[nodiscard]] error failure(std::string_view description) const;
@@ -72,6 +77,7 @@
     std::shared_ptr<tcp_connection> m_connection;
     parse_limits m_limits;
     memory_reservation m_memory;
+    std::function<bool(std::size_t bytes)> m_has_room;
     std::unique_ptr<response_parser> m_parser;
     std::shared_ptr<pending_write> m_write;
 };
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -185,12 +185,15 @@
     return out;
 }
 
-std::string serialize(const http_response& response) {
-    http_response head;
-    head.status = response.status;
-    head.headers = response.headers;
-    head.headers.set("Content-Length", std::to_string(response.body.size()));
-    return serialize_head(head) + response.body;
+std::string serialize(http_response response) {
+    const std::string body = std::move(response.body);
+    response.headers.set("Content-Length", std::to_string(body.size()));
+    const std::string head = serialize_head(response);
+    std::string out;
+    out.reserve(head.size() + body.size());
+    out += head;
+    out += body;
+    return out;
 }
 
 std::string encode_chunk(std::string_view data) {
--- a/src/net/http_message.hpp
+++ b/src/net/http_message.hpp
@@ -83,8 +83,9 @@
 /// or PUT.
 std::string serialize(const http_request& request);
 
-/// Serializes a response with a Content-Length field.
-std::string serialize(const http_response& response);
+/// Serializes a response with a Content-Length field. Takes a copy that it frees, so that a
+/// response that is moved here is held once.
+std::string serialize(http_response response);
 
 /// Serializes status and headers of a response. Content-Length or Transfer-Encoding must be set by
 /// the caller.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -65,11 +65,37 @@
     return response;
 }
 
+server_exchange::server_exchange(std::shared_ptr<tcp_connection> connection, http_request request,
+                                 time_point received_at, bool close_after_response,
+                                 outgoing_memory* memory)
+    : m_connection(std::move(connection)), m_request(std::move(request)),
+      m_received_at(received_at), m_close_after_response(close_after_response),
+      m_claim(memory, {.taken_bytes = [this] { return m_connection->acknowledged_bytes(); },
+                       // Ends the pending write, and with it what it holds.
+                       .yield = [this] { m_connection->reset(); }}) {}
+
+std::size_t server_exchange::plan_response(std::size_t min, std::size_t max) {
+    return m_claim.expect(min, max);
+}
+
+bool server_exchange::reserve_response(std::size_t bytes) {
+    m_lacks_memory = !m_claim.reserve(bytes);
+    return !m_lacks_memory;
+}
+
 task<bool> server_exchange::send(std::string bytes) {
     if (m_interrupted) {
         co_return false;
     }
-    const io_error ec = co_await m_connection->write(bytes);
+    const std::size_t written = m_connection->write_available(bytes);
+    if (written == bytes.size()) {
+        m_claim.end_sending();
+        co_return true;
+    }
+    // The client has not read what was sent before.
+    m_claim.begin_sending(bytes.capacity());
+    const io_error ec = co_await m_connection->write(std::string_view(bytes).substr(written));
+    m_claim.end_sending();
     if (ec) {
         m_client_disconnected = true;
         m_connection->close();
@@ -93,7 +119,7 @@
     if (!reusable()) {
         response.headers.set("Connection", "close");
     }
-    co_return co_await send(serialize(response));
+    co_return co_await send(serialize(std::move(response)));
 }
 
 task<bool> server_exchange::begin(http_response head) {
@@ -114,7 +140,9 @@
     if (data.empty()) {
         co_return true;
     }
-    co_return co_await send(encode_chunk(data));
+    std::string chunk = encode_chunk(data);
+    free_memory(data);
+    co_return co_await send(std::move(chunk));
 }
 
 task<bool> server_exchange::finish() {
@@ -146,7 +174,7 @@
     m_client_disconnected = true;
     if (m_state == response_state::none) {
         final_response.headers.set("Connection", "close");
-        const bool sent = m_connection->write_now(serialize(final_response));
+        const bool sent = m_connection->write_now(serialize(std::move(final_response)));
         m_state = sent ? response_state::complete : response_state::none;
     }
     m_connection->close();
@@ -304,7 +332,7 @@
     connection.set_deadline(steady_clock()() + max_drain_time);
     http_response refusal = m_options.memory_response();
     refusal.headers.set("Connection", "close");
-    if (connection.write_now(serialize(refusal))) {
+    if (connection.write_now(serialize(std::move(refusal)))) {
         connection.shut_down_sending();
     } else {
         connection.close();
@@ -325,7 +353,7 @@
                            http_response response) {
     response.headers.set("Connection", "close");
     connection->set_deadline(steady_clock()() + max_drain_time);
-    const std::string bytes = serialize(response);
+    const std::string bytes = serialize(std::move(response));
     const io_error ec = co_await connection->write(bytes);
     connection->shut_down_sending();
     free_memory(connection->input());
@@ -376,7 +404,8 @@
         co_return false;
     }
     connection->set_deadline(time_point::max());
-    server_exchange exchange(connection, std::move(parser.message()), steady_clock()(), m_closing);
+    server_exchange exchange(connection, std::move(parser.message()), steady_clock()(), m_closing,
+                             m_options.responses);
     m_active.insert(&exchange);
     co_await m_handler(exchange);
     m_active.erase(&exchange);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -4,6 +4,7 @@
 
 #include "base/error.hpp"
 #include "net/http_parser.hpp"
+#include "net/outgoing_memory.hpp"
 #include "net/tcp_connection.hpp"
 
 #include <functional>
@@ -34,17 +35,32 @@
 /// nothing, closes the connection and returns false.
 class server_exchange {
 public:
+    /// The response is held in \p memory, if any.
     server_exchange(std::shared_ptr<tcp_connection> connection, http_request request,
-                    time_point received_at, bool close_after_response)
-        : m_connection(std::move(connection)), m_request(std::move(request)),
-          m_received_at(received_at), m_close_after_response(close_after_response) {}
+                    time_point received_at, bool close_after_response,
+                    outgoing_memory* memory = nullptr);
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
+    ~server_exchange() = default;
 
     [[nodiscard]] const http_request& request() const { return m_request; }
     http_request& request() { return m_request; }
     /// When the request had been received completely.
     [[nodiscard]] time_point received_at() const { return m_received_at; }
 
-    /// Sends a complete response. Returns false when the client has disconnected.
+    /// Names whom the response is for, in case that it gives way for lack of memory.
+    void set_label(response_label label) { m_claim.label = std::move(label); }
+    /// Returns how large a response should be that can be made of any size from \p min to \p max
+    /// bytes, and announces one of that size.
+    std::size_t plan_response(std::size_t min, std::size_t max);
+    /// Reserves memory for a response of \p bytes before it is made or fetched. Returns false when
+    /// there is no room for it; the request should then be refused.
+    [[nodiscard]] bool reserve_response(std::size_t bytes);
+    /// Whether reserve_response() has failed.
+    [[nodiscard]] bool lacks_memory() const { return m_lacks_memory; }
+
+    /// Sends a complete response. Returns false when the client has disconnected, or when the
+    /// response has given way for lack of memory; then the connection has been reset.
     task<bool> respond(http_response response);
     /// Starts a chunked response with the status and headers of \p head. Returns false when the
     /// client has disconnected.
@@ -73,6 +89,8 @@
     /// The handler sees a client that has disconnected. Does nothing once the response has been
     /// handed over by respond() or finish().
     void interrupt(http_response final_response);
+    /// What the response holds in the server's memory, if that is limited.
+    [[nodiscard]] outgoing_claim& claim() { return m_claim; }
     /// Whether interrupt() has ended the request.
     [[nodiscard]] bool interrupted() const { return m_interrupted; }
 
@@ -100,6 +118,8 @@
     bool m_interrupted = false;
     bool m_aborted = false;
     bool m_client_disconnected = false;
+    bool m_lacks_memory = false;
+    outgoing_claim m_claim;
 };
 
 /// Handles one request. A request without a complete response is aborted when the handler returns.
@@ -129,8 +149,9 @@
     request_memory* memory = nullptr;
     /// Builds the response to a request that is not run for lack of memory.
     std::function<http_response()> memory_response = default_memory_response;
-    /// How long a client may leave sent bytes unread. Not enforced: nothing reads this option.
-    duration write_timeout = seconds(5);
+    /// Memory that the responses of this and other servers share; null for no limit. Must outlive
+    /// the server.
+    outgoing_memory* responses = nullptr;
 };
 
 /// Listens on one port and runs the handler for each request. The requests of one connection are
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace eelgrassdoor::net {
@@ -52,6 +54,13 @@
     return is_known ? info.tcpi_state : static_cast<int>(TCP_ESTABLISHED);
 }
 
+/// Bytes that were written and are not acknowledged; 0 if that can't be told.
+std::size_t unacknowledged_bytes(int socket) {
+    int bytes = 0;
+    const bool is_known = ::ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    return is_known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 /// Whether a connection that this side has not closed was reset, also when another operation has
 /// already received the error.
 bool was_reset(int socket) {
@@ -114,7 +123,12 @@
 
 task<io_error> tcp_connection::write(std::string_view bytes) {
     io_error ec;
-    co_await asio::async_write(m_socket, asio::buffer(bytes.data(), bytes.size()), store_error(ec));
+    while (!bytes.empty() && !ec) {
+        const std::size_t written = co_await m_socket.async_write_some(
+            asio::buffer(bytes.data(), bytes.size()), store_error(ec));
+        m_written += written;
+        bytes.remove_prefix(written);
+    }
     co_return ec;
 }
 
@@ -124,9 +138,18 @@
 }
 
 bool tcp_connection::write_now(std::string_view bytes) {
+    return write_available(bytes) == bytes.size();
+}
+
+std::size_t tcp_connection::write_available(std::string_view bytes) {
     io_error ec;
     const std::size_t written = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), ec);
-    return !ec && written == bytes.size();
+    m_written += written;
+    return ec ? 0 : written;
+}
+
+std::size_t tcp_connection::acknowledged_bytes() {
+    return m_written - std::min(m_written, unacknowledged_bytes(m_socket.native_handle()));
 }
 
 void tcp_connection::set_deadline(time_point deadline) {
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -45,6 +45,11 @@
     /// Writes \p bytes without waiting. Returns false when the peer's unread bytes leave no room
     /// for all of them, or when the connection has failed; a part may then have been written.
     bool write_now(std::string_view bytes);
+    /// Writes as many of \p bytes as there is room for, without waiting, and returns how many. A
+    /// connection that has failed takes none; the next operation tells.
+    std::size_t write_available(std::string_view bytes);
+    /// Number of bytes that were written and that the peer's host has acknowledged.
+    [[nodiscard]] std::size_t acknowledged_bytes();
 
     /// Closes the connection at \p deadline, which replaces an earlier one; time_point::max()
     /// stands for no deadline.
@@ -92,6 +97,8 @@
     bool m_timer_armed = false;
     bool m_timed_out = false;
     std::string m_input;
+    /// Number of bytes that were handed to the kernel.
+    std::size_t m_written = 0;
     std::function<void()> m_on_closed;
     /// Incremented when a watch ends, so that its pending handler does nothing.
     std::uint64_t m_watch_generation = 0;
--- a/src/observe/event.cpp
+++ b/src/observe/event.cpp
@@ -162,6 +162,11 @@
     event_info{event::stream_version_unpublished, "stream_version_unpublished", warning,
                "A stream begins on a software version of which it is not known to be stored that "
                "streams begin on it; it is stored when the key-value service answers again."},
+    event_info{
+        event::response_yielded, "response_yielded", info,
+        "A response was broken off because unread responses hold all memory that is left to "
+        "them, and its client had taken the least of it; reports for how long, and the bytes "
+        "held and taken."},
     event_info{event::job_accepted, "job_accepted", info, "A batch job was accepted."},
     event_info{event::job_claimed, "job_claimed", info,
                "This host became the owner of a batch job."},
--- a/src/observe/event.hpp
+++ b/src/observe/event.hpp
@@ -83,6 +83,7 @@
     stream_version_deduced = 524,
     stream_version_undecided = 525,
     stream_version_unpublished = 526,
+    response_yielded = 527,
     job_accepted = 600,
     job_claimed = 601,
     job_progress = 602,
