A peer that reads slowly is not taken for a dead path

Cause: TCP_USER_TIMEOUT of 3 s also ends a connection whose window is shut, or too small for the next segment, for that long, though the peer's host acknowledges each probe. The same option cut requests to targets and hosts that read slowly. Change: net/path_watch in its place reads SIOCOUTQ and TCP_INFO twice a second while bytes are unacknowledged, on one timer grid for all connections; a path is dead when segments or probes are on their way and nothing is acknowledged for 2.5 s. As crowds now stay, a server without a free connection lets the slowest response give way that has been unread for 3 s. Why it works: a slow reader's host acknowledges, a dead path does not. Result: slow_peers passes, dead paths with bytes on their way and behind a shut window included.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,6 +17,9 @@
 constexpr duration max_drain_time = seconds(2);
 constexpr std::size_t max_drained_bytes = 16UL * 1024 * 1024;
 
+/// How long a response must have been left unread before its connection is freed for another one.
+constexpr duration min_unread_time = seconds(3);
+
 http_response make_rejection(int status) {
     http_response response;
     response.status = status;
@@ -251,7 +254,7 @@
             co_await sleep_for(accept_retry_delay);
             continue;
         }
-        if (m_connections.size() >= m_options.max_connections) {
+        if (m_connections.size() >= m_options.max_connections && !free_connection()) {
             socket.close(ec);
             continue;
         }
@@ -261,6 +264,22 @@
     }
 }
 
+bool http_server::free_connection() {
+    server_exchange* slowest = nullptr;
+    double least_rate = 0;
+    for (server_exchange* each : m_active) {
+        const std::optional<double> rate = each->claim().reading_rate(min_unread_time);
+        if (rate && (slowest == nullptr || *rate < least_rate)) {
+            slowest = each;
+            least_rate = *rate;
+        }
+    }
+    if (slowest != nullptr) {
+        slowest->claim().yield();
+    }
+    return slowest != nullptr;
+}
+
 task<> http_server::serve(std::shared_ptr<tcp_connection> connection) {
     bool keep_open = true;
     while (keep_open && connection->is_open()) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -139,7 +139,8 @@
     /// Returns the current limits. Called when the first byte of a request has arrived, and for the
     /// time that a connection may be idle, since the configuration may change meanwhile.
     std::function<client_limits()> limits = [] { return client_limits(); };
-    /// Limit of open connections; further ones are closed when they are accepted.
+    /// Limit of open connections. For a further one a response that is hardly read gives way; if
+    /// there is none, it is closed when it is accepted.
     std::size_t max_connections = 3000;
     /// Builds the response to a request that the server ends itself because it stops; its argument
     /// says whether the request may have been run.
@@ -184,6 +185,9 @@
 
 private:
     task<> accept_loop();
+    /// Lets the response give way that its client reads most slowly, if one has been left unread
+    /// for a while. Returns whether there was one; its connection closes soon.
+    bool free_connection();
     task<> serve(std::shared_ptr<tcp_connection> connection);
     task<bool> serve_request(const std::shared_ptr<tcp_connection>& connection);
     /// Waits for the first byte of a request. Returns false when the connection has ended.
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace eelgrassdoor::net {
 
@@ -16,8 +17,6 @@
 constexpr int keepalive_idle_s = 1;
 constexpr int keepalive_interval_s = 1;
 constexpr int keepalive_count = 2;
-/// How long sent bytes may stay unacknowledged; the same limit of 3 s.
-constexpr int user_timeout_ms = 3000;
 /// Size of the read buffer, which all connections of a thread share because reads never overlap.
 constexpr std::size_t read_buffer_bytes = 64 * 1024;
 /// Limit of bytes that are taken from a peer while its previous request is being handled. Counted
@@ -40,7 +39,6 @@
     set_option(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(handle, IPPROTO_TCP, TCP_KEEPCNT, keepalive_count);
-    set_option(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, user_timeout_ms);
     set_option(handle, IPPROTO_TCP, TCP_NODELAY, 1);
     io_error ignored;
     socket.non_blocking(true, ignored);
@@ -61,6 +59,20 @@
     return is_known ? static_cast<std::size_t>(bytes) : 0;
 }
 
+send_state read_send_state(int socket) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+        return {};
+    }
+    send_state state{.awaits_acknowledgement = info.tcpi_unacked > 0 || info.tcpi_probes > 0};
+    // Kernels that do not report the time leave it at 0. One that does tells at the next check.
+    if (info.tcpi_last_ack_recv > 0) {
+        state.since_acknowledgement = milliseconds(info.tcpi_last_ack_recv);
+    }
+    return state;
+}
+
 /// Whether a connection that this side has not closed was reset, also when another operation has
 /// already received the error.
 bool was_reset(int socket) {
@@ -86,7 +98,8 @@
 } // namespace
 
 tcp_connection::tcp_connection(tcp::socket socket)
-    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()) {
+    : m_socket(std::move(socket)), m_timer(m_socket.get_executor()),
+      m_path_timer(m_socket.get_executor()) {
     if (m_socket.is_open()) {
         set_options(m_socket);
     }
@@ -128,6 +141,7 @@
             asio::buffer(bytes.data(), bytes.size()), store_error(ec));
         m_written += written;
         bytes.remove_prefix(written);
+        watch_path();
     }
     co_return ec;
 }
@@ -145,6 +159,7 @@
     io_error ec;
     const std::size_t written = m_socket.write_some(asio::buffer(bytes.data(), bytes.size()), ec);
     m_written += written;
+    watch_path();
     return ec ? 0 : written;
 }
 
@@ -152,6 +167,40 @@
     return m_written - std::min(m_written, unacknowledged_bytes(m_socket.native_handle()));
 }
 
+void tcp_connection::watch_path() {
+    if (m_path_watched || !m_socket.is_open()) {
+        return;
+    }
+    m_path_watched = true;
+    // On a common grid the checks of all connections take one wake-up.
+    const duration now = asio::steady_timer::clock_type::now().time_since_epoch();
+    m_path_timer.expires_at(time_point((now / path_watch::interval + 1) * path_watch::interval));
+    m_path_timer.async_wait([weak = weak_from_this()](const io_error& ec) {
+        const std::shared_ptr<tcp_connection> self = weak.lock();
+        if (!ec && self) {
+            self->m_path_watched = false;
+            self->check_path();
+        }
+    });
+}
+
+void tcp_connection::check_path() {
+    const int handle = m_socket.native_handle();
+    const bool is_pending = m_socket.is_open() && unacknowledged_bytes(handle) > 0;
+    send_state state = is_pending ? read_send_state(handle) : send_state{};
+    state.acknowledged_bytes = acknowledged_bytes();
+    if (m_path_watch.is_dead(state, asio::steady_timer::clock_type::now())) {
+        m_path_is_dead = true;
+        const std::function<void()> notify = std::exchange(m_on_closed, nullptr);
+        reset();
+        if (notify) {
+            notify();
+        }
+    } else if (is_pending) {
+        watch_path();
+    }
+}
+
 void tcp_connection::set_deadline(time_point deadline) {
     const bool earlier = deadline < m_deadline;
     m_deadline = deadline;
@@ -200,6 +249,7 @@
     m_socket.close(ignored);
     m_timer.cancel(ignored);
     m_timer_armed = false;
+    m_path_timer.cancel(ignored);
 }
 
 void tcp_connection::reset() {
@@ -230,7 +280,7 @@
 
 bool tcp_connection::has_peer_ended() {
     const int state = tcp_state(m_socket.native_handle());
-    return state == TCP_CLOSE_WAIT || state == TCP_CLOSE;
+    return m_path_is_dead || state == TCP_CLOSE_WAIT || state == TCP_CLOSE;
 }
 
 void tcp_connection::watch_for_close(std::function<void()> on_closed) {
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.hpp"
 #include "net/asio.hpp"
+#include "net/path_watch.hpp"
 
 #include <functional>
 #include <memory>
@@ -22,8 +23,9 @@
     broken,
 };
 
-/// A connection that closes itself at its deadline, which ends all waiting operations. Keep-alive
-/// probes detect connections whose state was lost at the peer or in between. Must be owned by a
+/// A connection that closes itself at its deadline, which ends all waiting operations. It fails
+/// within three seconds when its path is dead: keep-alive probes notice it while nothing is sent,
+/// and a path_watch while bytes wait for their acknowledgement. Must be owned by a
 /// std::shared_ptr and used on the thread of its event loop.
 class tcp_connection : public std::enable_shared_from_this<tcp_connection> {
 public:
@@ -74,7 +76,8 @@
 
     /// What the peer has done with the connection so far. Does not wait, and consumes nothing.
     [[nodiscard]] peer_state peer();
-    /// Whether the peer has ended the connection, even if bytes of it are still to be read.
+    /// Whether the peer has ended the connection, even if bytes of it are still to be read, or the
+    /// path to it is dead.
     [[nodiscard]] bool has_peer_ended();
 
     /// Calls \p on_closed once when the peer closes the connection or it fails. Must not be used
@@ -85,6 +88,10 @@
     void stop_watching();
 
 private:
+    /// Checks the path from the next step of a common grid on, for as long as bytes are
+    /// unacknowledged.
+    void watch_path();
+    void check_path();
     void arm_timer();
     void arm_close_watch();
     /// Reads available bytes without waiting; asio::error::would_block when there are none.
@@ -92,6 +99,10 @@
 
     tcp::socket m_socket;
     asio::steady_timer m_timer;
+    asio::steady_timer m_path_timer;
+    path_watch m_path_watch;
+    bool m_path_watched = false;
+    bool m_path_is_dead = false;
     time_point m_deadline = time_point::max();
     std::function<time_point()> m_renew_deadline;
     bool m_timer_armed = false;
