A plain answer that its caller leaves unread costs its target nothing

Seen by callers: beside callers that leave plain answers unread, sound answers of others fail with 502, "the response needs more memory than is left for responses"; each counts as a failure of a sound target and runs again. Cause: the attempt kept a second reference to the exchange with the target until the caller had read the answer, and with it the memory for targets' responses and the target's place in the load. Change: the exchange ends when the target has answered; the answer then counts as what its caller leaves unread.

--- a/src/entry/online_proxy.cpp
+++ b/src/entry/online_proxy.cpp
@@ -84,7 +84,7 @@
     run.silence->restart();
     run.active_exchange = std::make_shared<target_exchange>(m_context, target, work_kind::online,
                                                             has_attempts_left(run));
-    const std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
+    std::shared_ptr<target_exchange> opened_exchange = run.active_exchange;
     const auto make_message = message_maker(run, target);
     run.caller_exchange.set_may_have_run();
     const quarantine_gate gate = gate_for(run);
@@ -103,6 +103,8 @@
         co_return co_await handle_target_failure(run, std::move(open_error));
     }
     m_context.loads.record_success(target.id, m_context.clock());
+    // Ends when the target has answered, not when the caller has read the answer.
+    opened_exchange.reset();
     co_return co_await relay(run, std::move(response.value()));
 }
 
--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -161,7 +161,7 @@
         co_return co_await retry_or_fail(run, std::move(failure));
     }
     run.backup.reset();
-    run.active_exchange = backup->exchange;
+    run.active_exchange = std::move(backup->exchange);
     run.sent_at = backup->sent_at;
     run.reads_with_events = 0;
     run.silence->restart();
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -67,7 +67,6 @@
     record_served(m_context, run.suspects);
     net::http_response out = net::make_forwarded_head(run.active_exchange->response());
     out.body = std::move(run.active_exchange->response().body);
-    const net::memory_reservation body_memory = run.active_exchange->take_memory();
     run.active_exchange.reset();
     co_await run.caller_exchange.respond(std::move(out));
     log_finished(run, "answered");
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -44,8 +44,6 @@
     /// Waits for the complete response. Calls \p on_progress, if set, whenever bytes have arrived.
     task<result<void>> read_all(std::function<void()> on_progress = nullptr);
 
-    /// Takes over the memory reserved for the response, to keep it for as long as the body exists.
-    memory_reservation take_memory() { return std::move(m_memory); }
     /// The response so far. The caller may take received bytes out of its body.
     http_response& response() { return m_parser->message(); }
     [[nodiscard]] bool complete() const { return m_parser->complete(); }
--- a/src/serving/target_exchange.hpp
+++ b/src/serving/target_exchange.hpp
@@ -74,8 +74,6 @@
     /// Reads the rest of the response into response(), waiting until \p deadline at most.
     net::task<result<void>> read_all(time_point deadline);
 
-    /// Takes over the memory reserved for the response; see net::http_exchange::take_memory().
-    net::memory_reservation take_memory() { return m_exchange->take_memory(); }
     /// The response as far as it has been read; valid after open() has succeeded.
     net::http_response& response() { return m_exchange->response(); }
     [[nodiscard]] const routing::fleet_target& target() const { return m_load_guard.target(); }
