The time in which a slow caller is waited for is no silence of the target

Seen by targets: a stream whose caller pauses for more than a second runs a second time at another target, and the first, which is sound, counts as silent. Cause: while a write to the caller waits, nothing is read from the target, and the timer of its silence ran on. Change: the timer ignores the time in which the caller is waited for, and begins anew after it.

--- a/src/entry/online_proxy_backup.cpp
+++ b/src/entry/online_proxy_backup.cpp
@@ -32,6 +32,9 @@
 }
 
 void online_proxy::handle_silence(const std::shared_ptr<running_request>& run) {
+    if (run->waits_for_caller) {
+        return;
+    }
     if (run->backup && run->backup->exchange && !run->backup->has_taken_over) {
         supervise_backup(*run);
         return;
--- a/src/entry/online_proxy_relay.cpp
+++ b/src/entry/online_proxy_relay.cpp
@@ -101,7 +101,11 @@
             co_return false;
         }
     }
-    co_return co_await run.caller_exchange.write(std::move(bytes));
+    run.waits_for_caller = true;
+    const bool sent = co_await run.caller_exchange.write(std::move(bytes));
+    run.waits_for_caller = false;
+    run.silence->restart();
+    co_return sent;
 }
 
 net::task<online_proxy::attempt_outcome> online_proxy::relay_stream(running_request& run) {
--- a/src/entry/running_request.hpp
+++ b/src/entry/running_request.hpp
@@ -39,6 +39,9 @@
     bool headers_sent = false;
     /// Whether the response is read as a whole before any of it is sent to the caller.
     bool relays_full_response = false;
+    /// Whether a part of the response waits to be written to the caller. Nothing is read from the
+    /// target meanwhile.
+    bool waits_for_caller = false;
     /// Whether an event without id was sent to the caller, so that no target can go on with the
     /// stream.
     bool has_unnumbered_event = false;
