--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -266,12 +266,12 @@
 
 bool http_server::free_connection() {
     server_exchange* slowest = nullptr;
-    double least_rate = 0;
+    double lowest_rate = 0;
     for (server_exchange* each : m_active) {
         const std::optional<double> rate = each->claim().reading_rate(min_unread_time);
-        if (rate && (slowest == nullptr || *rate < least_rate)) {
+        if (rate && (slowest == nullptr || *rate < lowest_rate)) {
             slowest = each;
-            least_rate = *rate;
+            lowest_rate = *rate;
         }
     }
     if (slowest != nullptr) {
--- a/src/net/outgoing_memory.cpp
+++ b/src/net/outgoing_memory.cpp
@@ -10,8 +10,7 @@
 /// A response may have one part in this many of the memory that is left.
 constexpr std::size_t responses_per_room = 16;
 /// A response that has just begun is ranked like one that has been read for initial_seconds, at a
-/// rate that ends it within expected_seconds. Without this it would always be the one that was read
-/// least.
+/// rate that ends it within expected_seconds. Without this it would always be the slowest.
 constexpr double initial_seconds = 1;
 constexpr double expected_seconds = 60;
 
@@ -20,22 +19,22 @@
 bool outgoing_memory::make_room(const outgoing_claim& claimant, std::size_t bytes) {
     const time_point now = m_clock();
     while (m_reserved + bytes > m_bytes) {
-        outgoing_claim* least = nullptr;
-        double least_taken = 0;
+        outgoing_claim* slowest = nullptr;
+        double lowest_rate = 0;
         for (outgoing_claim* each : m_sending) {
             if (each == &claimant || !each->is_large()) {
                 continue;
             }
-            const double taken = each->reading_rate_at(now);
-            if (least == nullptr || taken < least_taken) {
-                least = each;
-                least_taken = taken;
+            const double rate = each->reading_rate_at(now);
+            if (slowest == nullptr || rate < lowest_rate) {
+                slowest = each;
+                lowest_rate = rate;
             }
         }
-        if (least == nullptr) {
+        if (slowest == nullptr) {
             return m_large == (claimant.is_large() ? 1 : 0);
         }
-        least->yield(now);
+        slowest->yield(now);
     }
     return true;
 }
--- a/src/net/outgoing_memory.hpp
+++ b/src/net/outgoing_memory.hpp
@@ -35,7 +35,7 @@
 };
 
 /// Memory of responses from the time their size is known until they have been sent. When it is
-/// short, the response whose client has taken least for the memory that it holds gives way. Not
+/// short, the response of which its client takes the smallest part in a second gives way. Not
 /// thread-safe; must outlive its claims.
 class outgoing_memory {
 public:
@@ -74,7 +74,7 @@
     std::size_t m_large = 0;
     std::uint64_t m_yielded = 0;
     std::uint64_t m_refused = 0;
-    /// Claims of responses that are being sent and may give way.
+    /// Claims of responses that are being sent; the large ones may give way.
     std::set<outgoing_claim*> m_sending;
 };
 
@@ -117,7 +117,7 @@
     /// The part of the response that its client takes in a second, on average since it began;
     /// nothing while no response is being sent, or for less than \p min_time.
     [[nodiscard]] std::optional<double> reading_rate(duration min_time) const;
-    /// Lets the response that is being sent give way.
+    /// Lets the response that is being sent give way, for a reason other than memory.
     void yield() { yield(m_memory->m_clock()); }
 
 private:
