slow_peers waits for a shut window, not for a time

Cause: 300 ms were taken for the time in which a window is shut. Change: the peer holds bytes and the kernel takes no more; the test requires it, where before it was assumed.

--- a/test/correctness/slow_peers.cpp
+++ b/test/correctness/slow_peers.cpp
@@ -123,7 +123,12 @@
             if (bytes == request_bytes) {
                 const std::string text(request_bytes, 'x');
                 (void)pair.connection->write_available(text);
-                co_await net::sleep_for(milliseconds(300));
+                // A full window: the peer holds bytes, and the kernel takes no more.
+                const std::function<bool()> is_shut = [&] {
+                    return pair.peer->available() > 0 && pair.connection->write_available("x") == 0;
+                };
+                co_await m_fixture.wait_until(is_shut, patience);
+                require(is_shut(), "the window is shut");
                 cut(*pair.peer);
             } else {
                 cut(*pair.peer);
